Set down the layout, the core types and the first decisions

Cause: later work grows on the shape: a core without I/O, times as std::chrono in every signature, one closed list of error kinds. Conclusion: decisions are functions over aggregates that take the time of an event; nothing in src/core reads a clock.

--- /dev/null
+++ b/cmake/Component.cmake
@@ -0,0 +1,11 @@
+# Defines the static library toucandock_<name> from the given sources.
+# Usage: toucandock_component(core_types SOURCES a.cc DEPENDS util)
+function(toucandock_component name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LIBRARIES" ${ARGN})
+  add_library(toucandock_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(toucandock_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+  foreach(dep ${ARG_DEPENDS})
+    target_link_libraries(toucandock_${name} PUBLIC toucandock_${dep})
+  endforeach()
+  target_link_libraries(toucandock_${name} PUBLIC ${ARG_LIBRARIES})
+endfunction()
--- /dev/null
+++ b/src/core/lease/lease.h
@@ -0,0 +1,36 @@
+#ifndef TOUCANDOCK_CORE_LEASE_LEASE_H_
+#define TOUCANDOCK_CORE_LEASE_LEASE_H_
+
+#include "core/time.h"
+
+namespace toucandock::core::lease {
+
+// Durations of all leases. The holder counts a lease from a moment before the
+// issuer could have answered; the issuer adds drift and margin before it
+// treats the lease as ended.
+struct LeaseTerms {
+  Duration renew_interval = std::chrono::milliseconds(100);
+  // An entry host may send to owners of keys.
+  Duration serving = std::chrono::milliseconds(400);
+  // A member supports a decider and votes for no other.
+  Duration support = std::chrono::milliseconds(400);
+  // A target that checks fences may run requests.
+  Duration grant = std::chrono::milliseconds(500);
+  // A member without an answer from the decider for this long asks for votes.
+  Duration election = std::chrono::milliseconds(600);
+  // Waited for each rank before a member, so that members don't ask at once.
+  Duration election_step = std::chrono::milliseconds(150);
+  // Largest difference of two clock rates, in parts per thousand.
+  int drift_permille = 10;
+  Duration margin = std::chrono::milliseconds(20);
+};
+
+Duration WithDrift(const LeaseTerms& terms, Duration duration);
+
+TimePoint SurelyEnded(const LeaseTerms& terms,
+                      TimePoint issued,
+                      Duration duration);
+
+}  // namespace toucandock::core::lease
+
+#endif  // TOUCANDOCK_CORE_LEASE_LEASE_H_
--- /dev/null
+++ b/src/core/placement/placement.cc
@@ -0,0 +1,182 @@
+#include "core/placement/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+#include "util/hash.h"
+
+namespace toucandock::core::placement {
+namespace {
+
+struct TargetLoad {
+  const Candidate* candidate = nullptr;
+  double quota = 0;
+  double load = 0;
+
+  double Relative() const { return quota > 0 ? load / quota : load * 1e9; }
+};
+
+class Placer {
+ public:
+  explicit Placer(const PlacementInput& input) : input_(input) {
+    double total_weight = 0;
+    for (const Candidate& it : input.candidates) {
+      total_weight += it.weight;
+    }
+    double total_load = 0;
+    for (const ShardState& shard : input.shards) {
+      total_load += shard.load;
+    }
+    for (const Candidate& it : input.candidates) {
+      index_[it.id] = targets_.size();
+      targets_.push_back({&it, total_load * it.weight / total_weight, 0});
+    }
+    for (const ShardState& shard : input.shards) {
+      if (TargetLoad* owner = Find(shard.owner)) {
+        owner->load += shard.load;
+      }
+    }
+  }
+
+  std::vector<ShardMove> Run() {
+    if (targets_.empty()) {
+      return {};
+    }
+    PlaceOrphans();
+    RelieveOverloaded();
+    return std::move(moves_);
+  }
+
+ private:
+  TargetLoad* Find(const TargetId& id) {
+    const auto it = index_.find(id);
+    return it == index_.end() ? nullptr : &targets_[it->second];
+  }
+
+  // Load of the candidate's failure domain, to break ties towards the domain
+  // that would lose the least with one more shard.
+  double DomainLoad(const Candidate& candidate) const {
+    double load = 0;
+    for (const TargetLoad& it : targets_) {
+      if (it.candidate->failure_domain == candidate.failure_domain) {
+        load += it.load;
+      }
+    }
+    return load;
+  }
+
+  // The least loaded target relative to its quota after taking the shard;
+  // ties go to the less loaded failure domain, then to the higher hash.
+  // Returns nullptr when no target accepts shards.
+  TargetLoad* BestFor(std::uint64_t shard) {
+    constexpr double kTie = 1e-9;
+    TargetLoad* best = nullptr;
+    double best_relative = std::numeric_limits<double>::max();
+    double best_domain = 0;
+    std::uint64_t best_hash = 0;
+    for (TargetLoad& it : targets_) {
+      if (!it.candidate->accepts) {
+        continue;
+      }
+      TargetLoad after = it;
+      after.load += input_.shards[shard].load;
+      const double relative = after.Relative();
+      if (best != nullptr && relative > best_relative + kTie) {
+        continue;
+      }
+      const double domain = DomainLoad(*it.candidate);
+      const std::uint64_t hash = util::Hash64(it.candidate->id, shard);
+      const bool better = best == nullptr || relative < best_relative - kTie ||
+                          domain < best_domain - kTie ||
+                          (domain < best_domain + kTie && hash > best_hash);
+      if (better) {
+        best = &it;
+        best_relative = relative;
+        best_domain = domain;
+        best_hash = hash;
+      }
+    }
+    return best;
+  }
+
+  void PlaceOrphans() {
+    for (std::uint64_t n = 0; n < input_.shards.size(); ++n) {
+      const ShardState& shard = input_.shards[n];
+      if (shard.moving || Find(shard.owner) != nullptr) {
+        continue;
+      }
+      TargetLoad* to = BestFor(n);
+      if (to == nullptr) {
+        return;
+      }
+      to->load += shard.load;
+      moves_.push_back({n, to->candidate->id});
+    }
+  }
+
+  // Moves shards off the most loaded target while that lowers the larger of
+  // the two relative loads; so a new target takes no more than its share and
+  // no shard moves between targets that are within the tolerance.
+  void RelieveOverloaded() {
+    std::vector<bool> moved(input_.shards.size(), false);
+    for (std::uint32_t n = 0; n < input_.max_planned_moves; ++n) {
+      const auto [least, most] =
+          std::minmax_element(targets_.begin(), targets_.end(),
+                              [](const TargetLoad& a, const TargetLoad& b) {
+                                return a.Relative() < b.Relative();
+                              });
+      if (most->Relative() <= input_.tolerance || !least->candidate->accepts) {
+        return;
+      }
+      const std::uint64_t shard = BestShardToMove(*most, *least, moved);
+      if (shard == input_.shards.size()) {
+        return;
+      }
+      moved[shard] = true;
+      most->load -= input_.shards[shard].load;
+      least->load += input_.shards[shard].load;
+      moves_.push_back({shard, least->candidate->id});
+    }
+  }
+
+  // Returns the largest shard of `from` whose move leaves `to` below the
+  // present load of `from`, or the number of shards when there is none.
+  std::uint64_t BestShardToMove(const TargetLoad& from,
+                                const TargetLoad& to,
+                                const std::vector<bool>& moved) const {
+    std::uint64_t best = input_.shards.size();
+    for (std::uint64_t n = 0; n < input_.shards.size(); ++n) {
+      const ShardState& shard = input_.shards[n];
+      if (shard.moving || moved[n] || shard.owner != from.candidate->id) {
+        continue;
+      }
+      TargetLoad after = to;
+      after.load += shard.load;
+      if (after.Relative() >= from.Relative()) {
+        continue;
+      }
+      if (best == input_.shards.size() ||
+          shard.load > input_.shards[best].load) {
+        best = n;
+      }
+    }
+    return best;
+  }
+
+  const PlacementInput& input_;
+  std::vector<TargetLoad> targets_;
+  std::map<TargetId, size_t> index_;
+  std::vector<ShardMove> moves_;
+};
+
+}  // namespace
+
+// Decides which shards move, and where to. Shards without a usable owner are
+// placed first; then at most max_planned_moves shards leave targets that are
+// above their quota.
+std::vector<ShardMove> PlaceShards(const PlacementInput& input) {
+  return Placer(input).Run();
+}
+
+}  // namespace toucandock::core::placement
--- /dev/null
+++ b/src/core/time.h
@@ -0,0 +1,15 @@
+#ifndef TOUCANDOCK_CORE_TIME_H_
+#define TOUCANDOCK_CORE_TIME_H_
+
+#include <chrono>
+
+namespace toucandock::core {
+
+// The core never reads a clock: the time of an event is passed in with it.
+// Steady time only, since wall clocks may step.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock>;
+using Duration = std::chrono::steady_clock::duration;
+
+}  // namespace toucandock::core
+
+#endif  // TOUCANDOCK_CORE_TIME_H_
--- /dev/null
+++ b/src/core/unit.h
@@ -0,0 +1,49 @@
+#ifndef TOUCANDOCK_CORE_UNIT_H_
+#define TOUCANDOCK_CORE_UNIT_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "absl/strings/string_view.h"
+
+namespace toucandock::core {
+
+// Identifies one process of an entry host; a restarted process has a new id.
+using HostId = std::string;
+
+// "<service>/<address>".
+using TargetId = std::string;
+
+// Offset of a record on the log.
+using Offset = std::uint64_t;
+
+// Rises with each change of a unit's owner and is never reused. The upper bits
+// come from the offset of the record that founded the current membership, so
+// that fences also rise when the whole state had to be rebuilt.
+using Fence = std::uint64_t;
+inline constexpr int kFenceCounterBits = 24;
+
+// The smallest part of a service that has an owner: one shard or one hot key.
+struct Unit {
+  std::string service;
+  std::uint64_t number = 0;
+
+  auto operator<=>(const Unit&) const = default;
+};
+
+inline constexpr std::uint64_t kHotKeyBit = std::uint64_t{1} << 63;
+
+std::uint64_t HashKey(absl::string_view key);
+
+std::uint64_t ShardOf(std::uint64_t key_hash, std::uint32_t shards);
+
+std::uint64_t HotKeyNumber(std::uint64_t key_hash);
+
+bool IsHotKey(const Unit& unit);
+
+std::string ToString(const Unit& unit);
+
+}  // namespace toucandock::core
+
+#endif  // TOUCANDOCK_CORE_UNIT_H_
