--- /dev/null
+++ b/src/core/control/control_state.h
@@ -0,0 +1,75 @@
+#ifndef TOUCANDOCK_CORE_CONTROL_CONTROL_STATE_H_
+#define TOUCANDOCK_CORE_CONTROL_CONTROL_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/control/records.h"
+
+namespace toucandock::core::control {
+
+struct MemberState {
+  HostInfo host;
+  bool votes = false;
+  bool leaving = false;
+
+  bool operator==(const MemberState&) const = default;
+};
+
+struct Proposal {
+  Offset offset = 0;
+  PublishRecord publish;
+};
+
+struct ConfigVerdict {
+  bool accepted = false;
+  std::uint64_t version = 0;
+  std::string reason;
+  Offset offset = 0;
+};
+
+// The control state after all records below `next`.
+struct ControlState {
+  Offset next = 0;
+  // Offset of the last valid record that only a decider may write.
+  Offset last_decider = 0;
+  Ballot ballot;
+  Fence next_fence = 1;
+  std::map<HostId, MemberState> members;
+  std::uint64_t config_version = 0;
+  std::string config_text;
+  std::string config_author;
+  std::map<std::string, Proposal> proposals;
+  // The most recent verdicts by publish id.
+  std::map<std::string, ConfigVerdict> verdicts;
+  std::map<Unit, Assignment> assignments;
+  // Voters changed at this offset for the last time.
+  Offset voters_changed = 0;
+  // The record that founded the current membership.
+  Offset founded = 0;
+};
+
+enum class FoldResult {
+  kApplied,
+  // Written by a decider that was already replaced, or not the next in order.
+  kStale,
+  // Repeats an earlier record or refers to something that does not exist.
+  kVoid,
+};
+
+FoldResult Fold(ControlState& state, const LogEntry& entry);
+
+std::optional<size_t> SelectCheckpoint(const std::vector<LogEntry>& entries);
+
+std::vector<HostId> Voters(const ControlState& state);
+
+size_t MajorityOf(size_t voters);
+
+bool IsDeciderRecord(const RecordBody& body);
+
+}  // namespace toucandock::core::control
+
+#endif  // TOUCANDOCK_CORE_CONTROL_CONTROL_STATE_H_
--- /dev/null
+++ b/src/core/control/decider.cc
@@ -0,0 +1,608 @@
+#include "core/control/decider.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/placement/placement.h"
+
+namespace toucandock::core::control {
+namespace {
+
+// A host that has not acknowledged a move for this long gets no new serving
+// lease, so that the move waits for it no longer than one lease.
+constexpr Duration kAckGrace = std::chrono::milliseconds(150);
+// A planned move waits this long for requests in flight.
+constexpr Duration kDrainLimit = std::chrono::seconds(10);
+constexpr Duration kEvictAfter = std::chrono::seconds(5);
+// Fences that an earlier decider may have used without our knowledge.
+constexpr Fence kFenceSkip = Fence{1} << 16;
+constexpr size_t kMaxSettled = 1'024;
+constexpr size_t kMaxVoters = 7;
+constexpr std::uint32_t kMaxPlannedMoves = 4;
+constexpr Offset kCheckpointEvery = 1'000;
+
+bool Contains(const std::vector<Unit>& units, const Unit& unit) {
+  return std::find(units.begin(), units.end(), unit) != units.end();
+}
+
+}  // namespace
+
+Decider::Decider(const HostInfo& self,
+                 const lease::LeaseTerms& terms,
+                 const ControlHooks& hooks,
+                 Replica& replica,
+                 const Ballot& ballot,
+                 const Directive& inherited,
+                 TimePoint now)
+    : self_(self),
+      terms_(terms),
+      hooks_(hooks),
+      replica_(replica),
+      ballot_(ballot),
+      elected_at_(now),
+      authority_from_(now),
+      authority_until_(now),
+      directive_(inherited),
+      targets_(self.id, terms, ballot, now) {
+  const ControlState& state = replica_.state();
+  const bool founding = inherited.founded != state.founded;
+  if (founding) {
+    directive_ = Directive{};
+    directive_.founded = state.founded;
+    authority_from_ =
+        lease::SurelyEnded(terms_, now, std::max(terms_.grant, terms_.serving));
+  }
+  directive_.ballot = ballot_;
+  directive_.effective = std::max(directive_.effective, state.next);
+  next_fence_ = state.next_fence;
+  for (const UnitMove& move : directive_.moves) {
+    next_fence_ = std::max(next_fence_, move.to.fence + 1);
+  }
+  next_fence_ += kFenceSkip;
+  if (founding) {
+    Refence();
+  }
+  voters_changed_ = state.voters_changed;
+  voters_sequence_ = directive_.sequence + 1;
+  // Phases are run through again: this decider does not know which hosts and
+  // targets its predecessor had heard from.
+  for (UnitMove& move : directive_.moves) {
+    if (move.phase == MovePhase::kGranting) {
+      move.phase = MovePhase::kRevoking;
+    }
+    move.since = directive_.sequence + 1;
+    move_started_[move.unit] = now;
+  }
+  replica_.set_directive(directive_);
+  const TimePoint unknown_ends =
+      lease::SurelyEnded(terms_, now, terms_.serving);
+  for (const auto& [id, member] : state.members) {
+    holders_[id] = Holder{
+        .host = member.host, .lease_ends = unknown_ends, .heard_at = now};
+  }
+  holders_[self_.id].host = self_;
+}
+
+// After the whole membership was lost, nobody knows which assignments an
+// earlier decider had in force beyond the log. All units get fences above
+// whatever it may have used.
+void Decider::Refence() {
+  for (const auto& [unit, assignment] : replica_.state().assignments) {
+    directive_.moves.push_back(UnitMove{.unit = unit,
+                                        .to = {assignment.owner, next_fence_++},
+                                        .from = assignment.owner});
+  }
+}
+
+// Returns whether the log shows a higher ballot or another membership.
+bool Decider::IsSuperseded() const {
+  return replica_.state().founded != directive_.founded ||
+         replica_.state().ballot > ballot_;
+}
+
+RenewReply Decider::OnRenew(const RenewRequest& request, TimePoint now) {
+  RenewReply reply;
+  reply.host = self_.id;
+  reply.accepted = true;
+  reply.decider = self_;
+  reply.ballot = ballot_;
+  reply.stamp = now.time_since_epoch();
+  reply.sequence = directive_.sequence;
+
+  Holder& holder = holders_[request.host.id];
+  holder.host = request.host;
+  holder.heard_at = now;
+  holder.busy = request.busy;
+  holder.leaving = request.leaving;
+  if (request.founded == directive_.founded &&
+      request.echo > elected_at_.time_since_epoch()) {
+    holder.supports_until = std::max(holder.supports_until,
+                                     TimePoint(request.echo) + terms_.support);
+  }
+  const bool same_ballot = request.ballot == ballot_;
+  if (same_ballot) {
+    holder.acked_sequence =
+        std::max(holder.acked_sequence, request.acked_sequence);
+  }
+  for (const detection::Signal& signal : request.signals) {
+    targets_.OnSignal(signal, now);
+  }
+  UpdateAuthority(now);
+  if (HasAuthority(now) && same_ballot && !IsBlockingMoves(holder, now)) {
+    reply.lease = true;
+    holder.lease_ends = lease::SurelyEnded(terms_, now, terms_.serving);
+  }
+  if (!same_ballot || request.acked_sequence < directive_.sequence) {
+    reply.directive = directive_;
+  }
+  reply.suspects = targets_.Suspects(Observers(now), now);
+  return reply;
+}
+
+// Returns whether a move has waited too long for this holder alone.
+bool Decider::IsBlockingMoves(const Holder& holder, TimePoint now) const {
+  return std::any_of(directive_.moves.begin(), directive_.moves.end(),
+                     [&](const UnitMove& move) {
+                       return move.phase == MovePhase::kRevoking &&
+                              move.since > holder.acked_sequence &&
+                              now - move_started_.at(move.unit) > kAckGrace;
+                     });
+}
+
+void Decider::OnOwnAck(std::uint64_t acked_sequence,
+                       const std::vector<Unit>& busy,
+                       TimePoint now) {
+  Holder& own = holders_[self_.id];
+  own.acked_sequence = acked_sequence;
+  own.busy = busy;
+  own.heard_at = now;
+  own.supports_until = now + terms_.support;
+  own.lease_ends = std::max(own.lease_ends, authority_until_);
+  UpdateAuthority(now);
+}
+
+void Decider::OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out) {
+  writer_.OnLogRead(read, now, out);
+}
+
+void Decider::OnAppendResult(const AppendResultEvent& result, TimePoint now) {
+  writer_.OnAppendResult(result, now);
+}
+
+void Decider::OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now) {
+  targets_.OnGrantAnswer(event, now);
+}
+
+void Decider::OnProbeAnswer(const ProbeAnswerEvent& event, TimePoint now) {
+  targets_.OnProbeAnswer(event, now);
+}
+
+void Decider::OnSignal(const detection::Signal& signal, TimePoint now) {
+  targets_.OnSignal(signal, now);
+}
+
+void Decider::OnHostList(const HostListEvent& list, TimePoint now) {
+  targets_.OnHostList(list, now);
+}
+
+// Authority lasts as long as a majority of the voters is sure to vote for no
+// other host.
+void Decider::UpdateAuthority(TimePoint now) {
+  const std::vector<HostId> voters = Voters(replica_.state());
+  std::vector<TimePoint> supports;
+  for (const HostId& id : voters) {
+    const auto it = holders_.find(id);
+    supports.push_back(it == holders_.end() ? TimePoint{}
+                                            : it->second.supports_until);
+  }
+  if (supports.empty() || now < authority_from_) {
+    authority_until_ = now;
+    return;
+  }
+  std::sort(supports.rbegin(), supports.rend());
+  authority_until_ = supports[MajorityOf(voters.size()) - 1];
+}
+
+// Folds what was read. An assignment that a predecessor wrote without our
+// knowledge becomes a move, since nobody has waited for its old owner yet.
+void Decider::AdvanceEffective(TimePoint now) {
+  if (replica_.log_end() <= directive_.effective) {
+    return;
+  }
+  std::map<Unit, Assignment> before;
+  const std::vector<LogEntry> applied =
+      replica_.FoldUpTo(replica_.log_end(), [&](const LogEntry& entry) {
+        const auto* settle = std::get_if<SettleRecord>(&entry.record.body);
+        if (settle == nullptr) {
+          return;
+        }
+        for (const UnitAssignment& it : settle->assignments) {
+          const auto old = replica_.state().assignments.find(it.unit);
+          before.try_emplace(it.unit, old == replica_.state().assignments.end()
+                                          ? Assignment{}
+                                          : old->second);
+        }
+      });
+  directive_.effective = replica_.state().next;
+  changed_ = true;
+  for (const LogEntry& entry : applied) {
+    const auto* settle = std::get_if<SettleRecord>(&entry.record.body);
+    if (settle == nullptr) {
+      continue;
+    }
+    for (const UnitAssignment& it : settle->assignments) {
+      next_fence_ = std::max(next_fence_, it.to.fence + 1);
+      const UnitMove* known = replica_.MoveOf(it.unit);
+      const Assignment& old = before.at(it.unit);
+      if (old.fence >= it.to.fence ||
+          (known != nullptr && known->to.fence >= it.to.fence)) {
+        continue;
+      }
+      directive_.moves.push_back(UnitMove{.unit = it.unit,
+                                          .to = it.to,
+                                          .from = old.owner,
+                                          .since = directive_.sequence + 1});
+      move_started_[it.unit] = now;
+    }
+  }
+  if (replica_.state().voters_changed != voters_changed_) {
+    voters_changed_ = replica_.state().voters_changed;
+    voters_sequence_ = directive_.sequence + 1;
+  }
+}
+
+void Decider::JudgeTargets(TimePoint now, Actions& out) {
+  for (const TargetId& id : targets_.Judge(Observers(now), now)) {
+    const bool lost = targets_.lost().contains(id);
+    out.push_back(DecisionAction{
+        absl::StrCat("target ", id, lost ? " lost" : " back"),
+        lost ? "two independent signals" : "answers without gap for 1s"});
+  }
+  Directive& d = directive_;
+  std::set<TargetId> lost = targets_.lost();
+  std::set<TargetId> draining = targets_.draining();
+  std::set<TargetId> cold = targets_.cold(now);
+  if (lost != d.lost || draining != d.draining || cold != d.cold) {
+    d.lost = std::move(lost);
+    d.draining = std::move(draining);
+    d.cold = std::move(cold);
+    changed_ = true;
+  }
+}
+
+void Decider::PlaceService(const config::ServiceConfig& service,
+                           TimePoint now,
+                           Actions& out) {
+  placement::PlacementInput input;
+  for (const config::TargetConfig& target : service.targets) {
+    const TargetId id = config::MakeTargetId(service, target);
+    if (!targets_.WasContacted(id)) {
+      // Placing on the first targets to answer would only move units twice.
+      return;
+    }
+    if (targets_.MayOwn(id)) {
+      input.candidates.push_back({id, target.failure_domain,
+                                  targets_.WeightOf(id, now),
+                                  targets_.IsUsable(id)});
+    }
+  }
+  input.max_planned_moves =
+      kMaxPlannedMoves - std::min(kMaxPlannedMoves, PlannedMoves(service.name));
+  for (std::uint64_t n = 0; n < service.shards; ++n) {
+    const Unit unit{service.name, n};
+    const UnitMove* move = replica_.MoveOf(unit);
+    // A move whose new owner was lost must be replaced.
+    const bool moving = move != nullptr && move->phase != MovePhase::kActive &&
+                        targets_.MayOwn(move->to.owner);
+    input.shards.push_back(
+        {.owner = replica_.AssignmentOf(unit).owner, .moving = moving});
+  }
+  for (const placement::ShardMove& it : placement::PlaceShards(input)) {
+    StartMove({service.name, it.shard}, it.to, now, out);
+  }
+}
+
+std::uint32_t Decider::PlannedMoves(const std::string& service) const {
+  return std::count_if(directive_.moves.begin(), directive_.moves.end(),
+                       [&](const UnitMove& it) {
+                         return it.planned && it.unit.service == service &&
+                                it.phase != MovePhase::kActive;
+                       });
+}
+
+void Decider::StartMove(const Unit& unit,
+                        const TargetId& to,
+                        TimePoint now,
+                        Actions& out) {
+  const Assignment current = replica_.AssignmentOf(unit);
+  const UnitMove* replaced = replica_.MoveOf(unit);
+  UnitMove move = {.unit = unit,
+                   .to = {to, next_fence_++},
+                   .from = current.owner,
+                   .since = directive_.sequence + 1};
+  if (replaced != nullptr && replaced->phase == MovePhase::kRevoking) {
+    // The owner that was chosen before never got its grant.
+    move.from = replaced->from;
+  }
+  move.planned = !move.from.empty() && !directive_.lost.contains(move.from);
+  std::erase_if(directive_.moves,
+                [&](const UnitMove& it) { return it.unit == unit; });
+  const char* cause = move.from.empty() ? "had no owner"
+                      : move.planned    ? "rebalanced or drained"
+                                        : "its owner was lost";
+  out.push_back(
+      DecisionAction{absl::StrCat("unit ", ToString(unit), " moves from ",
+                                  move.from.empty() ? "nobody" : move.from,
+                                  " to ", to, ", fence ", move.to.fence),
+                     cause});
+  directive_.moves.push_back(std::move(move));
+  move_started_[unit] = now;
+  changed_ = true;
+}
+
+void Decider::ProgressMoves(TimePoint now, Actions& out) {
+  for (UnitMove& move : directive_.moves) {
+    if (!ProgressMove(move, now)) {
+      continue;
+    }
+    changed_ = true;
+    if (move.phase == MovePhase::kActive) {
+      out.push_back(DecisionAction{
+          absl::StrCat("unit ", ToString(move.unit), " is served by ",
+                       move.to.owner, ", fence ", move.to.fence),
+          "old owner and all hosts gave it up"});
+    }
+  }
+}
+
+// Returns whether the move entered its next phase.
+bool Decider::ProgressMove(UnitMove& move, TimePoint now) {
+  switch (move.phase) {
+    case MovePhase::kRevoking:
+      if (!IsRevokedEverywhere(move, now) || !IsDurable(move, now)) {
+        return false;
+      }
+      move.phase = MovePhase::kGranting;
+      return true;
+    case MovePhase::kGranting:
+      if (!targets_.IsGranted(move.to.owner, {move.unit, move.to.fence})) {
+        return false;
+      }
+      move.phase = MovePhase::kActive;
+      return true;
+    case MovePhase::kActive:
+      return false;
+  }
+  return false;
+}
+
+bool Decider::IsRevokedEverywhere(const UnitMove& move, TimePoint now) const {
+  if (move.since > directive_.sequence) {
+    return false;
+  }
+  const bool drain =
+      move.planned && now - move_started_.at(move.unit) < kDrainLimit;
+  for (const auto& [id, holder] : holders_) {
+    const bool gave_up = holder.acked_sequence >= move.since &&
+                         !(drain && Contains(holder.busy, move.unit));
+    if (!gave_up && now < holder.lease_ends) {
+      return false;
+    }
+  }
+  return move.from.empty() || targets_.IsReleased(move.from, now);
+}
+
+// An assignment counts as acknowledged once the log has it or, while the log
+// is down or slow, once a majority of the voters knows it.
+bool Decider::IsDurable(const UnitMove& move, TimePoint now) const {
+  if (IsSettled(move)) {
+    return true;
+  }
+  return writer_.IsLogSlow(now) &&
+         VotersWhoAcked(move.since) >=
+             MajorityOf(Voters(replica_.state()).size());
+}
+
+bool Decider::IsSettled(const UnitMove& move) const {
+  const auto& assignments = replica_.state().assignments;
+  const auto it = assignments.find(move.unit);
+  return it != assignments.end() && it->second.fence >= move.to.fence;
+}
+
+void Decider::DropFinishedMoves() {
+  const size_t n = std::erase_if(directive_.moves, [this](const UnitMove& it) {
+    if (it.phase != MovePhase::kActive || !IsSettled(it)) {
+      return false;
+    }
+    move_started_.erase(it.unit);
+    return true;
+  });
+  changed_ = changed_ || n > 0;
+}
+
+void Decider::PublishDirective(TimePoint now, Actions& out) {
+  if (!changed_) {
+    return;
+  }
+  changed_ = false;
+  ++directive_.sequence;
+  replica_.set_directive(directive_);
+  targets_.SetUnits(replica_);
+  out.push_back(PublishViewAction{});
+  for (const auto& [id, holder] : holders_) {
+    if (id != self_.id && now < holder.lease_ends) {
+      out.push_back(SendNudgeAction{holder.host});
+    }
+  }
+}
+
+size_t Decider::VotersWhoAcked(std::uint64_t sequence) const {
+  size_t n = 0;
+  for (const HostId& id : Voters(replica_.state())) {
+    const auto it = holders_.find(id);
+    if (it != holders_.end() && it->second.acked_sequence >= sequence) {
+      ++n;
+    }
+  }
+  return n;
+}
+
+void Decider::ForgetSilentHolders(TimePoint now) {
+  std::erase_if(holders_, [&](const auto& it) {
+    return it.first != self_.id && now > it.second.lease_ends &&
+           now - it.second.heard_at > 2 * kEvictAfter &&
+           !replica_.state().members.contains(it.first);
+  });
+}
+
+// Hosts that could give a second opinion on a target now.
+size_t Decider::Observers(TimePoint now) const {
+  return std::count_if(holders_.begin(), holders_.end(), [&](const auto& it) {
+    return now < it.second.lease_ends;
+  });
+}
+
+// Does everything that is due. All work is derived from the state, so that a
+// lost message or a late event only delays it.
+void Decider::Step(TimePoint now, Actions& out) {
+  UpdateAuthority(now);
+  AdvanceEffective(now);
+  ForgetSilentHolders(now);
+  if (replica_.config() && targets_version_ != replica_.config_version()) {
+    targets_version_ = replica_.config_version();
+    targets_.SetTargets(*replica_.config());
+    changed_ = true;
+  }
+  if (!HasAuthority(now)) {
+    // Supporters still have to learn of this decider.
+    PublishDirective(now, out);
+    return;
+  }
+  JudgeTargets(now, out);
+  if (replica_.config()) {
+    for (const config::ServiceConfig& service : replica_.config()->services) {
+      if (service.keyed) {
+        PlaceService(service, now, out);
+      }
+    }
+  }
+  PublishDirective(now, out);
+  ProgressMoves(now, out);
+  DropFinishedMoves();
+  PublishDirective(now, out);
+  targets_.SendDue(now, out);
+  WriteNextRecord(now, out);
+}
+
+void Decider::WriteNextRecord(TimePoint now, Actions& out) {
+  if (!writer_.idle()) {
+    return;
+  }
+  std::optional<RecordBody> body = NextRecord(now);
+  if (!body) {
+    return;
+  }
+  writer_.Append(Record{.id = hooks_.new_record_id(),
+                        .author = self_.id,
+                        .ballot = ballot_,
+                        .builds_on = replica_.state().last_decider,
+                        .body = *std::move(body)},
+                 now, out);
+}
+
+std::optional<RecordBody> Decider::NextRecord(TimePoint now) {
+  if (replica_.state().ballot < ballot_) {
+    return TermRecord{};
+  }
+  if (std::optional<RecordBody> body = NextSettle()) {
+    return body;
+  }
+  if (std::optional<RecordBody> body = NextVerdict()) {
+    return body;
+  }
+  if (std::optional<RecordBody> body = NextVoterChange(now)) {
+    return body;
+  }
+  if (replica_.state().next >= checkpoint_at_ + kCheckpointEvery) {
+    checkpoint_at_ = replica_.state().next;
+    return CheckpointRecord{
+        std::make_shared<const ControlState>(replica_.state())};
+  }
+  return std::nullopt;
+}
+
+std::optional<RecordBody> Decider::NextSettle() const {
+  SettleRecord settle;
+  for (const UnitMove& move : directive_.moves) {
+    if (!IsSettled(move) && settle.assignments.size() < kMaxSettled) {
+      settle.assignments.push_back({move.unit, move.to});
+    }
+  }
+  if (settle.assignments.empty()) {
+    return std::nullopt;
+  }
+  return settle;
+}
+
+// Decides the oldest proposal. The decision is a record, so that hosts of
+// other versions do not have to reach it again.
+std::optional<RecordBody> Decider::NextVerdict() const {
+  const ControlState& state = replica_.state();
+  const auto it =
+      std::min_element(state.proposals.begin(), state.proposals.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.offset < b.second.offset;
+                       });
+  if (it == state.proposals.end()) {
+    return std::nullopt;
+  }
+  const auto& [id, proposal] = *it;
+  std::string reason;
+  if (proposal.publish.edited_from != state.config_version) {
+    reason = absl::StrCat("config-conflict: the text was edited from version ",
+                          proposal.publish.edited_from, ", but version ",
+                          state.config_version, " by ", state.config_author,
+                          " is in force");
+  } else if (const auto parsed = hooks_.parse_config(proposal.publish.text);
+             !parsed.ok()) {
+    reason = absl::StrCat("config-invalid: ",
+                          std::string(parsed.status().message()));
+  }
+  if (!reason.empty()) {
+    return RefuseRecord{id, reason};
+  }
+  return AcceptRecord{id, state.config_version + 1};
+}
+
+// Voters change one at a time, and only after a majority knows the change
+// before; so any two majorities of neighbouring memberships share a host. An
+// even number of voters tolerates no more losses than the odd one below it.
+std::optional<RecordBody> Decider::NextVoterChange(TimePoint now) const {
+  const ControlState& state = replica_.state();
+  const std::vector<HostId> voters = Voters(state);
+  if (VotersWhoAcked(voters_sequence_) < MajorityOf(voters.size())) {
+    return std::nullopt;
+  }
+  std::vector<HostId> ready;
+  for (const auto& [id, member] : state.members) {
+    const auto it = holders_.find(id);
+    const bool heard =
+        it != holders_.end() && now - it->second.heard_at < kEvictAfter;
+    if (id != self_.id && (!heard || member.leaving)) {
+      return EvictRecord{id};
+    }
+    if (heard && !member.votes && !it->second.leaving &&
+        it->second.supports_until > now) {
+      ready.push_back(id);
+    }
+  }
+  const bool even = voters.size() % 2 == 0;
+  const size_t wanted = even ? 1 : 2;
+  if (voters.size() < kMaxVoters && ready.size() >= wanted) {
+    return AdmitRecord{ready.front()};
+  }
+  return std::nullopt;
+}
+
+}  // namespace toucandock::core::control
--- /dev/null
+++ b/src/core/control/decider.h
@@ -0,0 +1,118 @@
+#ifndef TOUCANDOCK_CORE_CONTROL_DECIDER_H_
+#define TOUCANDOCK_CORE_CONTROL_DECIDER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/control/log_writer.h"
+#include "core/control/messages.h"
+#include "core/control/replica.h"
+#include "core/control/target_book.h"
+#include "core/lease/lease.h"
+
+namespace toucandock::core::control {
+
+// The office of the one host that decides: it counts its supporters, moves
+// units between targets, and writes decider records. It lives as long as the
+// host's term.
+class Decider {
+ public:
+  Decider(const HostInfo& self,
+          const lease::LeaseTerms& terms,
+          const ControlHooks& hooks,
+          Replica& replica,
+          const Ballot& ballot,
+          const Directive& inherited,
+          TimePoint now);
+
+  const Ballot& ballot() const { return ballot_; }
+  TimePoint authority_until() const { return authority_until_; }
+  bool HasAuthority(TimePoint now) const { return now < authority_until_; }
+  bool IsSuperseded() const;
+  bool IsLogSlow(TimePoint now) const { return writer_.IsLogSlow(now); }
+
+  RenewReply OnRenew(const RenewRequest& request, TimePoint now);
+  void OnOwnAck(std::uint64_t acked_sequence,
+                const std::vector<Unit>& busy,
+                TimePoint now);
+  void OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out);
+  void OnLogFailed() { writer_.OnLogFailed(); }
+  void OnAppendResult(const AppendResultEvent& result, TimePoint now);
+  void OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now);
+  void OnProbeAnswer(const ProbeAnswerEvent& event, TimePoint now);
+  void OnSignal(const detection::Signal& signal, TimePoint now);
+  void OnHostList(const HostListEvent& list, TimePoint now);
+
+  void Step(TimePoint now, Actions& out);
+
+ private:
+  // A host that may hold a serving lease from this decider or an earlier one.
+  struct Holder {
+    HostInfo host;
+    TimePoint lease_ends;
+    // The host supports this decider until then.
+    TimePoint supports_until;
+    TimePoint heard_at;
+    std::uint64_t acked_sequence = 0;
+    std::vector<Unit> busy;
+    bool leaving = false;
+  };
+
+  void Refence();
+  void UpdateAuthority(TimePoint now);
+  void AdvanceEffective(TimePoint now);
+  void JudgeTargets(TimePoint now, Actions& out);
+  void PlaceService(const config::ServiceConfig& service,
+                    TimePoint now,
+                    Actions& out);
+  void StartMove(const Unit& unit,
+                 const TargetId& to,
+                 TimePoint now,
+                 Actions& out);
+  void ProgressMoves(TimePoint now, Actions& out);
+  bool ProgressMove(UnitMove& move, TimePoint now);
+  bool IsBlockingMoves(const Holder& holder, TimePoint now) const;
+  void ForgetSilentHolders(TimePoint now);
+  std::uint32_t PlannedMoves(const std::string& service) const;
+  bool IsRevokedEverywhere(const UnitMove& move, TimePoint now) const;
+  bool IsDurable(const UnitMove& move, TimePoint now) const;
+  bool IsSettled(const UnitMove& move) const;
+  void DropFinishedMoves();
+  void PublishDirective(TimePoint now, Actions& out);
+  size_t VotersWhoAcked(std::uint64_t sequence) const;
+  size_t Observers(TimePoint now) const;
+
+  void WriteNextRecord(TimePoint now, Actions& out);
+  std::optional<RecordBody> NextRecord(TimePoint now);
+  std::optional<RecordBody> NextSettle() const;
+  std::optional<RecordBody> NextVerdict() const;
+  std::optional<RecordBody> NextVoterChange(TimePoint now) const;
+
+  const HostInfo self_;
+  const lease::LeaseTerms terms_;
+  const ControlHooks& hooks_;
+  Replica& replica_;
+  const Ballot ballot_;
+  const TimePoint elected_at_;
+  // No authority before then: leases of an unknown earlier decider may run.
+  TimePoint authority_from_;
+  TimePoint authority_until_;
+  Fence next_fence_ = 1;
+  Directive directive_;
+  bool changed_ = true;
+  std::map<Unit, TimePoint> move_started_;
+  std::map<HostId, Holder> holders_;
+  TargetBook targets_;
+  std::uint64_t targets_version_ = 0;
+  LogWriter writer_;
+  // Sequence of the directive that put the last change of voters in force.
+  std::uint64_t voters_sequence_ = 0;
+  Offset voters_changed_ = 0;
+  Offset checkpoint_at_ = 0;
+};
+
+}  // namespace toucandock::core::control
+
+#endif  // TOUCANDOCK_CORE_CONTROL_DECIDER_H_
--- /dev/null
+++ b/src/core/control/host_controller.cc
@@ -0,0 +1,355 @@
+#include "core/control/host_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucandock::core::control {
+namespace {
+
+// The log counts as readable for this long after a successful read.
+constexpr Duration kLogFresh = std::chrono::seconds(2);
+// A host list that is older says nothing about hosts that it does not name.
+constexpr Duration kListFresh = std::chrono::seconds(10);
+// How long no decider may be found before hosts found a new membership.
+constexpr Duration kReformAfter = std::chrono::seconds(3);
+// Without a lease for this long, a host reads on in the log by itself.
+constexpr Duration kFoldAloneAfter = std::chrono::seconds(1);
+
+}  // namespace
+
+HostController::HostController(ControllerOptions options, ControlHooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      replica_(hooks_),
+      member_(options_.self, options_.terms, options_.seeds, replica_) {}
+
+// Handles one event. All work is done on the calling thread.
+Actions HostController::Handle(const Event& event, TimePoint now) {
+  now_ = now;
+  out_.clear();
+  const std::uint64_t version = replica_.config_version();
+  std::visit([this](const auto& it) { On(it); }, event);
+  Step();
+  FillProbeAddresses();
+  ReportConfig(version);
+  return std::exchange(out_, {});
+}
+
+void HostController::On(const TickEvent& event) {
+  member_.OnTick(event, now_);
+}
+
+void HostController::On(const LogReadEvent& event) {
+  log_read_at_ = now_;
+  if (!replica_.AddEntries(event)) {
+    // Retention passed the state of this host and no checkpoint was read.
+    return;
+  }
+  writer_.OnLogRead(event, now_, out_);
+  if (decider_) {
+    decider_->OnLogRead(event, now_, out_);
+    return;
+  }
+  const bool no_directive =
+      replica_.directive().founded != replica_.state().founded ||
+      replica_.directive().ballot == Ballot{};
+  if (no_directive || now_ - member_.lease_until() > kFoldAloneAfter) {
+    replica_.FoldAll();
+  }
+}
+
+void HostController::On(const LogFailedEvent&) {
+  writer_.OnLogFailed();
+  if (decider_) {
+    decider_->OnLogFailed();
+  }
+}
+
+void HostController::On(const AppendResultEvent& event) {
+  writer_.OnAppendResult(event, now_);
+  if (decider_) {
+    decider_->OnAppendResult(event, now_);
+  }
+}
+
+void HostController::On(const RenewRequestEvent& event) {
+  RenewReply reply;
+  if (decider_) {
+    reply = decider_->OnRenew(event.request, now_);
+  } else {
+    reply.host = options_.self.id;
+    reply.resigned = stopping_;
+    reply.decider = member_.decider();
+  }
+  out_.push_back(ReplyRenewAction{event.token, std::move(reply)});
+}
+
+void HostController::On(const RenewReplyEvent& event) {
+  if (!event.reply) {
+    unreachable_since_.try_emplace(event.from, now_);
+  } else {
+    unreachable_since_.erase(event.from);
+    if (!event.from.empty() && event.reply->host != event.from) {
+      replaced_.insert(event.from);
+    }
+  }
+  member_.OnRenewReply(event, now_, out_);
+}
+
+void HostController::On(const VoteRequestEvent& event) {
+  const VoteReply reply = member_.OnVoteRequest(event.request, now_);
+  if (reply.granted && decider_) {
+    Resign("another host asked for votes after this one lost authority");
+  }
+  out_.push_back(ReplyVoteAction{event.token, reply});
+}
+
+void HostController::On(const VoteReplyEvent& event) {
+  member_.OnVoteReply(event);
+}
+
+void HostController::On(const StateRequestEvent& event) {
+  out_.push_back(ReplyStateAction{
+      event.token,
+      StateReply{std::make_shared<const ControlState>(replica_.state()),
+                 replica_.directive()}});
+}
+
+void HostController::On(const StateReplyEvent& event) {
+  if (event.reply && !decider_) {
+    replica_.Install(*event.reply);
+    member_.UpdateAck();
+    out_.push_back(PublishViewAction{});
+  }
+}
+
+void HostController::On(const NudgeEvent&) {
+  member_.OnNudge();
+}
+
+void HostController::On(const GrantAnswerEvent& event) {
+  if (decider_) {
+    decider_->OnGrantAnswer(event, now_);
+  }
+}
+
+void HostController::On(const ProbeAnswerEvent& event) {
+  if (decider_) {
+    decider_->OnProbeAnswer(event, now_);
+    return;
+  }
+  using detection::SignalKind;
+  const ContactResult result = event.answer.result;
+  const SignalKind kind =
+      result == ContactResult::kRefused   ? SignalKind::kRefused
+      : result == ContactResult::kTimeout ? SignalKind::kTimeout
+                                          : SignalKind::kAlive;
+  member_.AddSignal(
+      {event.target, options_.self.id, detection::SignalSource::kProbe, kind});
+}
+
+void HostController::On(const TrafficSignalEvent& event) {
+  const detection::Signal signal = {event.target, options_.self.id,
+                                    detection::SignalSource::kTraffic,
+                                    event.kind};
+  if (decider_) {
+    decider_->OnSignal(signal, now_);
+  } else {
+    member_.AddSignal(signal);
+  }
+}
+
+void HostController::On(const HostListEvent& event) {
+  listed_ = event.hosts;
+  listed_at_ = now_;
+  if (decider_) {
+    decider_->OnHostList(event, now_);
+  }
+}
+
+void HostController::On(const StopEvent&) {
+  stopping_ = true;
+  member_.SetLeaving();
+  if (decider_) {
+    Resign("planned stop");
+  }
+}
+
+void HostController::Step() {
+  if (decider_) {
+    decider_->OnOwnAck(member_.acked_sequence(), member_.busy(), now_);
+    decider_->Step(now_, out_);
+    member_.UpdateAck();
+    if (decider_->IsSuperseded()) {
+      Resign("the log shows a later decider");
+    } else {
+      member_.HoldOffice(decider_->ballot(), decider_->authority_until());
+    }
+  }
+  if (const std::optional<Directive> won = member_.Step(now_, out_)) {
+    TakeOffice(*won);
+  }
+  const bool lost = !decider_ && now_ >= member_.lease_until();
+  if (!lost) {
+    decider_lost_since_.reset();
+  } else if (!decider_lost_since_) {
+    decider_lost_since_ = now_;
+  }
+  WriteOwnRecord();
+}
+
+void HostController::TakeOffice(const Directive& inherited) {
+  replica_.FoldAll();
+  decider_.emplace(options_.self, options_.terms, hooks_, replica_,
+                   member_.promised(), inherited, now_);
+  member_.HoldOffice(member_.promised(), now_);
+  out_.push_back(DecisionAction{
+      absl::StrCat("host ", options_.self.id, " is the decider, ballot ",
+                   member_.promised().number),
+      "elected by a majority of the voters"});
+}
+
+void HostController::Resign(const std::string& cause) {
+  out_.push_back(DecisionAction{
+      absl::StrCat("host ", options_.self.id, " is no longer the decider"),
+      cause});
+  decider_.reset();
+  member_.LoseOffice(now_);
+}
+
+bool HostController::IsLogReadable() const {
+  return log_read_at_ && now_ - *log_read_at_ < kLogFresh;
+}
+
+// Writes the records that any host may write: its own join or leave, and the
+// founding of a new membership.
+void HostController::WriteOwnRecord() {
+  if (!writer_.idle() || !IsLogReadable()) {
+    return;
+  }
+  const ControlState& state = replica_.state();
+  std::optional<RecordBody> body;
+  const auto own = state.members.find(options_.self.id);
+  if (stopping_) {
+    if (own != state.members.end() && !own->second.leaving) {
+      body = LeaveRecord{options_.self.id};
+    }
+  } else if (own == state.members.end()) {
+    body = JoinRecord{options_.self};
+  } else if (std::optional<ReformRecord> reform = Reform()) {
+    body = *std::move(reform);
+  }
+  if (!body) {
+    return;
+  }
+  writer_.Append(Record{.id = hooks_.new_record_id(),
+                        .author = options_.self.id,
+                        .ballot = state.ballot,
+                        .builds_on = state.last_decider,
+                        .body = *std::move(body)},
+                 now_, out_);
+}
+
+// Founds a new membership when the majority of the voters is gone for good.
+std::optional<ReformRecord> HostController::Reform() const {
+  if (!decider_lost_since_ || now_ - *decider_lost_since_ < kReformAfter ||
+      replica_.state().next < replica_.log_end()) {
+    return std::nullopt;
+  }
+  size_t gone = 0;
+  size_t voters = 0;
+  ReformRecord reform;
+  reform.voters.push_back(options_.self);
+  for (const auto& [id, member] : replica_.state().members) {
+    if (!member.votes) {
+      continue;
+    }
+    ++voters;
+    if (IsGone(member.host)) {
+      ++gone;
+    } else if (id != options_.self.id) {
+      reform.voters.push_back(member.host);
+    }
+  }
+  if (voters - gone >= MajorityOf(voters)) {
+    return std::nullopt;
+  }
+  return reform;
+}
+
+// A host is gone when another process answers at its address, or when it does
+// not answer and the platform, too, has stopped listing it.
+bool HostController::IsGone(const HostInfo& host) const {
+  if (host.id == options_.self.id) {
+    return false;
+  }
+  if (replaced_.contains(host.id) ||
+      host.peer_address == options_.self.peer_address) {
+    return true;
+  }
+  const auto it = unreachable_since_.find(host.id);
+  const bool unreachable =
+      it != unreachable_since_.end() && now_ - it->second >= kReformAfter;
+  const bool list_fresh = listed_at_ && now_ - *listed_at_ < kListFresh;
+  const bool listed =
+      std::any_of(listed_.begin(), listed_.end(), [&](const ListedHost& entry) {
+        return entry.address == host.peer_address;
+      });
+  return unreachable && list_fresh && !listed;
+}
+
+// Members name suspects by id only; the configuration has their addresses.
+void HostController::FillProbeAddresses() {
+  std::erase_if(out_, [this](Action& action) {
+    auto* probe = std::get_if<SendProbeAction>(&action);
+    if (probe == nullptr || !probe->address.empty()) {
+      return false;
+    }
+    const size_t n = probe->target.find('/');
+    if (n == std::string::npos || !replica_.config()) {
+      return true;
+    }
+    const config::ServiceConfig* service =
+        config::FindService(*replica_.config(), probe->target.substr(0, n));
+    probe->address = probe->target.substr(n + 1);
+    return service == nullptr;
+  });
+}
+
+void HostController::ReportConfig(std::uint64_t version_before) {
+  if (replica_.config_version() == version_before) {
+    return;
+  }
+  out_.push_back(PublishViewAction{});
+  out_.push_back(DecisionAction{
+      absl::StrCat("configuration version ", replica_.config_version(),
+                   " is in force on this host"),
+      absl::StrCat("published by ", replica_.state().config_author)});
+}
+
+ControllerStatus HostController::Status(TimePoint now) const {
+  const Directive& directive = replica_.directive();
+  ControllerStatus status;
+  status.host = options_.self.id;
+  status.is_decider = decider_.has_value();
+  status.decider = member_.decider() ? member_.decider()->id : "";
+  status.has_lease = now < member_.lease_until();
+  status.log_available = log_read_at_ && now - *log_read_at_ < kLogFresh;
+  status.config_version = replica_.config_version();
+  status.config_accepted = replica_.state().config_version;
+  status.sequence = directive.sequence;
+  status.log_next = replica_.log_end();
+  status.members = replica_.state().members.size();
+  status.voters = Voters(replica_.state()).size();
+  status.moves_under_way = std::count_if(
+      directive.moves.begin(), directive.moves.end(),
+      [](const UnitMove& it) { return it.phase != MovePhase::kActive; });
+  status.lost_targets.assign(directive.lost.begin(), directive.lost.end());
+  status.draining_targets.assign(directive.draining.begin(),
+                                 directive.draining.end());
+  return status;
+}
+
+}  // namespace toucandock::core::control
--- /dev/null
+++ b/src/core/control/host_controller.h
@@ -0,0 +1,109 @@
+#ifndef TOUCANDOCK_CORE_CONTROL_HOST_CONTROLLER_H_
+#define TOUCANDOCK_CORE_CONTROL_HOST_CONTROLLER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/control/decider.h"
+#include "core/control/log_writer.h"
+#include "core/control/member.h"
+#include "core/control/messages.h"
+#include "core/control/replica.h"
+#include "core/lease/lease.h"
+
+namespace toucandock::core::control {
+
+struct ControllerOptions {
+  HostInfo self;
+  lease::LeaseTerms terms;
+  // Peers to ask when the log cannot be read; only peer_address is needed.
+  std::vector<HostInfo> seeds;
+};
+
+struct ControllerStatus {
+  HostId host;
+  HostId decider;
+  bool is_decider = false;
+  bool has_lease = false;
+  bool log_available = false;
+  // Unknown until a first configuration is accepted: 0.
+  std::uint64_t config_version = 0;
+  std::uint64_t config_accepted = 0;
+  std::uint64_t sequence = 0;
+  Offset log_next = 0;
+  size_t members = 0;
+  size_t voters = 0;
+  size_t moves_under_way = 0;
+  std::vector<TargetId> lost_targets;
+  std::vector<TargetId> draining_targets;
+};
+
+// Control state and decisions of one entry host. Takes events with their time
+// and returns what is to be done; it has no I/O, clock or thread of its own.
+class HostController {
+ public:
+  HostController(ControllerOptions options, ControlHooks hooks);
+
+  HostController(const HostController&) = delete;
+  HostController& operator=(const HostController&) = delete;
+
+  Actions Handle(const Event& event, TimePoint now);
+
+  const Replica& replica() const { return replica_; }
+  TimePoint lease_until() const { return member_.lease_until(); }
+  ControllerStatus Status(TimePoint now) const;
+
+ private:
+  void On(const TickEvent& event);
+  void On(const LogReadEvent& event);
+  void On(const LogFailedEvent& event);
+  void On(const AppendResultEvent& event);
+  void On(const RenewRequestEvent& event);
+  void On(const RenewReplyEvent& event);
+  void On(const VoteRequestEvent& event);
+  void On(const VoteReplyEvent& event);
+  void On(const StateRequestEvent& event);
+  void On(const StateReplyEvent& event);
+  void On(const NudgeEvent& event);
+  void On(const GrantAnswerEvent& event);
+  void On(const ProbeAnswerEvent& event);
+  void On(const TrafficSignalEvent& event);
+  void On(const HostListEvent& event);
+  void On(const StopEvent& event);
+
+  void Step();
+  void TakeOffice(const Directive& inherited);
+  void Resign(const std::string& cause);
+  void WriteOwnRecord();
+  bool IsLogReadable() const;
+  std::optional<ReformRecord> Reform() const;
+  bool IsGone(const HostInfo& host) const;
+  void FillProbeAddresses();
+  void ReportConfig(std::uint64_t version_before);
+
+  const ControllerOptions options_;
+  const ControlHooks hooks_;
+  Replica replica_;
+  Member member_;
+  std::optional<Decider> decider_;
+  LogWriter writer_;
+  bool stopping_ = false;
+
+  TimePoint now_;
+  Actions out_;
+  std::optional<TimePoint> log_read_at_;
+  std::optional<TimePoint> decider_lost_since_;
+  // Processes whose address was answered by another process.
+  std::set<HostId> replaced_;
+  std::map<HostId, TimePoint> unreachable_since_;
+  std::vector<ListedHost> listed_;
+  std::optional<TimePoint> listed_at_;
+};
+
+}  // namespace toucandock::core::control
+
+#endif  // TOUCANDOCK_CORE_CONTROL_HOST_CONTROLLER_H_
--- /dev/null
+++ b/src/core/control/member.h
@@ -0,0 +1,95 @@
+#ifndef TOUCANDOCK_CORE_CONTROL_MEMBER_H_
+#define TOUCANDOCK_CORE_CONTROL_MEMBER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "core/control/messages.h"
+#include "core/control/replica.h"
+#include "core/lease/lease.h"
+
+namespace toucandock::core::control {
+
+// What a host must do as a member of the fleet: renew with the decider, hold a
+// serving lease, vote, and stand for election when the decider is lost.
+class Member {
+ public:
+  Member(const HostInfo& self,
+         const lease::LeaseTerms& terms,
+         std::vector<HostInfo> seeds,
+         Replica& replica);
+
+  // Until when this host may send to owners of keys.
+  TimePoint lease_until() const { return lease_until_; }
+  const std::optional<HostInfo>& decider() const { return decider_; }
+  const Ballot& promised() const { return promised_; }
+  std::uint64_t acked_sequence() const { return acked_sequence_; }
+  const std::vector<Unit>& busy() const { return busy_; }
+
+  void OnTick(const TickEvent& tick, TimePoint now);
+  void OnRenewReply(const RenewReplyEvent& event, TimePoint now, Actions& out);
+  VoteReply OnVoteRequest(const VoteRequest& request, TimePoint now);
+  void OnVoteReply(const VoteReplyEvent& event);
+  void OnNudge() { renew_now_ = true; }
+  void AddSignal(const detection::Signal& signal);
+  void SetLeaving();
+
+  // Sends what is due. Returns the directive to continue from when this host
+  // has just won an election.
+  std::optional<Directive> Step(TimePoint now, Actions& out);
+
+  // Used while this host itself is the decider.
+  void HoldOffice(const Ballot& ballot, TimePoint authority_until);
+  void LoseOffice(TimePoint now);
+  void UpdateAck();
+
+ private:
+  struct Candidacy {
+    Ballot ballot;
+    std::set<HostId> granted;
+    Directive best;
+    TimePoint started;
+  };
+
+  bool IsEligible() const;
+  Duration ElectionDelay() const;
+  void SendRenewal(TimePoint now, Actions& out);
+  std::optional<HostInfo> NextContact();
+  void TryPendingDirective(TimePoint now, Actions& out);
+  void StartCandidacy(TimePoint now, Actions& out);
+  void ForgetOldMembership();
+
+  const HostInfo self_;
+  const lease::LeaseTerms terms_;
+  const std::vector<HostInfo> seeds_;
+  Replica& replica_;
+
+  Offset founded_ = 0;
+  Ballot promised_;
+  std::optional<HostInfo> decider_;
+  std::optional<Duration> echo_;
+  bool in_office_ = false;
+  TimePoint lease_until_;
+  // Until then this host votes for no other decider.
+  TimePoint support_until_;
+  TimePoint last_sent_;
+  TimePoint last_contact_;
+  bool renew_now_ = false;
+  bool leaving_ = false;
+  std::optional<std::uint64_t> oldest_sending_;
+  std::vector<Unit> busy_;
+  std::uint64_t acked_sequence_ = 0;
+  std::map<std::pair<TargetId, detection::SignalSource>, detection::Signal>
+      signals_;
+  // A directive that needs records this host has not read yet.
+  std::optional<Directive> pending_;
+  TimePoint pending_since_;
+  std::optional<Candidacy> candidacy_;
+  size_t next_contact_ = 0;
+};
+
+}  // namespace toucandock::core::control
+
+#endif  // TOUCANDOCK_CORE_CONTROL_MEMBER_H_
--- /dev/null
+++ b/src/core/control/target_book.cc
@@ -0,0 +1,365 @@
+#include "core/control/target_book.h"
+
+#include <algorithm>
+
+namespace toucandock::core::control {
+namespace {
+
+using detection::Signal;
+using detection::SignalKind;
+using detection::SignalSource;
+using detection::Verdict;
+
+// A lost target must answer for this long before it may own units again, so
+// that a target that comes and goes does not drag its units along.
+constexpr Duration kReturnAfter = std::chrono::seconds(1);
+// Targets that returned get a growing share of the units over this time.
+constexpr Duration kWarmup = std::chrono::seconds(30);
+constexpr double kColdWeight = 0.25;
+// A contact without an answer for this long is repeated.
+constexpr Duration kContactTimeout = std::chrono::milliseconds(250);
+constexpr Duration kLostContactInterval = std::chrono::milliseconds(500);
+
+SignalKind KindOf(ContactResult result) {
+  switch (result) {
+    case ContactResult::kOk:
+    case ContactResult::kRejected:
+      return SignalKind::kAlive;
+    case ContactResult::kRefused:
+      return SignalKind::kRefused;
+    case ContactResult::kTimeout:
+      return SignalKind::kTimeout;
+  }
+  return SignalKind::kTimeout;
+}
+
+}  // namespace
+
+TargetBook::TargetBook(const HostId& self,
+                       const lease::LeaseTerms& terms,
+                       const Ballot& ballot,
+                       TimePoint elected_at)
+    : self_(self),
+      terms_(terms),
+      ballot_(ballot),
+      elected_at_(elected_at),
+      detector_(detection::DetectorTerms{}) {}
+
+// Targets that left the configuration stay known until their grant has ended.
+void TargetBook::SetTargets(const config::Config& config) {
+  for (auto& [id, entry] : entries_) {
+    entry.configured = false;
+  }
+  for (const config::ServiceConfig& service : config.services) {
+    for (const config::TargetConfig& target : service.targets) {
+      const auto [it, added] =
+          entries_.try_emplace(config::MakeTargetId(service, target));
+      Entry& entry = it->second;
+      entry.address = target.address;
+      entry.checks_fences = target.checks_fences;
+      entry.configured = true;
+      if (added) {
+        // An earlier decider may have granted until its authority ended.
+        entry.grant_ends =
+            lease::SurelyEnded(terms_, elected_at_, terms_.grant);
+        entry.answered_at = elected_at_;
+      }
+    }
+  }
+}
+
+void TargetBook::SetUnits(const Replica& replica) {
+  std::map<TargetId, std::vector<UnitFence>> units;
+  const auto add = [&](const Unit& unit) {
+    const Assignment assignment = replica.AssignmentOf(unit);
+    const UnitMove* move = replica.MoveOf(unit);
+    if (!assignment.owner.empty() &&
+        (move == nullptr || move->phase != MovePhase::kRevoking)) {
+      units[assignment.owner].push_back({unit, assignment.fence});
+    }
+  };
+  for (const auto& [unit, assignment] : replica.state().assignments) {
+    add(unit);
+  }
+  for (const UnitMove& move : replica.directive().moves) {
+    if (!replica.state().assignments.contains(move.unit)) {
+      add(move.unit);
+    }
+  }
+  for (auto& [id, entry] : entries_) {
+    std::vector<UnitFence>& now_owned = units[id];
+    std::sort(
+        now_owned.begin(), now_owned.end(),
+        [](const UnitFence& a, const UnitFence& b) { return a.unit < b.unit; });
+    if (now_owned == entry.units) {
+      continue;
+    }
+    entry.units = std::move(now_owned);
+    ++entry.sequence;
+    entry.revoked_sequence = entry.sequence;
+    // Sent at once: a move waits for this answer.
+    entry.in_flight = false;
+    entry.sent_at = TimePoint{};
+  }
+}
+
+void TargetBook::OnAnswer(Entry& entry,
+                          const TargetAnswer& answer,
+                          TimePoint now) {
+  entry.contacted = true;
+  if (KindOf(answer.result) != SignalKind::kAlive) {
+    entry.alive_since.reset();
+    return;
+  }
+  entry.answered_at = now;
+  if (!entry.alive_since) {
+    entry.alive_since = now;
+  }
+  if (answer.instance != entry.instance) {
+    // A new process has no grant, whatever its predecessor held.
+    if (!entry.instance.empty()) {
+      entry.grant_ends = now;
+      entry.warming_since = now;
+    }
+    entry.instance = answer.instance;
+  }
+  entry.clock = answer.clock;
+  entry.clock_read_at = now;
+  entry.health = answer.health;
+}
+
+void TargetBook::OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now) {
+  const auto it = entries_.find(event.target);
+  if (it == entries_.end()) {
+    return;
+  }
+  Entry& entry = it->second;
+  if (event.sequence == entry.sequence) {
+    entry.in_flight = false;
+  }
+  detector_.Report(
+      {event.target, self_, SignalSource::kGrant, KindOf(event.answer.result)},
+      now);
+  OnAnswer(entry, event.answer, now);
+  if (event.answer.result == ContactResult::kOk) {
+    entry.acked_sequence = std::max(entry.acked_sequence, event.sequence);
+    detector_.Report(
+        {event.target, self_, SignalSource::kLease, SignalKind::kAlive}, now);
+  }
+}
+
+void TargetBook::OnProbeAnswer(const ProbeAnswerEvent& event, TimePoint now) {
+  const auto it = entries_.find(event.target);
+  if (it == entries_.end()) {
+    return;
+  }
+  if (!it->second.checks_fences) {
+    it->second.in_flight = false;
+  }
+  detector_.Report(
+      {event.target, self_, SignalSource::kProbe, KindOf(event.answer.result)},
+      now);
+  OnAnswer(it->second, event.answer, now);
+}
+
+void TargetBook::OnSignal(const Signal& signal, TimePoint now) {
+  if (entries_.contains(signal.target)) {
+    detector_.Report(signal, now);
+  }
+}
+
+// A target that was listed and is not any more counts as one bad signal: the
+// list lags and may mislead.
+void TargetBook::OnHostList(const HostListEvent& list, TimePoint now) {
+  for (auto& [id, entry] : entries_) {
+    const std::string& address = entry.address;
+    const auto it = std::find_if(
+        list.hosts.begin(), list.hosts.end(),
+        [&address](const ListedHost& host) { return host.address == address; });
+    const bool listed = it != list.hosts.end();
+    if (listed || entry.listed) {
+      detector_.Report({id, self_, SignalSource::kHostList,
+                        listed ? SignalKind::kAlive : SignalKind::kRefused},
+                       now);
+    }
+    entry.listed = entry.listed || listed;
+    entry.listed_leaving = listed && it->leaving;
+  }
+}
+
+std::vector<TargetId> TargetBook::Judge(size_t observers, TimePoint now) {
+  std::vector<TargetId> changed;
+  for (auto& [id, entry] : entries_) {
+    if (entry.checks_fences && entry.clock && entry.grant_ends <= now) {
+      // Nobody can use the target until it is granted again.
+      detector_.Report({id, self_, SignalSource::kLease, SignalKind::kRefused},
+                       now);
+    }
+    const Verdict verdict = detector_.VerdictOn(id, observers, now);
+    if (!entry.lost && verdict == Verdict::kLost) {
+      entry.lost = true;
+      entry.alive_since.reset();
+      changed.push_back(id);
+    } else if (entry.lost && verdict != Verdict::kLost && entry.alive_since &&
+               now - *entry.alive_since >= kReturnAfter) {
+      entry.lost = false;
+      entry.warming_since = now;
+      changed.push_back(id);
+    }
+  }
+  return changed;
+}
+
+void TargetBook::SendDue(TimePoint now, Actions& out) {
+  for (auto& [id, entry] : entries_) {
+    if (!entry.configured && entry.grant_ends <= now) {
+      continue;
+    }
+    const Duration interval =
+        entry.lost ? kLostContactInterval : terms_.renew_interval;
+    const Duration wait = entry.in_flight ? kContactTimeout : interval;
+    if (now - entry.sent_at < wait) {
+      continue;
+    }
+    entry.in_flight = true;
+    entry.sent_at = now;
+    if (entry.checks_fences) {
+      SendGrant(id, entry, now, out);
+    } else {
+      out.push_back(SendProbeAction{id, entry.address});
+    }
+  }
+}
+
+void TargetBook::SendGrant(const TargetId& id,
+                           Entry& entry,
+                           TimePoint now,
+                           Actions& out) {
+  Grant grant = {.target = id,
+                 .instance = entry.instance,
+                 .ballot = ballot_,
+                 .sequence = entry.sequence,
+                 .units = entry.units};
+  // Without a clock reading of this process the grant ends before it begins;
+  // the answer brings the reading.
+  const bool fresh =
+      entry.clock && now - entry.clock_read_at < terms_.grant && !entry.lost;
+  if (fresh) {
+    grant.expires_at = *entry.clock + terms_.grant;
+    entry.grant_ends =
+        std::max(entry.grant_ends,
+                 lease::SurelyEnded(terms_, entry.clock_read_at, terms_.grant));
+  }
+  out.push_back(SendGrantAction{entry.address, std::move(grant)});
+}
+
+// Returns whether this decider had any result from the target, good or bad.
+bool TargetBook::WasContacted(const TargetId& target) const {
+  const auto it = entries_.find(target);
+  return it != entries_.end() && it->second.contacted;
+}
+
+// Returns whether the target may keep the units that it has.
+bool TargetBook::MayOwn(const TargetId& target) const {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return false;
+  }
+  const Entry& entry = it->second;
+  return entry.configured && !entry.lost && !entry.listed_leaving &&
+         entry.health != TargetHealth::kDraining;
+}
+
+// Returns whether the target may get new units.
+bool TargetBook::IsUsable(const TargetId& target) const {
+  return MayOwn(target) && entries_.at(target).alive_since.has_value();
+}
+
+// Returns whether the target surely refuses the units that it lost last.
+bool TargetBook::IsReleased(const TargetId& target, TimePoint now) const {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return now >= lease::SurelyEnded(terms_, elected_at_, terms_.grant);
+  }
+  const Entry& entry = it->second;
+  return !entry.checks_fences ||
+         entry.acked_sequence >= entry.revoked_sequence ||
+         entry.grant_ends <= now;
+}
+
+bool TargetBook::IsGranted(const TargetId& target,
+                           const UnitFence& unit) const {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return false;
+  }
+  const Entry& entry = it->second;
+  if (!entry.checks_fences) {
+    return true;
+  }
+  return entry.acked_sequence == entry.sequence && entry.clock &&
+         std::find(entry.units.begin(), entry.units.end(), unit) !=
+             entry.units.end();
+}
+
+double TargetBook::WeightOf(const TargetId& target, TimePoint now) const {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return 0;
+  }
+  if (it->second.health == TargetHealth::kCold) {
+    return kColdWeight;
+  }
+  if (!it->second.warming_since) {
+    return 1;
+  }
+  const double progress =
+      std::chrono::duration<double>(now - *it->second.warming_since) / kWarmup;
+  // In quarters, so that the share does not change on every tick.
+  return std::clamp(kColdWeight * static_cast<int>(1 + progress * 4),
+                    kColdWeight, 1.0);
+}
+
+std::vector<TargetId> TargetBook::Suspects(size_t observers,
+                                           TimePoint now) const {
+  std::vector<TargetId> suspects;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.lost &&
+        detector_.VerdictOn(id, observers, now) == Verdict::kSuspect) {
+      suspects.push_back(id);
+    }
+  }
+  return suspects;
+}
+
+std::set<TargetId> TargetBook::lost() const {
+  std::set<TargetId> result;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.lost) {
+      result.insert(id);
+    }
+  }
+  return result;
+}
+
+std::set<TargetId> TargetBook::draining() const {
+  std::set<TargetId> result;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.listed_leaving || entry.health == TargetHealth::kDraining) {
+      result.insert(id);
+    }
+  }
+  return result;
+}
+
+std::set<TargetId> TargetBook::cold(TimePoint now) const {
+  std::set<TargetId> result;
+  for (const auto& [id, entry] : entries_) {
+    if (WeightOf(id, now) < 1) {
+      result.insert(id);
+    }
+  }
+  return result;
+}
+
+}  // namespace toucandock::core::control
--- /dev/null
+++ b/src/core/request/request_life.cc
@@ -0,0 +1,143 @@
+#include "core/request/request_life.h"
+
+#include <algorithm>
+
+namespace toucandock::core::request {
+namespace {
+
+// Keeps the shift below the width of its type.
+constexpr int kMaxDoublings = 20;
+
+ErrorKind KindOf(RouteResult result) {
+  switch (result) {
+    case RouteResult::kReady:
+      return ErrorKind::kNone;
+    case RouteResult::kNoOwner:
+      return ErrorKind::kOwnerUnavailable;
+    case RouteResult::kNoAuthority:
+      return ErrorKind::kNoAuthority;
+    case RouteResult::kNotConfigured:
+      return ErrorKind::kNotConfigured;
+  }
+  return ErrorKind::kInternal;
+}
+
+}  // namespace
+
+RequestLife::RequestLife(const RequestFacts& facts,
+                         const RetryTerms& terms,
+                         std::uint64_t random)
+    : facts_(facts), terms_(terms), random_(random) {}
+
+Decision RequestLife::Start(TimePoint now) const {
+  if (now >= facts_.deadline) {
+    return Refuse(ErrorKind::kDeadlineExceeded);
+  }
+  return {.step = NextStep::kRoute};
+}
+
+// Without an owner the request waits for a new view, since a lost owner is
+// replaced within a second, well before most deadlines.
+Decision RequestLife::OnRoute(RouteResult result, TimePoint now) {
+  if (now >= facts_.deadline) {
+    return Refuse(result == RouteResult::kReady ? ErrorKind::kDeadlineExceeded
+                                                : KindOf(result));
+  }
+  if (result == RouteResult::kNotConfigured) {
+    return Refuse(ErrorKind::kNotConfigured);
+  }
+  if (result != RouteResult::kReady) {
+    return {.step = NextStep::kWait, .until = facts_.deadline};
+  }
+  if (!facts_.idempotent && !recorded_) {
+    return {.step = NextStep::kRecord};
+  }
+  return {.step = NextStep::kSend};
+}
+
+// A non-idempotent request is sent only after its attempt was recorded, so
+// that a resend through another host finds it.
+Decision RequestLife::OnRecord(RecordResult result) const {
+  switch (result) {
+    case RecordResult::kRecorded:
+      return {.step = NextStep::kSend};
+    case RecordResult::kDuplicate:
+      return {.step = NextStep::kRefuse,
+              .error = ErrorKind::kDuplicateRequest,
+              .outcome = Outcome::kUnknown};
+    case RecordResult::kFailed:
+      return Refuse(ErrorKind::kAttemptNotRecorded);
+  }
+  return Refuse(ErrorKind::kInternal);
+}
+
+Decision RequestLife::OnAttempt(const AttemptResult& result,
+                                bool retry_allowed,
+                                TimePoint now) {
+  ++attempts_;
+  if (result.stage > AttemptStage::kNotConnected) {
+    ++reached_;
+  }
+  recorded_ = true;
+  if (result.stage == AttemptStage::kComplete && !result.refused_by_target) {
+    return {.step = NextStep::kPassOn, .outcome = Outcome::kRan};
+  }
+  if (result.caller_gone) {
+    may_have_run_ = may_have_run_ || result.stage >= AttemptStage::kSending;
+    return Refuse(ErrorKind::kCallerGone);
+  }
+  const bool surely_not_run =
+      result.refused_by_target || result.stage < AttemptStage::kSending;
+  if (surely_not_run) {
+    return Retry(ErrorKind::kOwnerUnavailable, retry_allowed, now);
+  }
+  may_have_run_ = true;
+  if (result.stage >= AttemptStage::kHeadersReceived) {
+    const ErrorKind error = result.too_large ? ErrorKind::kAnswerTooLarge
+                                             : ErrorKind::kAnswerIncomplete;
+    // The target answered, so it ran the request.
+    if (!facts_.idempotent || result.too_large) {
+      return {
+          .step = NextStep::kRefuse, .error = error, .outcome = Outcome::kRan};
+    }
+    return Retry(error, retry_allowed, now);
+  }
+  if (!facts_.idempotent) {
+    return Refuse(ErrorKind::kOutcomeUnknown);
+  }
+  return Retry(ErrorKind::kOutcomeUnknown, retry_allowed, now);
+}
+
+// Says "not run" only if no attempt can have run the request.
+Decision RequestLife::Refuse(ErrorKind error) const {
+  Outcome outcome = AnswerFor(error).outcome;
+  if (outcome == Outcome::kNotRun && may_have_run_) {
+    outcome = Outcome::kUnknown;
+  }
+  return {.step = NextStep::kRefuse, .error = error, .outcome = outcome};
+}
+
+// Waits with exponential backoff and full jitter before the next attempt. A
+// target that does not accept connections may be lost, and its keys get a new
+// owner within a second: such attempts are repeated until the deadline.
+Decision RequestLife::Retry(ErrorKind otherwise,
+                            bool retry_allowed,
+                            TimePoint now) {
+  if (!retry_allowed || reached_ >= terms_.max_attempts) {
+    return Refuse(otherwise);
+  }
+  if (now >= facts_.deadline) {
+    return Refuse(may_have_run_ ? otherwise : ErrorKind::kDeadlineExceeded);
+  }
+  const int doublings = std::min(attempts_ - 1, kMaxDoublings);
+  const Duration longest =
+      std::min(terms_.longest_backoff, terms_.first_backoff * (1 << doublings));
+  // Numerical Recipes' 64-bit linear congruential generator.
+  random_ = random_ * 6364136223846793005U + 1442695040888963407U;
+  const Duration wait(
+      (random_ >> 32) * static_cast<std::uint64_t>(longest.count()) >> 32);
+  return {.step = NextStep::kWait,
+          .until = std::min(now + wait, facts_.deadline)};
+}
+
+}  // namespace toucandock::core::request
