--- /dev/null
+++ b/src/cli/log_view.cc
@@ -0,0 +1,79 @@
+#include "cli/log_view.h"
+
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "codec/config_yaml.h"
+#include "core/control/replica.h"
+
+namespace toucandock::cli {
+namespace {
+
+using namespace core::control;  // NOLINT(google-build-using-namespace)
+
+std::string NewRecordId() {
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> distribution;
+  return absl::StrCat(absl::Hex(distribution(device), absl::kZeroPad16),
+                      absl::Hex(distribution(device), absl::kZeroPad16));
+}
+
+}  // namespace
+
+LogView::LogView(platform::LogOptions options)
+    : log_(client_, std::move(options)) {}
+
+absl::StatusOr<ControlState> LogView::ReadState() {
+  absl::StatusOr<LogReadEvent> read = log_.ReadAll();
+  if (!read.ok()) {
+    return read.status();
+  }
+  const ControlHooks hooks = {.parse_config = [](const std::string& text) {
+    return codec::ParseConfig("config", text);
+  }};
+  Replica replica(hooks);
+  if (!replica.AddEntries(*read)) {
+    return absl::UnavailableError(
+        "the log holds no checkpoint to start reading from");
+  }
+  replica.FoldAll();
+  return replica.state();
+}
+
+// Appends the proposal and reads the log until the verdict is on it. The
+// append is repeated under the same id when its answer was lost, which the
+// hosts recognise. The Unavailable error means that there is no verdict yet.
+absl::StatusOr<ConfigVerdict> LogView::Publish(const PublishRequest& request) {
+  const Record record = {
+      .id = NewRecordId(),
+      .author = request.author,
+      .body = PublishRecord{request.text, request.author, request.edited_from}};
+  const auto end = std::chrono::steady_clock::now() + request.wait;
+  bool stored = log_.Append(record).ok();
+  core::Offset next = 0;
+  while (std::chrono::steady_clock::now() < end) {
+    const absl::StatusOr<ControlState> state = ReadState();
+    if (!state.ok()) {
+      continue;
+    }
+    const auto it = state->verdicts.find(record.id);
+    if (it != state->verdicts.end()) {
+      return it->second;
+    }
+    stored = stored || state->proposals.contains(record.id);
+    if (!stored) {
+      stored = log_.Append(record).ok();
+    }
+    next = state->next;
+    // Held by the log until there is something new.
+    (void)log_.Read(next);
+  }
+  return absl::UnavailableError(absl::StrCat(
+      "no verdict within ", request.wait.count(), " ms; the proposal ",
+      record.id,
+      stored ? " is on the log and will be decided by the entry hosts"
+             : " may or may not be on the log"));
+}
+
+}  // namespace toucandock::cli
--- /dev/null
+++ b/src/cli/log_view.h
@@ -0,0 +1,39 @@
+#ifndef TOUCANDOCK_CLI_LOG_VIEW_H_
+#define TOUCANDOCK_CLI_LOG_VIEW_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "core/control/control_state.h"
+#include "http/client.h"
+#include "platform/log_client.h"
+
+namespace toucandock::cli {
+
+struct PublishRequest {
+  std::string text;
+  std::string author;
+  std::uint64_t edited_from = 0;
+  std::chrono::milliseconds wait{10'000};
+};
+
+// The log as an operator's tool sees it: the folded control state, and a way
+// to publish a configuration and learn the verdict.
+class LogView {
+ public:
+  explicit LogView(platform::LogOptions options);
+
+  absl::StatusOr<core::control::ControlState> ReadState();
+  absl::StatusOr<core::control::ConfigVerdict> Publish(
+      const PublishRequest& request);
+
+ private:
+  http::Client client_;
+  platform::LogClient log_;
+};
+
+}  // namespace toucandock::cli
+
+#endif  // TOUCANDOCK_CLI_LOG_VIEW_H_
--- /dev/null
+++ b/src/codec/json.h
@@ -0,0 +1,43 @@
+#ifndef TOUCANDOCK_CODEC_JSON_H_
+#define TOUCANDOCK_CODEC_JSON_H_
+
+#include <json/value.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+namespace toucandock::codec {
+
+absl::StatusOr<Json::Value> ParseJson(const std::string& text);
+
+std::string WriteJson(const Json::Value& value);
+
+// Reads members of a JSON object and keeps the first error, so that a parse
+// function checks once at its end.
+class ObjectReader {
+ public:
+  ObjectReader(const Json::Value& object, absl::Status& status);
+
+  std::string String(const char* name);
+  std::uint64_t Uint(const char* name);
+  bool Bool(const char* name);
+  std::chrono::nanoseconds Nanoseconds(const char* name);
+  const Json::Value& Array(const char* name);
+  const Json::Value& Object(const char* name);
+  bool Has(const char* name) const;
+  void Fail(const std::string& message);
+
+ private:
+  const Json::Value& Get(const char* name);
+
+  const Json::Value& object_;
+  absl::Status& status_;
+};
+
+}  // namespace toucandock::codec
+
+#endif  // TOUCANDOCK_CODEC_JSON_H_
--- /dev/null
+++ b/src/codec/message_json.cc
@@ -0,0 +1,287 @@
+#include "codec/message_json.h"
+
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "codec/json.h"
+#include "codec/record_json.h"
+
+namespace toucandock::codec {
+namespace {
+
+using namespace core::control;  // NOLINT(google-build-using-namespace)
+using core::TargetId;
+using core::Unit;
+using core::detection::Signal;
+using core::detection::SignalKind;
+using core::detection::SignalSource;
+
+constexpr std::uint64_t kMaxPhase =
+    static_cast<std::uint64_t>(MovePhase::kActive);
+constexpr std::uint64_t kMaxSource =
+    static_cast<std::uint64_t>(SignalSource::kLease);
+constexpr std::uint64_t kMaxKind =
+    static_cast<std::uint64_t>(SignalKind::kTimeout);
+
+Json::Value Uint(std::uint64_t value) {
+  return Json::Value(static_cast<Json::UInt64>(value));
+}
+
+Json::Value Nanoseconds(core::Duration value) {
+  return Json::Value(static_cast<Json::Int64>(value.count()));
+}
+
+template <typename Enum>
+Enum ParseEnum(ObjectReader& reader, const char* name, std::uint64_t max) {
+  const std::uint64_t value = reader.Uint(name);
+  if (value > max) {
+    reader.Fail(std::string("'") + name + "' is out of range");
+    return Enum{};
+  }
+  return static_cast<Enum>(value);
+}
+
+Json::Value ToJson(const std::set<TargetId>& targets) {
+  Json::Value list(Json::arrayValue);
+  for (const TargetId& it : targets) {
+    list.append(it);
+  }
+  return list;
+}
+
+std::set<TargetId> ParseTargets(const Json::Value& list, absl::Status& status) {
+  std::set<TargetId> targets;
+  for (const Json::Value& it : list) {
+    if (!it.isString()) {
+      status.Update(absl::InvalidArgumentError("a target id is no string"));
+      break;
+    }
+    targets.insert(it.asString());
+  }
+  return targets;
+}
+
+Json::Value ToJson(const UnitMove& move) {
+  Json::Value value = codec::ToJson(move.unit);
+  value["owner"] = move.to.owner;
+  value["fence"] = Uint(move.to.fence);
+  value["from"] = move.from;
+  value["phase"] = Uint(static_cast<std::uint64_t>(move.phase));
+  value["planned"] = move.planned;
+  value["since"] = Uint(move.since);
+  return value;
+}
+
+UnitMove ParseMove(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  return {.unit = ParseUnit(value, status),
+          .to = {reader.String("owner"), reader.Uint("fence")},
+          .from = reader.String("from"),
+          .phase = ParseEnum<MovePhase>(reader, "phase", kMaxPhase),
+          .planned = reader.Bool("planned"),
+          .since = reader.Uint("since")};
+}
+
+Json::Value ToJson(const Directive& directive) {
+  Json::Value value;
+  value["founded"] = Uint(directive.founded);
+  value["ballot"] = codec::ToJson(directive.ballot);
+  value["sequence"] = Uint(directive.sequence);
+  value["effective"] = Uint(directive.effective);
+  value["moves"] = Json::Value(Json::arrayValue);
+  for (const UnitMove& move : directive.moves) {
+    value["moves"].append(ToJson(move));
+  }
+  value["lost"] = ToJson(directive.lost);
+  value["draining"] = ToJson(directive.draining);
+  value["cold"] = ToJson(directive.cold);
+  return value;
+}
+
+Directive ParseDirective(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  Directive directive;
+  directive.founded = reader.Uint("founded");
+  directive.ballot = ParseBallot(reader.Object("ballot"), status);
+  directive.sequence = reader.Uint("sequence");
+  directive.effective = reader.Uint("effective");
+  for (const Json::Value& it : reader.Array("moves")) {
+    directive.moves.push_back(ParseMove(it, status));
+  }
+  directive.lost = ParseTargets(reader.Array("lost"), status);
+  directive.draining = ParseTargets(reader.Array("draining"), status);
+  directive.cold = ParseTargets(reader.Array("cold"), status);
+  return directive;
+}
+
+Json::Value ToJson(const Signal& signal) {
+  Json::Value value;
+  value["target"] = signal.target;
+  value["observer"] = signal.observer;
+  value["source"] = Uint(static_cast<std::uint64_t>(signal.source));
+  value["kind"] = Uint(static_cast<std::uint64_t>(signal.kind));
+  return value;
+}
+
+Signal ParseSignal(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  return {.target = reader.String("target"),
+          .observer = reader.String("observer"),
+          .source = ParseEnum<SignalSource>(reader, "source", kMaxSource),
+          .kind = ParseEnum<SignalKind>(reader, "kind", kMaxKind)};
+}
+
+// Parses `text` as an object and fills a message from it.
+template <typename Message, typename Fill>
+absl::StatusOr<Message> ParseMessage(const std::string& text, Fill fill) {
+  absl::StatusOr<Json::Value> value = ParseJson(text);
+  if (!value.ok()) {
+    return value.status();
+  }
+  absl::Status status;
+  ObjectReader reader(*value, status);
+  Message message;
+  fill(message, reader, status);
+  if (!status.ok()) {
+    return status;
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string Encode(const RenewRequest& message) {
+  Json::Value value;
+  value["host"] = ToJson(message.host);
+  value["founded"] = Uint(message.founded);
+  value["echo"] = Nanoseconds(message.echo);
+  value["ballot"] = ToJson(message.ballot);
+  value["acked_sequence"] = Uint(message.acked_sequence);
+  value["config_version"] = Uint(message.config_version);
+  value["leaving"] = message.leaving;
+  value["busy"] = Json::Value(Json::arrayValue);
+  for (const Unit& unit : message.busy) {
+    value["busy"].append(ToJson(unit));
+  }
+  value["signals"] = Json::Value(Json::arrayValue);
+  for (const Signal& signal : message.signals) {
+    value["signals"].append(ToJson(signal));
+  }
+  return WriteJson(value);
+}
+
+std::string Encode(const RenewReply& message) {
+  Json::Value value;
+  value["host"] = message.host;
+  value["accepted"] = message.accepted;
+  value["ballot"] = ToJson(message.ballot);
+  value["stamp"] = Nanoseconds(message.stamp);
+  value["lease"] = message.lease;
+  value["resigned"] = message.resigned;
+  value["sequence"] = Uint(message.sequence);
+  if (message.decider) {
+    value["decider"] = ToJson(*message.decider);
+  }
+  if (message.directive) {
+    value["directive"] = ToJson(*message.directive);
+  }
+  value["suspects"] = ToJson(
+      std::set<TargetId>(message.suspects.begin(), message.suspects.end()));
+  return WriteJson(value);
+}
+
+std::string Encode(const VoteRequest& message) {
+  Json::Value value;
+  value["host"] = ToJson(message.host);
+  value["founded"] = Uint(message.founded);
+  value["voters_changed"] = Uint(message.voters_changed);
+  value["ballot"] = ToJson(message.ballot);
+  return WriteJson(value);
+}
+
+std::string Encode(const VoteReply& message) {
+  Json::Value value;
+  value["granted"] = message.granted;
+  value["promised"] = ToJson(message.promised);
+  value["directive"] = ToJson(message.directive);
+  return WriteJson(value);
+}
+
+std::string Encode(const StateReply& message) {
+  Json::Value value;
+  value["state"] = ToJson(*message.state);
+  value["directive"] = ToJson(message.directive);
+  return WriteJson(value);
+}
+
+absl::StatusOr<RenewRequest> ParseRenewRequest(const std::string& text) {
+  return ParseMessage<RenewRequest>(
+      text, [](RenewRequest& it, ObjectReader& reader, absl::Status& status) {
+        it.host = ParseHost(reader.Object("host"), status);
+        it.founded = reader.Uint("founded");
+        it.echo = reader.Nanoseconds("echo");
+        it.ballot = ParseBallot(reader.Object("ballot"), status);
+        it.acked_sequence = reader.Uint("acked_sequence");
+        it.config_version = reader.Uint("config_version");
+        it.leaving = reader.Bool("leaving");
+        for (const Json::Value& unit : reader.Array("busy")) {
+          it.busy.push_back(ParseUnit(unit, status));
+        }
+        for (const Json::Value& signal : reader.Array("signals")) {
+          it.signals.push_back(ParseSignal(signal, status));
+        }
+      });
+}
+
+absl::StatusOr<RenewReply> ParseRenewReply(const std::string& text) {
+  return ParseMessage<RenewReply>(
+      text, [](RenewReply& it, ObjectReader& reader, absl::Status& status) {
+        it.host = reader.String("host");
+        it.accepted = reader.Bool("accepted");
+        it.ballot = ParseBallot(reader.Object("ballot"), status);
+        it.stamp = reader.Nanoseconds("stamp");
+        it.lease = reader.Bool("lease");
+        it.resigned = reader.Bool("resigned");
+        it.sequence = reader.Uint("sequence");
+        if (reader.Has("decider")) {
+          it.decider = ParseHost(reader.Object("decider"), status);
+        }
+        if (reader.Has("directive")) {
+          it.directive = ParseDirective(reader.Object("directive"), status);
+        }
+        const std::set<TargetId> suspects =
+            ParseTargets(reader.Array("suspects"), status);
+        it.suspects.assign(suspects.begin(), suspects.end());
+      });
+}
+
+absl::StatusOr<VoteRequest> ParseVoteRequest(const std::string& text) {
+  return ParseMessage<VoteRequest>(
+      text, [](VoteRequest& it, ObjectReader& reader, absl::Status& status) {
+        it.host = ParseHost(reader.Object("host"), status);
+        it.founded = reader.Uint("founded");
+        it.voters_changed = reader.Uint("voters_changed");
+        it.ballot = ParseBallot(reader.Object("ballot"), status);
+      });
+}
+
+absl::StatusOr<VoteReply> ParseVoteReply(const std::string& text) {
+  return ParseMessage<VoteReply>(
+      text, [](VoteReply& it, ObjectReader& reader, absl::Status& status) {
+        it.granted = reader.Bool("granted");
+        it.promised = ParseBallot(reader.Object("promised"), status);
+        it.directive = ParseDirective(reader.Object("directive"), status);
+      });
+}
+
+absl::StatusOr<StateReply> ParseStateReply(const std::string& text) {
+  return ParseMessage<StateReply>(
+      text, [](StateReply& it, ObjectReader& reader, absl::Status& status) {
+        it.state = std::make_shared<const ControlState>(
+            ParseState(reader.Object("state"), status));
+        it.directive = ParseDirective(reader.Object("directive"), status);
+      });
+}
+
+}  // namespace toucandock::codec
--- /dev/null
+++ b/src/codec/message_json.h
@@ -0,0 +1,32 @@
+#ifndef TOUCANDOCK_CODEC_MESSAGE_JSON_H_
+#define TOUCANDOCK_CODEC_MESSAGE_JSON_H_
+
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "core/control/messages.h"
+
+namespace toucandock::codec {
+
+// Messages between entry hosts; errors are InvalidArgument with the member
+// that is wrong.
+std::string Encode(const core::control::RenewRequest& message);
+std::string Encode(const core::control::RenewReply& message);
+std::string Encode(const core::control::VoteRequest& message);
+std::string Encode(const core::control::VoteReply& message);
+std::string Encode(const core::control::StateReply& message);
+
+absl::StatusOr<core::control::RenewRequest> ParseRenewRequest(
+    const std::string& text);
+absl::StatusOr<core::control::RenewReply> ParseRenewReply(
+    const std::string& text);
+absl::StatusOr<core::control::VoteRequest> ParseVoteRequest(
+    const std::string& text);
+absl::StatusOr<core::control::VoteReply> ParseVoteReply(
+    const std::string& text);
+absl::StatusOr<core::control::StateReply> ParseStateReply(
+    const std::string& text);
+
+}  // namespace toucandock::codec
+
+#endif  // TOUCANDOCK_CODEC_MESSAGE_JSON_H_
--- /dev/null
+++ b/src/codec/yaml_reader.cc
@@ -0,0 +1,221 @@
+#include "codec/yaml_reader.h"
+
+#include <algorithm>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "util/duration.h"
+
+namespace toucandock::codec {
+namespace {
+
+int LineOfNode(const YAML::Node& node) {
+  return node.Mark().line + 1;
+}
+
+}  // namespace
+
+void YamlFaults::Add(int line,
+                     const std::string& field,
+                     const std::string& message) {
+  faults_.push_back(
+      {line, absl::StrCat(file_, ":", line, ": ", field, ": ", message)});
+}
+
+// Returns the line of the field or, when it is absent, of what contains it.
+int YamlFaults::LineOf(const std::string& field) const {
+  std::string at = field;
+  while (true) {
+    const auto it = lines_.find(at);
+    if (it != lines_.end()) {
+      return it->second;
+    }
+    const size_t n = at.find_last_of(".[");
+    if (n == std::string::npos) {
+      return 1;
+    }
+    at.resize(n);
+  }
+}
+
+// One line for each fault, in the order of the text.
+absl::Status YamlFaults::ToStatus() const {
+  if (faults_.empty()) {
+    return absl::OkStatus();
+  }
+  std::vector<Fault> sorted = faults_;
+  std::stable_sort(
+      sorted.begin(), sorted.end(),
+      [](const Fault& a, const Fault& b) { return a.line < b.line; });
+  return absl::InvalidArgumentError(absl::StrJoin(
+      sorted, "\n",
+      [](std::string* out, const Fault& it) { out->append(it.text); }));
+}
+
+YamlMap::YamlMap(const YAML::Node& node, std::string field, YamlFaults& faults)
+    : node_(node), field_(std::move(field)), faults_(faults) {
+  faults_.NoteLine(field_, LineOfNode(node));
+  if (!node.IsMap()) {
+    faults_.Add(LineOfNode(node), field_.empty() ? "text" : field_,
+                "expected a map of names and values");
+    node_ = YAML::Node(YAML::NodeType::Map);
+  }
+}
+
+YamlMap::~YamlMap() {
+  std::set<std::string> seen;
+  for (const auto& it : node_) {
+    const std::string name =
+        it.first.IsScalar() ? it.first.Scalar() : "(not a name)";
+    const std::string field = FieldOf(name.c_str());
+    if (!seen.insert(name).second) {
+      faults_.Add(LineOfNode(it.first), field, "is given twice");
+    }
+    if (!known_.contains(name)) {
+      faults_.Add(LineOfNode(it.first), field,
+                  absl::StrCat("unknown name; known here: ",
+                               absl::StrJoin(known_, ", ")));
+    }
+  }
+}
+
+void YamlMap::Read(const char* name, std::string& value) {
+  std::string text;
+  if (ReadScalar(name, "a text", text)) {
+    value = text;
+  }
+}
+
+void YamlMap::Read(const char* name, bool& value) {
+  std::string text;
+  if (!ReadScalar(name, "true or false", text)) {
+    return;
+  }
+  if (text != "true" && text != "false") {
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
+                absl::StrCat("'", text, "' is not true or false"));
+    return;
+  }
+  value = text == "true";
+}
+
+void YamlMap::Read(const char* name, std::uint32_t& value) {
+  std::string text;
+  if (ReadScalar(name, "a whole number", text) &&
+      !absl::SimpleAtoi(text, &value)) {
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
+                absl::StrCat("'", text, "' is not a whole number"));
+  }
+}
+
+void YamlMap::Read(const char* name, std::uint64_t& value) {
+  std::string text;
+  if (ReadScalar(name, "a whole number", text) &&
+      !absl::SimpleAtoi(text, &value)) {
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
+                absl::StrCat("'", text, "' is not a whole number"));
+  }
+}
+
+void YamlMap::Read(const char* name, core::Duration& value) {
+  std::string text;
+  if (!ReadScalar(name, "a duration such as 250ms", text)) {
+    return;
+  }
+  const auto parsed = util::ParseDuration(text);
+  if (!parsed.ok()) {
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
+                std::string(parsed.status().message()));
+    return;
+  }
+  value = *parsed;
+}
+
+void YamlMap::Read(const char* name, std::vector<std::string>& value) {
+  ReadList(name, [&](const YAML::Node& it, const std::string& field) {
+    if (!it.IsScalar()) {
+      faults_.Add(LineOfNode(it), field, "expected a text");
+      return;
+    }
+    value.push_back(it.Scalar());
+  });
+}
+
+void YamlMap::ReadList(
+    const char* name,
+    const std::function<void(const YAML::Node&, const std::string&)>& read) {
+  const YAML::Node list = Get(name);
+  if (!list.IsDefined()) {
+    return;
+  }
+  if (!list.IsSequence()) {
+    faults_.Add(LineOfNode(list), FieldOf(name), "expected a list");
+    return;
+  }
+  for (size_t n = 0; n < list.size(); ++n) {
+    const std::string field = absl::StrCat(FieldOf(name), "[", n, "]");
+    faults_.NoteLine(field, LineOfNode(list[n]));
+    read(list[n], field);
+  }
+}
+
+void YamlMap::ReadMap(const char* name,
+                      const std::function<void(YamlMap&)>& read) {
+  const YAML::Node map = Get(name);
+  if (map.IsDefined()) {
+    YamlMap reader(map, FieldOf(name), faults_);
+    read(reader);
+  }
+}
+
+// Adds a fault when the member is absent.
+void YamlMap::Require(const char* name) {
+  if (!Get(name).IsDefined()) {
+    faults_.Add(faults_.LineOf(field_), FieldOf(name), "is missing");
+  }
+}
+
+YAML::Node YamlMap::Get(const char* name) {
+  known_.insert(name);
+  const YAML::Node& node = node_;
+  YAML::Node found = node[name];
+  if (found.IsDefined()) {
+    faults_.NoteLine(FieldOf(name), LineOfNode(found));
+  }
+  return found;
+}
+
+std::string YamlMap::FieldOf(const char* name) const {
+  return field_.empty() ? name : absl::StrCat(field_, ".", name);
+}
+
+bool YamlMap::ReadScalar(const char* name,
+                         const char* expected,
+                         std::string& text) {
+  const YAML::Node found = Get(name);
+  if (!found.IsDefined()) {
+    return false;
+  }
+  if (!found.IsScalar()) {
+    faults_.Add(LineOfNode(found), FieldOf(name),
+                absl::StrCat("expected ", expected));
+    return false;
+  }
+  text = found.Scalar();
+  return true;
+}
+
+absl::Status LoadYaml(const std::string& file,
+                      const std::string& text,
+                      YAML::Node& root) {
+  try {
+    root = YAML::Load(text);
+  } catch (const YAML::Exception& e) {
+    return absl::InvalidArgumentError(
+        absl::StrCat(file, ":", e.mark.line + 1, ": not YAML: ", e.msg));
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace toucandock::codec
--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,470 @@
+#include "daemon/daemon.h"
+
+#include <fstream>
+#include <random>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "codec/config_yaml.h"
+#include "codec/message_json.h"
+#include "core/routing/routing_snapshot.h"
+#include "observe/logging.h"
+#include "platform/host_list_client.h"
+#include "proxy/problem.h"
+
+namespace toucandock::daemon {
+namespace {
+
+using namespace core::control;  // NOLINT(google-build-using-namespace)
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Blocking calls of the control thread at a time: one for each of about 43
+// targets of a tenant, and the peers.
+constexpr size_t kWorkers = 48;
+constexpr size_t kHistorySize = 10'000;
+constexpr milliseconds kLogRetry{100};
+constexpr std::uint32_t kPeerBodyBytes = 64 << 20;
+
+core::TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+std::string RandomId() {
+  thread_local std::mt19937_64 generator{std::random_device{}()};
+  return absl::StrCat(absl::Hex(generator(), absl::kZeroPad16),
+                      absl::Hex(generator(), absl::kZeroPad16));
+}
+
+}  // namespace
+
+Daemon::Daemon(settings::Settings settings)
+    : settings_(std::move(settings)),
+      host_id_(absl::StrCat(settings_.host_name, "-", RandomId().substr(0, 8))),
+      history_(kHistorySize),
+      targets_(client_, duration_cast<milliseconds>(settings_.probe_timeout)),
+      log_(client_,
+           {.address = settings_.log_address, .stream = settings_.log_stream}) {
+}
+
+Daemon::~Daemon() {
+  RequestStop();
+  ended_ = true;
+  if (log_thread_.joinable()) {
+    log_thread_.join();
+  }
+  if (host_list_thread_.joinable()) {
+    host_list_thread_.join();
+  }
+  caller_server_.reset();
+  operator_server_.reset();
+  if (control_) {
+    control_->Stop();
+  }
+  peer_server_.reset();
+  pool_.reset();
+}
+
+absl::Status Daemon::Start() {
+  if (absl::Status status =
+          observe::SetUpLogging(host_id_, settings_.log_level);
+      !status.ok()) {
+    return status;
+  }
+  pool_ = std::make_unique<WorkPool>(kWorkers);
+  if (absl::Status status = StartServers(); !status.ok()) {
+    return status;
+  }
+  log_thread_ = std::thread([this] { ReadLog(); });
+  if (!settings_.host_list_address.empty()) {
+    host_list_thread_ = std::thread([this] { ReadHostList(); });
+  }
+  return WriteAddresses();
+}
+
+// The peer port is bound first, since its address is part of this host's
+// identity towards its peers.
+absl::Status Daemon::StartServers() {
+  rpc_ = std::make_unique<peer::JsonRpcServer>(PeerMethods());
+  front_ = std::make_unique<proxy::CallerFront>(
+      settings_.limits, view_, in_flight_, client_, metrics_, MakeFrontHooks());
+  operators_ =
+      std::make_unique<OperatorFront>(history_, metrics_, MakeOperatorHooks());
+  const auto start = [](std::unique_ptr<http::Server>& server,
+                        const http::ServerOptions& options,
+                        http::Handler handler) {
+    auto started = http::Server::Start(options, std::move(handler));
+    if (!started.ok()) {
+      return started.status();
+    }
+    server = *std::move(started);
+    return absl::OkStatus();
+  };
+  absl::Status status = start(
+      caller_server_,
+      {.address = settings_.caller_address,
+       .max_body = settings_.limits.body_bytes,
+       .max_headers = settings_.limits.header_bytes,
+       .max_connections = settings_.limits.caller_connections},
+      [this](const http::Request& request) { return front_->Serve(request); });
+  // The control loop starts with the peer port, whose calls it answers.
+  status.Update(start(
+      peer_server_,
+      {.address = settings_.peer_address,
+       .max_body = kPeerBodyBytes,
+       .max_connections = settings_.limits.peer_connections},
+      [this](const http::Request& request) { return ServePeer(request); }));
+  if (!status.ok()) {
+    return status;
+  }
+  StartControl();
+  return start(operator_server_, {.address = settings_.operator_address},
+               [this](const http::Request& request) {
+                 return operators_->Serve(request);
+               });
+}
+
+void Daemon::StartControl() {
+  ControllerOptions options = {
+      .self = {.id = host_id_,
+               .peer_address = peer_server_->address(),
+               .caller_address = caller_server_->address(),
+               .failure_domain = settings_.failure_domain},
+      .terms = settings_.lease};
+  for (const std::string& it : settings_.seed_peers) {
+    options.seeds.push_back({.id = "", .peer_address = it});
+  }
+  const ControlHooks hooks = {.parse_config =
+                                  [](const std::string& text) {
+                                    return codec::ParseConfig("config", text);
+                                  },
+                              .new_record_id = RandomId};
+  LoopHooks loop_hooks = {
+      .now = Now,
+      .tick =
+          [this] {
+            return TickEvent{in_flight_.OldestSending(),
+                             in_flight_.BusyUnits()};
+          },
+      .perform =
+          [this](const Action& action, const HostController& controller) {
+            Perform(action, controller);
+          },
+      .after_event = [this](
+                         const HostController& controller,
+                         core::TimePoint now) { AfterEvent(controller, now); }};
+  control_ = std::make_unique<ControlLoop>(std::move(options), hooks,
+                                           std::move(loop_hooks));
+  control_->Start();
+}
+
+// One line for each port, for scripts that let the kernel choose ports.
+absl::Status Daemon::WriteAddresses() const {
+  if (settings_.address_file.empty()) {
+    return absl::OkStatus();
+  }
+  std::ofstream file(settings_.address_file);
+  file << "caller " << caller_server_->address() << "\npeer "
+       << peer_server_->address() << "\noperator "
+       << operator_server_->address() << "\n";
+  file.close();
+  if (!file) {
+    return absl::UnavailableError(
+        absl::StrCat("cannot write ", settings_.address_file));
+  }
+  return absl::OkStatus();
+}
+
+void Daemon::RequestStop() {
+  const std::lock_guard<std::mutex> lock(stop_mutex_);
+  stopping_ = true;
+  stop_requested_.notify_all();
+}
+
+void Daemon::WaitUntilStopped() {
+  {
+    std::unique_lock<std::mutex> lock(stop_mutex_);
+    stop_requested_.wait(lock, [this] { return stopping_.load(); });
+  }
+  StopGracefully();
+}
+
+// New requests are refused as not run, callers are told to close their
+// connections, and requests in service end before the host leaves the fleet.
+void Daemon::StopGracefully() {
+  observe::LogStateChange("planned stop", "asked for by signal or operator");
+  caller_server_->Drain(duration_cast<milliseconds>(settings_.stop_limit));
+  control_->Post(StopEvent{});
+  // Time for the leave record and for the peers to elect another decider.
+  std::this_thread::sleep_for(settings_.lease.election);
+  ended_ = true;
+}
+
+void Daemon::AfterEvent(const HostController& controller, core::TimePoint now) {
+  view_.SetLease(controller.lease_until(), now);
+  metrics_.SetHasLease(now < controller.lease_until());
+}
+
+void Daemon::Perform(const Action& action, const HostController& controller) {
+  if (const auto* decision = std::get_if<DecisionAction>(&action)) {
+    history_.Add(
+        {std::chrono::system_clock::now(), decision->what, decision->cause});
+    observe::LogStateChange(decision->what, decision->cause);
+  } else if (std::holds_alternative<PublishViewAction>(action)) {
+    view_.Publish(core::routing::BuildSnapshot(controller.replica()));
+    metrics_.SetConfigVersion(controller.replica().config_version());
+    client_.WakeAll();
+  } else if (const auto* append = std::get_if<AppendAction>(&action)) {
+    Send(*append);
+  } else if (const auto* renew = std::get_if<SendRenewAction>(&action)) {
+    Send(*renew);
+  } else if (const auto* vote = std::get_if<SendVoteAction>(&action)) {
+    Send(*vote);
+  } else if (const auto* fetch = std::get_if<FetchStateAction>(&action)) {
+    Send(*fetch);
+  } else if (const auto* nudge = std::get_if<SendNudgeAction>(&action)) {
+    Send(*nudge);
+  } else if (const auto* grant = std::get_if<SendGrantAction>(&action)) {
+    Send(*grant);
+  } else if (const auto* probe = std::get_if<SendProbeAction>(&action)) {
+    Send(*probe);
+  }
+}
+
+void Daemon::Send(const AppendAction& action) {
+  pool_->Run([this, record = action.record] {
+    const auto offset = log_.Append(record);
+    control_->Post(AppendResultEvent{record.id, offset.ok()});
+  });
+}
+
+void Daemon::Send(const SendRenewAction& action) {
+  const core::TimePoint sent_at = Now();
+  pool_->Run([this, action, sent_at] {
+    const std::string answer = CallPeer(action.to.peer_address, "renew",
+                                        codec::Encode(action.request));
+    RenewReplyEvent event = {.from = action.to.id, .sent_at = sent_at};
+    auto reply = codec::ParseRenewReply(answer);
+    if (reply.ok()) {
+      event.reply = *std::move(reply);
+    }
+    control_->Post(std::move(event));
+  });
+}
+
+void Daemon::Send(const SendVoteAction& action) {
+  pool_->Run([this, action] {
+    const std::string answer =
+        CallPeer(action.to.peer_address, "vote", codec::Encode(action.request));
+    VoteReplyEvent event = {.from = action.to.id,
+                            .ballot = action.request.ballot};
+    auto reply = codec::ParseVoteReply(answer);
+    if (reply.ok()) {
+      event.reply = *std::move(reply);
+    }
+    control_->Post(std::move(event));
+  });
+}
+
+void Daemon::Send(const FetchStateAction& action) {
+  pool_->Run([this, action] {
+    StateReplyEvent event;
+    auto reply = codec::ParseStateReply(
+        CallPeer(action.from.peer_address, "state", "{}"));
+    if (reply.ok()) {
+      event.reply = *std::move(reply);
+    }
+    control_->Post(std::move(event));
+  });
+}
+
+void Daemon::Send(const SendNudgeAction& action) {
+  pool_->Run(
+      [this, action] { CallPeer(action.to.peer_address, "nudge", "{}"); });
+}
+
+void Daemon::Send(const SendGrantAction& action) {
+  pool_->Run([this, action] {
+    control_->Post(
+        GrantAnswerEvent{action.grant.target, action.grant.sequence,
+                         targets_.SendGrant(action.address, action.grant)});
+  });
+}
+
+void Daemon::Send(const SendProbeAction& action) {
+  pool_->Run([this, action] {
+    control_->Post(
+        ProbeAnswerEvent{action.target, targets_.Probe(action.address)});
+  });
+}
+
+std::string Daemon::CallPeer(const std::string& address,
+                             const std::string& method,
+                             const std::string& params) {
+  const milliseconds timeout =
+      duration_cast<milliseconds>(settings_.peer_timeout);
+  const peer::Transport transport = [&](const std::string& body) {
+    const http::ExchangeResult result =
+        client_.Exchange(address,
+                         {.method = "POST",
+                          .path = "/rpc",
+                          .headers = {{"Content-Type", "application/json"}},
+                          .body = body},
+                         {.connect_timeout = timeout,
+                          .timeout = timeout,
+                          .max_body = kPeerBodyBytes});
+    metrics_.CountControlBytes("peer",
+                               body.size() + result.response.body.size());
+    return result.progress == http::Progress::kComplete ? result.response.body
+                                                        : std::string();
+  };
+  return peer::CallMethod(transport, method, params);
+}
+
+std::vector<peer::Method> Daemon::PeerMethods() {
+  return {
+      {"renew",
+       [this](const std::string& params) -> std::string {
+         auto request = codec::ParseRenewRequest(params);
+         if (!request.ok()) {
+           return "";
+         }
+         const auto reply = control_->Renew(*std::move(request));
+         return reply ? codec::Encode(*reply) : "";
+       }},
+      {"vote",
+       [this](const std::string& params) -> std::string {
+         auto request = codec::ParseVoteRequest(params);
+         if (!request.ok()) {
+           return "";
+         }
+         const auto reply = control_->Vote(*std::move(request));
+         return reply ? codec::Encode(*reply) : "";
+       }},
+      {"state",
+       [this](const std::string&) -> std::string {
+         const auto reply = control_->State();
+         return reply ? codec::Encode(*reply) : "";
+       }},
+      {"nudge",
+       [this](const std::string&) -> std::string {
+         control_->Post(NudgeEvent{});
+         return "{}";
+       }},
+  };
+}
+
+http::Response Daemon::ServePeer(const http::Request& request) {
+  if (control_ == nullptr) {
+    return proxy::ProblemResponse(core::ErrorKind::kStopping,
+                                  core::Outcome::kNotRun, "starting", "");
+  }
+  if (request.method != "POST" || request.path != "/rpc" ||
+      request.body_too_large) {
+    return proxy::ProblemResponse(core::ErrorKind::kMalformedRequest,
+                                  core::Outcome::kNotRun,
+                                  "peers send JSON-RPC 2.0 to POST /rpc", "");
+  }
+  return http::JsonResponse(200, rpc_->Handle(request.body));
+}
+
+OperatorHooks Daemon::MakeOperatorHooks() {
+  return {
+      .status =
+          [this] {
+            ControllerStatus status;
+            control_->Inspect(
+                [&](const HostController& it, core::TimePoint now) {
+                  status = it.Status(now);
+                });
+            return status;
+          },
+      .config_text =
+          [this] {
+            std::string text;
+            control_->Inspect([&](const HostController& it, core::TimePoint) {
+              text = absl::StrCat(
+                  "# version: ", it.replica().state().config_version, "\n",
+                  it.replica().state().config_text);
+            });
+            return text;
+          },
+      .owner_of = [this](const std::string& service, const std::string& key,
+                         std::string& unit) -> std::string {
+        const proxy::PublishedView::Snapshot snapshot = view_.snapshot();
+        const auto* found = core::routing::FindService(*snapshot, service);
+        if (found == nullptr || !found->config.keyed) {
+          return "";
+        }
+        const core::routing::KeyRoute route =
+            core::routing::RouteKey(*found, key);
+        unit = core::ToString(route.unit);
+        if (route.target == nullptr) {
+          return "nobody: the unit is moving";
+        }
+        return absl::StrCat(route.target->id, " with fence ", route.fence);
+      },
+      .is_stopping = [this] { return stopping_.load(); },
+      .stop = [this] { RequestStop(); }};
+}
+
+proxy::FrontHooks Daemon::MakeFrontHooks() {
+  return {.now = Now,
+          .report_signal =
+              [this](const core::TargetId& target,
+                     core::detection::SignalKind kind) {
+                control_->Post(TrafficSignalEvent{target, kind});
+              },
+          .record_attempt =
+              [](const proxy::AttemptKey&) {
+                return core::request::RecordResult::kRecorded;
+              },
+          .is_stopping = [this] { return stopping_.load(); },
+          .new_request_id = RandomId};
+}
+
+// Follows the log: one read at a time, which the service holds until there is
+// something new.
+void Daemon::ReadLog() {
+  bool first = true;
+  core::Offset next = 0;
+  while (!ended_) {
+    auto read = first ? log_.ReadAll() : log_.Read(next);
+    if (!read.ok()) {
+      control_->Post(LogFailedEvent{});
+      if (!SleepUnlessStopping(kLogRetry)) {
+        return;
+      }
+      continue;
+    }
+    // Retention may have passed this reader; then it starts from a checkpoint.
+    first = !first && read->first_retained > next;
+    if (first) {
+      continue;
+    }
+    next = read->end;
+    control_->Post(*std::move(read));
+  }
+}
+
+void Daemon::ReadHostList() {
+  while (!ended_) {
+    auto list = platform::FetchHostList(client_, settings_.host_list_address);
+    if (list.ok()) {
+      control_->Post(*std::move(list));
+    }
+    if (!SleepUnlessStopping(settings_.host_list_interval)) {
+      return;
+    }
+  }
+}
+
+// Returns false when the daemon has ended.
+bool Daemon::SleepUnlessStopping(std::chrono::nanoseconds duration) {
+  std::unique_lock<std::mutex> lock(stop_mutex_);
+  stop_requested_.wait_for(lock, duration, [this] { return ended_.load(); });
+  return !ended_;
+}
+
+}  // namespace toucandock::daemon
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,103 @@
+#ifndef TOUCANDOCK_DAEMON_DAEMON_H_
+#define TOUCANDOCK_DAEMON_DAEMON_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "absl/status/status.h"
+#include "daemon/control_loop.h"
+#include "daemon/operator_front.h"
+#include "daemon/work_pool.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "observe/decision_history.h"
+#include "observe/metrics.h"
+#include "peer/json_rpc.h"
+#include "platform/log_client.h"
+#include "proxy/caller_front.h"
+#include "proxy/in_flight_table.h"
+#include "proxy/published_view.h"
+#include "proxy/target_client.h"
+#include "settings/settings.h"
+
+namespace toucandock::daemon {
+
+// One entry host: wires the control loop, the traffic front, the peers and the
+// platform's services together and owns all threads.
+class Daemon {
+ public:
+  explicit Daemon(settings::Settings settings);
+  ~Daemon();
+
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  absl::Status Start();
+  // Asks for a planned stop; may be called from any thread.
+  void RequestStop();
+  // Blocks until a stop was asked for and is done.
+  void WaitUntilStopped();
+
+ private:
+  absl::Status StartServers();
+  absl::Status WriteAddresses() const;
+  void StartControl();
+  void StopGracefully();
+
+  void Perform(const core::control::Action& action,
+               const core::control::HostController& controller);
+  void Send(const core::control::AppendAction& action);
+  void Send(const core::control::SendRenewAction& action);
+  void Send(const core::control::SendVoteAction& action);
+  void Send(const core::control::FetchStateAction& action);
+  void Send(const core::control::SendNudgeAction& action);
+  void Send(const core::control::SendGrantAction& action);
+  void Send(const core::control::SendProbeAction& action);
+  void AfterEvent(const core::control::HostController& controller,
+                  core::TimePoint now);
+
+  std::string CallPeer(const std::string& address,
+                       const std::string& method,
+                       const std::string& params);
+  std::vector<peer::Method> PeerMethods();
+  http::Response ServePeer(const http::Request& request);
+  OperatorHooks MakeOperatorHooks();
+  proxy::FrontHooks MakeFrontHooks();
+  void ReadLog();
+  void ReadHostList();
+  bool SleepUnlessStopping(std::chrono::nanoseconds duration);
+
+  const settings::Settings settings_;
+  const std::string host_id_;
+  http::Client client_;
+  observe::Metrics metrics_;
+  observe::DecisionHistory history_;
+  proxy::PublishedView view_;
+  proxy::InFlightTable in_flight_;
+  proxy::TargetClient targets_;
+  platform::LogClient log_;
+  std::unique_ptr<ControlLoop> control_;
+  std::unique_ptr<proxy::CallerFront> front_;
+  std::unique_ptr<OperatorFront> operators_;
+  std::unique_ptr<peer::JsonRpcServer> rpc_;
+  std::unique_ptr<http::Server> caller_server_;
+  std::unique_ptr<http::Server> peer_server_;
+  std::unique_ptr<http::Server> operator_server_;
+  std::thread log_thread_;
+  std::thread host_list_thread_;
+
+  std::atomic<bool> stopping_ = false;
+  std::atomic<bool> ended_ = false;
+  std::mutex stop_mutex_;
+  std::condition_variable stop_requested_;
+  // Last, so that its threads end before what they use.
+  std::unique_ptr<WorkPool> pool_;
+};
+
+}  // namespace toucandock::daemon
+
+#endif  // TOUCANDOCK_DAEMON_DAEMON_H_
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,77 @@
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "core/error_kind.h"
+#include "daemon/daemon.h"
+#include "settings/settings.h"
+
+ABSL_FLAG(std::string, settings, "", "YAML file with this host's settings");
+ABSL_FLAG(bool,
+          check_settings,
+          false,
+          "check the settings, report all faults and exit");
+
+namespace {
+
+int ExitCode(toucandock::core::ErrorKind kind) {
+  return toucandock::core::AnswerFor(kind).exit_code;
+}
+
+// Signals are taken by one thread that waits for them, so that no code runs in
+// a signal handler.
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGTERM);
+  return signals;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using toucandock::core::ErrorKind;
+  absl::SetProgramUsageMessage(
+      "Routes requests to the targets that own their keys.\n"
+      "toucandockd --settings=FILE");
+  absl::ParseCommandLine(argc, argv);
+  const std::string file = absl::GetFlag(FLAGS_settings);
+  std::ifstream stream(file);
+  if (!stream) {
+    std::cerr << "toucandockd: cannot read the settings file '" << file
+              << "'; name one with --settings=FILE\n";
+    return ExitCode(ErrorKind::kUsage);
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  auto settings = toucandock::settings::ParseSettings(file, text.str());
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return ExitCode(ErrorKind::kConfigInvalid);
+  }
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    std::cout << file << ": the settings are valid\n";
+    return 0;
+  }
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  toucandock::daemon::Daemon daemon(*std::move(settings));
+  if (absl::Status status = daemon.Start(); !status.ok()) {
+    std::cerr << "toucandockd: " << status.message() << "\n";
+    return ExitCode(ErrorKind::kInternal);
+  }
+  std::thread([&daemon, signals] {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    daemon.RequestStop();
+  }).detach();
+  daemon.WaitUntilStopped();
+  return 0;
+}
--- /dev/null
+++ b/src/daemon/operator_front.h
@@ -0,0 +1,50 @@
+#ifndef TOUCANDOCK_DAEMON_OPERATOR_FRONT_H_
+#define TOUCANDOCK_DAEMON_OPERATOR_FRONT_H_
+
+#include <functional>
+#include <string>
+
+#include "core/control/host_controller.h"
+#include "http/message.h"
+#include "observe/decision_history.h"
+#include "observe/metrics.h"
+
+namespace toucandock::daemon {
+
+// Where the operators' port gets its answers from.
+struct OperatorHooks {
+  std::function<core::control::ControllerStatus()> status;
+  // Text and author of the configuration in force.
+  std::function<std::string()> config_text;
+  // Current owner of a key in words, or an empty text.
+  std::function<std::string(const std::string& service,
+                            const std::string& key,
+                            std::string& unit)>
+      owner_of;
+  std::function<bool()> is_stopping;
+  std::function<void()> stop;
+};
+
+// Answers the operators' port.
+class OperatorFront {
+ public:
+  OperatorFront(const observe::DecisionHistory& history,
+                const observe::Metrics& metrics,
+                OperatorHooks hooks);
+
+  http::Response Serve(const http::Request& request) const;
+
+ private:
+  http::Response Status() const;
+  http::Response Decisions(const http::Request& request) const;
+  http::Response Explain(const http::Request& request) const;
+  http::Response Ready() const;
+
+  const observe::DecisionHistory& history_;
+  const observe::Metrics& metrics_;
+  const OperatorHooks hooks_;
+};
+
+}  // namespace toucandock::daemon
+
+#endif  // TOUCANDOCK_DAEMON_OPERATOR_FRONT_H_
--- /dev/null
+++ b/src/observe/metrics.cc
@@ -0,0 +1,128 @@
+#include "observe/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace toucandock::observe {
+namespace {
+
+// Callers choose the tenant name, so the number of label values is bounded.
+constexpr size_t kMaxTenants = 64;
+
+// Seconds; finest around the latencies of short work.
+const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries kBuckets = {
+      0.001, 0.002, 0.004, 0.008, 0.013, 0.025, 0.05,
+      0.1,   0.25,  0.5,   1,     2.5,   5,     10};
+  return kBuckets;
+}
+
+template <typename Builder>
+auto& Build(prometheus::Registry& registry,
+            Builder builder,
+            const char* name,
+            const char* help) {
+  return builder.Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      latency_(Build(*registry_,
+                     prometheus::BuildHistogram(),
+                     "toucandock_request_seconds",
+                     "Time from receipt of a request to its answer")),
+      tenant_latency_(Build(*registry_,
+                            prometheus::BuildHistogram(),
+                            "toucandock_tenant_request_seconds",
+                            "Time to answer, for each tenant")),
+      requests_(Build(*registry_,
+                      prometheus::BuildCounter(),
+                      "toucandock_requests_total",
+                      "Answered requests by error kind and outcome")),
+      retries_(Build(*registry_,
+                     prometheus::BuildCounter(),
+                     "toucandock_retries_total",
+                     "Attempts after the first")),
+      control_bytes_(Build(*registry_,
+                           prometheus::BuildCounter(),
+                           "toucandock_control_bytes_total",
+                           "Bytes of control messages sent and received")),
+      owner_changes_(Build(*registry_,
+                           prometheus::BuildCounter(),
+                           "toucandock_owner_changes_total",
+                           "Units whose owner changed, seen by the decider")),
+      config_version_(Build(*registry_,
+                            prometheus::BuildGauge(),
+                            "toucandock_config_version",
+                            "Configuration version in force on this host")
+                          .Add({})),
+      has_lease_(Build(*registry_,
+                       prometheus::BuildGauge(),
+                       "toucandock_has_lease",
+                       "1 while this host may send to owners of keys")
+                     .Add({})) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::CountRequest(const RequestLabels& labels,
+                           core::ErrorKind error,
+                           core::Outcome outcome,
+                           std::chrono::nanoseconds latency) {
+  const double seconds = std::chrono::duration<double>(latency).count();
+  latency_
+      .Add({{"service", labels.service}, {"class", labels.request_class}},
+           LatencyBuckets())
+      .Observe(seconds);
+  tenant_latency_
+      .Add({{"tenant", BoundedTenant(labels.tenant)}}, LatencyBuckets())
+      .Observe(seconds);
+  requests_
+      .Add({{"service", labels.service},
+            {"error", std::string(core::ToString(error))},
+            {"outcome", std::string(core::ToString(outcome))}})
+      .Increment();
+}
+
+void Metrics::CountRetry(const std::string& service) {
+  retries_.Add({{"service", service}}).Increment();
+}
+
+void Metrics::CountControlBytes(const std::string& peer_kind,
+                                std::uint64_t bytes) {
+  control_bytes_.Add({{"with", peer_kind}})
+      .Increment(static_cast<double>(bytes));
+}
+
+void Metrics::CountOwnerChange(const std::string& service) {
+  owner_changes_.Add({{"service", service}}).Increment();
+}
+
+void Metrics::SetConfigVersion(std::uint64_t version) {
+  config_version_.Set(static_cast<double>(version));
+}
+
+void Metrics::SetHasLease(bool has_lease) {
+  has_lease_.Set(has_lease ? 1 : 0);
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+std::string Metrics::BoundedTenant(const std::string& tenant) {
+  if (tenant.empty()) {
+    return "none";
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (tenants_.size() < kMaxTenants) {
+    tenants_.insert(tenant);
+  }
+  return tenants_.contains(tenant) ? tenant : "other";
+}
+
+}  // namespace toucandock::observe
--- /dev/null
+++ b/src/proxy/caller_front.cc
@@ -0,0 +1,369 @@
+#include "proxy/caller_front.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "codec/target_json.h"
+#include "core/routing/target_choice.h"
+#include "proxy/problem.h"
+
+namespace toucandock::proxy {
+namespace {
+
+using core::ErrorKind;
+using core::Outcome;
+using core::detection::SignalKind;
+using core::request::AttemptResult;
+using core::request::AttemptStage;
+using core::request::Decision;
+using core::request::NextStep;
+using core::request::RouteResult;
+
+constexpr absl::string_view kControlPrefix = "toucandock-";
+constexpr absl::string_view kNotRun = "not-run";
+constexpr core::Duration kLongestDeadline = std::chrono::hours(1);
+
+// Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
+// libraries write themselves.
+constexpr std::array<absl::string_view, 11> kConnectionHeaders = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "expect",
+    "content-length",
+    "proxy-authorization"};
+
+bool IsPassedOn(absl::string_view name) {
+  if (absl::StartsWithIgnoreCase(name, kControlPrefix)) {
+    return false;
+  }
+  return std::none_of(
+      kConnectionHeaders.begin(), kConnectionHeaders.end(),
+      [&](absl::string_view it) { return absl::EqualsIgnoreCase(it, name); });
+}
+
+std::string HeaderOr(const http::Headers& headers,
+                     absl::string_view name,
+                     const std::string& otherwise) {
+  const std::string* value = http::FindHeader(headers, name);
+  return value == nullptr ? otherwise : *value;
+}
+
+AttemptStage StageOf(http::Progress progress) {
+  switch (progress) {
+    case http::Progress::kNotConnected:
+      return AttemptStage::kNotConnected;
+    case http::Progress::kConnected:
+      return AttemptStage::kConnected;
+    case http::Progress::kSending:
+      return AttemptStage::kSending;
+    case http::Progress::kSent:
+      return AttemptStage::kSent;
+    case http::Progress::kHeadersReceived:
+      return AttemptStage::kHeadersReceived;
+    case http::Progress::kComplete:
+      return AttemptStage::kComplete;
+  }
+  return AttemptStage::kSent;
+}
+
+std::uint64_t Random() {
+  thread_local std::mt19937_64 generator{std::random_device{}()};
+  return generator();
+}
+
+}  // namespace
+
+// One request on its way through the front.
+struct CallerFront::Job {
+  const http::Request& request;
+  core::TimePoint received;
+  std::string service_name;
+  // Path that the target sees.
+  std::string path;
+  std::string key;
+  std::string request_id;
+  std::string tenant;
+  const core::config::ClassConfig* request_class = nullptr;
+  core::TimePoint deadline;
+
+  PublishedView::Snapshot snapshot;
+  const core::routing::ServiceRoute* service = nullptr;
+  const core::routing::TargetRoute* target = nullptr;
+  core::Unit unit;
+  core::Fence fence = 0;
+  std::vector<core::TargetId> tried;
+  http::Response answer;
+};
+
+CallerFront::CallerFront(const settings::Limits& limits,
+                         PublishedView& view,
+                         InFlightTable& in_flight,
+                         http::Client& client,
+                         observe::Metrics& metrics,
+                         FrontHooks hooks)
+    : limits_(limits),
+      view_(view),
+      in_flight_(in_flight),
+      client_(client),
+      metrics_(metrics),
+      hooks_(std::move(hooks)) {}
+
+http::Response CallerFront::Serve(const http::Request& request) {
+  Job job = {.request = request, .received = hooks_.now()};
+  http::Response refusal;
+  if (!Prepare(job, refusal)) {
+    return refusal;
+  }
+  return ServeChecked(job);
+}
+
+// Finds the service and checks what the caller sent. Fills `refusal` and
+// returns false when the request cannot be served as it is.
+bool CallerFront::Prepare(Job& job, http::Response& refusal) const {
+  const http::Request& request = job.request;
+  job.request_id = HeaderOr(request.headers, "Idempotency-Key", "");
+  const auto refuse = [&](ErrorKind kind, const std::string& detail) {
+    refusal = ProblemResponse(kind, Outcome::kNotRun, detail, job.request_id);
+    return false;
+  };
+  if (hooks_.is_stopping()) {
+    return refuse(ErrorKind::kStopping, "");
+  }
+  if (request.body_too_large) {
+    return refuse(
+        ErrorKind::kRequestTooLarge,
+        absl::StrCat("the body may have ", limits_.body_bytes, " bytes"));
+  }
+  if (job.request_id.size() > limits_.request_id_bytes) {
+    return refuse(ErrorKind::kMalformedRequest, "Idempotency-Key is too long");
+  }
+  job.snapshot = view_.snapshot();
+  if (job.snapshot->config_version == 0) {
+    return refuse(ErrorKind::kNotConfigured, "");
+  }
+  // "/service/path", or the first label of the Host header.
+  const size_t n = request.path.find('/', 1);
+  job.service_name = request.path.substr(1, n == std::string::npos ? n : n - 1);
+  job.path = n == std::string::npos ? "/" : request.path.substr(n);
+  job.service = core::routing::FindService(*job.snapshot, job.service_name);
+  if (job.service == nullptr) {
+    const std::string host = HeaderOr(request.headers, "Host", "");
+    const std::string label = host.substr(0, host.find_first_of(".:"));
+    job.service = core::routing::FindService(*job.snapshot, label);
+    if (job.service == nullptr) {
+      return refuse(ErrorKind::kUnknownService,
+                    absl::StrCat("'", job.service_name.substr(0, 64), "'"));
+    }
+    job.service_name = label;
+    job.path = request.path;
+  }
+  job.key = HeaderOr(request.headers, "Toucandock-Key", "");
+  if (job.key.size() > limits_.key_bytes) {
+    return refuse(ErrorKind::kMalformedRequest, "Toucandock-Key is too long");
+  }
+  if (job.service->config.keyed && job.key.empty()) {
+    return refuse(ErrorKind::kMissingKey, "set the header Toucandock-Key");
+  }
+  job.tenant = HeaderOr(request.headers, "Toucandock-Tenant", "");
+  job.request_class =
+      &core::config::FindClass(job.service->config, request.method, job.path);
+  core::Duration remaining = job.request_class->deadline;
+  if (const std::string* text =
+          http::FindHeader(request.headers, "Toucandock-Deadline")) {
+    std::int64_t milliseconds = 0;
+    if (!absl::SimpleAtoi(*text, &milliseconds) || milliseconds <= 0 ||
+        std::chrono::milliseconds(milliseconds) > kLongestDeadline) {
+      return refuse(ErrorKind::kMalformedRequest,
+                    "Toucandock-Deadline is not 1 to 3600000 milliseconds");
+    }
+    remaining = std::chrono::milliseconds(milliseconds);
+  }
+  job.deadline = job.received + remaining;
+  if (job.request_id.empty()) {
+    job.request_id = hooks_.new_request_id();
+  }
+  return true;
+}
+
+http::Response CallerFront::ServeChecked(Job& job) {
+  core::request::RequestLife life(
+      {.idempotent = job.request_class->idempotent, .deadline = job.deadline},
+      core::request::RetryTerms{}, Random());
+  Decision decision = life.Start(hooks_.now());
+  while (true) {
+    switch (decision.step) {
+      case NextStep::kRoute:
+        decision = life.OnRoute(Route(job), hooks_.now());
+        break;
+      case NextStep::kRecord:
+        decision = life.OnRecord(
+            hooks_.record_attempt({job.request_id, job.service_name}));
+        break;
+      case NextStep::kSend: {
+        if (life.attempts() > 0) {
+          metrics_.CountRetry(job.service_name);
+        }
+        const AttemptResult result = Send(job);
+        decision = life.OnAttempt(result, true, hooks_.now());
+        break;
+      }
+      case NextStep::kWait:
+        view_.WaitForChange(job.snapshot, view_.HasLease(hooks_.now()),
+                            decision.until);
+        decision = {.step = NextStep::kRoute};
+        break;
+      case NextStep::kPassOn:
+      case NextStep::kRefuse:
+        metrics_.CountRequest(
+            {job.service_name, job.request_class->name, job.tenant},
+            decision.error, decision.outcome, hooks_.now() - job.received);
+        return Finish(job, decision);
+    }
+  }
+}
+
+RouteResult CallerFront::Route(Job& job) const {
+  job.snapshot = view_.snapshot();
+  job.service = core::routing::FindService(*job.snapshot, job.service_name);
+  job.target = nullptr;
+  if (job.service == nullptr) {
+    return RouteResult::kNotConfigured;
+  }
+  if (!job.service->config.keyed) {
+    job.target = core::routing::ChooseTarget(
+        *job.service, job.tried,
+        {.in_flight =
+             [this](const core::TargetId& id) {
+               return in_flight_.CountFor(id);
+             },
+         .is_failing = [](const core::TargetId&) { return false; },
+         .random = Random});
+    return job.target == nullptr ? RouteResult::kNoOwner : RouteResult::kReady;
+  }
+  if (!view_.HasLease(hooks_.now())) {
+    return RouteResult::kNoAuthority;
+  }
+  core::routing::KeyRoute route =
+      core::routing::RouteKey(*job.service, job.key);
+  if (route.target == nullptr) {
+    return RouteResult::kNoOwner;
+  }
+  job.target = route.target;
+  job.unit = std::move(route.unit);
+  job.fence = route.fence;
+  return RouteResult::kReady;
+}
+
+// Returns whether the latest view has the same owner and fence for the key.
+bool CallerFront::IsStillOwner(const Job& job) const {
+  const PublishedView::Snapshot latest = view_.snapshot();
+  if (latest == job.snapshot) {
+    return true;
+  }
+  const core::routing::ServiceRoute* service =
+      core::routing::FindService(*latest, job.service_name);
+  if (service == nullptr || !service->config.keyed) {
+    return false;
+  }
+  const core::routing::KeyRoute route =
+      core::routing::RouteKey(*service, job.key);
+  return route.target != nullptr && route.target->id == job.target->id &&
+         route.fence == job.fence;
+}
+
+AttemptResult CallerFront::Send(Job& job) {
+  const bool keyed = job.service->config.keyed;
+  job.tried.push_back(job.target->id);
+  InFlightTable::Ticket ticket(
+      in_flight_, job.snapshot->sequence, job.target->id,
+      keyed ? std::optional<core::Unit>(job.unit) : std::nullopt);
+  // The ticket is visible to the control thread now. A view that was published
+  // before is seen here; a later one is not acknowledged before the request
+  // was sent.
+  const core::TimePoint now = hooks_.now();
+  if (keyed && (!IsStillOwner(job) || !view_.HasLease(now))) {
+    return {};
+  }
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const http::ExchangeOptions options = {
+      .timeout = duration_cast<milliseconds>(job.deadline - now),
+      .max_body = limits_.answer_bytes,
+      .fresh_connection = !job.request_class->idempotent,
+      .is_cancelled =
+          [&] { return keyed && !ticket.sent() && !IsStillOwner(job); },
+      .on_sent = [&] { ticket.MarkSent(); }};
+  http::ExchangeResult result =
+      client_.Exchange(job.target->address, TargetRequest(job), options);
+  ReportSignal(job, result);
+  job.answer = std::move(result.response);
+  const std::string* outcome =
+      http::FindHeader(job.answer.headers, "Toucandock-Outcome");
+  return {.stage = StageOf(result.progress),
+          .refused_by_target = job.answer.status >= 400 && outcome != nullptr &&
+                               *outcome == kNotRun,
+          .too_large = result.failure == http::Failure::kTooLarge};
+}
+
+http::Request CallerFront::TargetRequest(const Job& job) const {
+  http::Request request = {.method = job.request.method,
+                           .path = job.path,
+                           .query = job.request.query,
+                           .body = job.request.body};
+  for (const auto& [name, value] : job.request.headers) {
+    if (IsPassedOn(name) && !absl::EqualsIgnoreCase(name, "Idempotency-Key")) {
+      request.headers.emplace_back(name, value);
+    }
+  }
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  request.headers.emplace_back("Idempotency-Key", job.request_id);
+  request.headers.emplace_back(
+      "Toucandock-Deadline",
+      absl::StrCat(
+          duration_cast<milliseconds>(job.deadline - hooks_.now()).count()));
+  if (job.service->config.keyed) {
+    request.headers.emplace_back("Toucandock-Key", job.key);
+    request.headers.emplace_back("Toucandock-Unit", codec::UnitName(job.unit));
+    request.headers.emplace_back("Toucandock-Fence", absl::StrCat(job.fence));
+  }
+  return request;
+}
+
+void CallerFront::ReportSignal(const Job& job,
+                               const http::ExchangeResult& result) const {
+  if (result.failure == http::Failure::kRefused ||
+      result.failure == http::Failure::kBroken) {
+    hooks_.report_signal(job.target->id, SignalKind::kRefused);
+  } else if (result.failure == http::Failure::kTimeout) {
+    hooks_.report_signal(job.target->id, SignalKind::kTimeout);
+  }
+}
+
+http::Response CallerFront::Finish(const Job& job,
+                                   const Decision& decision) const {
+  if (decision.step == NextStep::kRefuse) {
+    return ProblemResponse(decision.error, decision.outcome, "",
+                           job.request_id);
+  }
+  http::Response response = {.status = job.answer.status,
+                             .body = job.answer.body};
+  for (const auto& [name, value] : job.answer.headers) {
+    if (IsPassedOn(name)) {
+      response.headers.emplace_back(name, value);
+    }
+  }
+  return response;
+}
+
+}  // namespace toucandock::proxy
--- /dev/null
+++ b/src/proxy/caller_front.h
@@ -0,0 +1,76 @@
+#ifndef TOUCANDOCK_PROXY_CALLER_FRONT_H_
+#define TOUCANDOCK_PROXY_CALLER_FRONT_H_
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/detection/loss_detector.h"
+#include "core/request/request_life.h"
+#include "core/routing/routing_snapshot.h"
+#include "http/client.h"
+#include "http/message.h"
+#include "observe/metrics.h"
+#include "proxy/in_flight_table.h"
+#include "proxy/published_view.h"
+#include "settings/settings.h"
+
+namespace toucandock::proxy {
+
+// What a non-idempotent request is recognised by when it is sent again.
+struct AttemptKey {
+  std::string request_id;
+  std::string service;
+};
+
+// Where behaviour of the front varies.
+struct FrontHooks {
+  std::function<core::TimePoint()> now;
+  // Reports how a target behaved towards a request.
+  std::function<void(const core::TargetId&, core::detection::SignalKind)>
+      report_signal;
+  // Records that a non-idempotent request is about to be sent.
+  std::function<core::request::RecordResult(const AttemptKey&)> record_attempt;
+  std::function<bool()> is_stopping;
+  std::function<std::string()> new_request_id;
+};
+
+// Serves callers: checks a request, routes it, sends it to its target and
+// passes the whole answer on.
+class CallerFront {
+ public:
+  CallerFront(const settings::Limits& limits,
+              PublishedView& view,
+              InFlightTable& in_flight,
+              http::Client& client,
+              observe::Metrics& metrics,
+              FrontHooks hooks);
+
+  // Blocks the calling thread until the request is answered.
+  http::Response Serve(const http::Request& request);
+
+ private:
+  struct Job;
+
+  http::Response ServeChecked(Job& job);
+  bool Prepare(Job& job, http::Response& refusal) const;
+  core::request::RouteResult Route(Job& job) const;
+  bool IsStillOwner(const Job& job) const;
+  core::request::AttemptResult Send(Job& job);
+  http::Request TargetRequest(const Job& job) const;
+  void ReportSignal(const Job& job, const http::ExchangeResult& result) const;
+  http::Response Finish(const Job& job,
+                        const core::request::Decision& decision) const;
+
+  const settings::Limits limits_;
+  PublishedView& view_;
+  InFlightTable& in_flight_;
+  http::Client& client_;
+  observe::Metrics& metrics_;
+  const FrontHooks hooks_;
+};
+
+}  // namespace toucandock::proxy
+
+#endif  // TOUCANDOCK_PROXY_CALLER_FRONT_H_
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,54 @@
+#ifndef TOUCANDOCK_SETTINGS_SETTINGS_H_
+#define TOUCANDOCK_SETTINGS_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "core/lease/lease.h"
+#include "core/time.h"
+
+namespace toucandock::settings {
+
+// Bounds on what callers may send and hold.
+struct Limits {
+  std::uint32_t body_bytes = 1 << 20;
+  std::uint32_t header_bytes = 16 << 10;
+  std::uint32_t answer_bytes = 8 << 20;
+  std::uint32_t key_bytes = 512;
+  std::uint32_t request_id_bytes = 128;
+  std::uint32_t caller_connections = 1'024;
+  std::uint32_t peer_connections = 256;
+};
+
+// Settings of one daemon.
+struct Settings {
+  std::string host_name;
+  std::string failure_domain;
+  // "IP:PORT"; port 0 lets the kernel choose.
+  std::string caller_address = "127.0.0.1:0";
+  std::string peer_address = "127.0.0.1:0";
+  std::string operator_address = "127.0.0.1:0";
+  std::string log_address;
+  std::string log_stream = "toucandock";
+  std::string host_list_address;
+  core::Duration host_list_interval = std::chrono::seconds(1);
+  core::Duration probe_timeout = std::chrono::milliseconds(200);
+  core::Duration peer_timeout = std::chrono::milliseconds(200);
+  core::Duration stop_limit = std::chrono::seconds(30);
+  // Peers to ask while the log cannot be read.
+  std::vector<std::string> seed_peers;
+  // File that the bound addresses are written to; empty: none.
+  std::string address_file;
+  std::string log_level = "info";
+  core::lease::LeaseTerms lease;
+  Limits limits;
+};
+
+absl::StatusOr<Settings> ParseSettings(const std::string& file,
+                                       const std::string& text);
+
+}  // namespace toucandock::settings
+
+#endif  // TOUCANDOCK_SETTINGS_SETTINGS_H_
