--- /dev/null
+++ b/tests/core/request/request_life_test.cc
@@ -0,0 +1,130 @@
+#include "core/request/request_life.h"
+
+#include <doctest/doctest.h>
+
+namespace toucandock::core::request {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr TimePoint kDeadline = kStart + std::chrono::seconds(1);
+
+RequestLife MakeLife(bool idempotent) {
+  return RequestLife({.idempotent = idempotent, .deadline = kDeadline},
+                     RetryTerms{}, 1);
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a non-idempotent request must not be sent again if it may have run") {
+  RequestLife life = MakeLife(false);
+  REQUIRE(life.OnRoute(RouteResult::kReady, kStart).step == NextStep::kRecord);
+  REQUIRE(life.OnRecord(RecordResult::kRecorded).step == NextStep::kSend);
+
+  struct Row {
+    const char* what;
+    AttemptResult result;
+    NextStep step;
+    ErrorKind error;
+    Outcome outcome;
+  };
+  const Row rows[] = {
+      {"the target refused the connect",
+       {AttemptStage::kNotConnected},
+       NextStep::kWait,
+       ErrorKind::kNone,
+       Outcome::kNotRun},
+      {"the connection broke before anything was written",
+       {AttemptStage::kConnected},
+       NextStep::kWait,
+       ErrorKind::kNone,
+       Outcome::kNotRun},
+      {"the target says that it did not run it",
+       {.stage = AttemptStage::kComplete, .refused_by_target = true},
+       NextStep::kWait,
+       ErrorKind::kNone,
+       Outcome::kNotRun},
+      {"part of the request was written",
+       {AttemptStage::kSending},
+       NextStep::kRefuse,
+       ErrorKind::kOutcomeUnknown,
+       Outcome::kUnknown},
+      {"it was sent and no answer came",
+       {AttemptStage::kSent},
+       NextStep::kRefuse,
+       ErrorKind::kOutcomeUnknown,
+       Outcome::kUnknown},
+      {"the answer was cut",
+       {AttemptStage::kHeadersReceived},
+       NextStep::kRefuse,
+       ErrorKind::kAnswerIncomplete,
+       Outcome::kRan},
+      {"the answer is whole",
+       {AttemptStage::kComplete},
+       NextStep::kPassOn,
+       ErrorKind::kNone,
+       Outcome::kRan},
+  };
+  for (const Row& row : rows) {
+    SUBCASE(row.what) {
+      const Decision decision = life.OnAttempt(row.result, true, kStart);
+      CHECK(decision.step == row.step);
+      CHECK(decision.error == row.error);
+      CHECK(decision.outcome == row.outcome);
+    }
+  }
+}
+
+TEST_CASE("a request must not be given up while its lost owner is replaced") {
+  RequestLife life = MakeLife(false);
+  life.OnRoute(RouteResult::kReady, kStart);
+  life.OnRecord(RecordResult::kRecorded);
+
+  SUBCASE("the owner refuses connects more often than attempts are allowed") {
+    for (int n = 0; n < 2 * RetryTerms{}.max_attempts; ++n) {
+      REQUIRE(
+          life.OnAttempt({AttemptStage::kNotConnected}, true, kStart).step ==
+          NextStep::kWait);
+    }
+
+    SUBCASE("and the deadline passes") {
+      const Decision decision =
+          life.OnAttempt({AttemptStage::kNotConnected}, true, kDeadline);
+      CHECK(decision.step == NextStep::kRefuse);
+      CHECK(decision.outcome == Outcome::kNotRun);
+    }
+  }
+
+  SUBCASE("the owner sheds every attempt, which costs it work") {
+    Decision decision;
+    for (int n = 0; n < RetryTerms{}.max_attempts; ++n) {
+      decision = life.OnAttempt(
+          {.stage = AttemptStage::kComplete, .refused_by_target = true}, true,
+          kStart);
+    }
+    CHECK(decision.step == NextStep::kRefuse);
+  }
+}
+
+TEST_CASE("not-run must not be said after an attempt that may have run") {
+  RequestLife life = MakeLife(true);
+  REQUIRE(life.OnRoute(RouteResult::kReady, kStart).step == NextStep::kSend);
+
+  SUBCASE("an idempotent request was sent and its target was lost") {
+    REQUIRE(life.OnAttempt({AttemptStage::kSent}, true, kStart).step ==
+            NextStep::kWait);
+
+    SUBCASE("no owner is found until the deadline") {
+      const Decision decision = life.OnRoute(RouteResult::kNoOwner, kDeadline);
+      CHECK(decision.error == ErrorKind::kOwnerUnavailable);
+      CHECK(decision.outcome == Outcome::kUnknown);
+    }
+  }
+
+  SUBCASE("nothing was ever sent") {
+    const Decision decision = life.OnRoute(RouteResult::kNoOwner, kDeadline);
+    CHECK(decision.outcome == Outcome::kNotRun);
+  }
+}
+
+}  // namespace toucandock::core::request
