--- a/bench/route_bench.cc
+++ b/bench/route_bench.cc
@@ -37,6 +37,7 @@
 double Measure(const core::routing::ServiceRoute& service, int keys) {
   std::mt19937_64 generator(1);
   std::vector<std::string> names;
+  names.reserve(keys);
   for (int n = 0; n < keys; ++n) {
     names.push_back(absl::StrCat("key-", generator() % keys));
   }
