Place shards by load and give hot keys owners of their own

Change: hosts report rates of shards and of their hottest keys each second; the decider smooths them, weighs shards by load, and places hot keys alone. A split or merged key gives its shard a new fence. A starved target takes shards from any target above the average. Ruled out: moving a hot key whose target would only swap loads with the new one; relieving it of shards does the same without moving the key.

--- a/src/codec/message_json.cc
+++ b/src/codec/message_json.cc
@@ -1,5 +1,6 @@
 #include "codec/message_json.h"
 
+#include <cmath>
 #include <memory>
 #include <set>
 #include <utility>
@@ -17,6 +18,7 @@
 using core::detection::SignalKind;
 using core::detection::SignalSource;
 
+constexpr double kRateScale = 100;
 constexpr std::uint64_t kMaxPhase =
     static_cast<std::uint64_t>(MovePhase::kActive);
 constexpr std::uint64_t kMaxSource =
@@ -70,17 +72,24 @@
   value["phase"] = Uint(static_cast<std::uint64_t>(move.phase));
   value["planned"] = move.planned;
   value["since"] = Uint(move.since);
+  if (move.after) {
+    value["after"] = codec::ToJson(*move.after);
+  }
   return value;
 }
 
 UnitMove ParseMove(const Json::Value& value, absl::Status& status) {
   ObjectReader reader(value, status);
-  return {.unit = ParseUnit(value, status),
-          .to = {reader.String("owner"), reader.Uint("fence")},
-          .from = reader.String("from"),
-          .phase = ParseEnum<MovePhase>(reader, "phase", kMaxPhase),
-          .planned = reader.Bool("planned"),
-          .since = reader.Uint("since")};
+  UnitMove move = {.unit = ParseUnit(value, status),
+                   .to = {reader.String("owner"), reader.Uint("fence")},
+                   .from = reader.String("from"),
+                   .phase = ParseEnum<MovePhase>(reader, "phase", kMaxPhase),
+                   .planned = reader.Bool("planned"),
+                   .since = reader.Uint("since")};
+  if (reader.Has("after")) {
+    move.after = ParseUnit(reader.Object("after"), status);
+  }
+  return move;
 }
 
 Json::Value ToJson(const Directive& directive) {
@@ -132,6 +141,59 @@
           .kind = ParseEnum<SignalKind>(reader, "kind", kMaxKind)};
 }
 
+// Rates are rounded to hundredths of a request a second.
+Json::Value RatesToJson(
+    const std::map<std::string, core::placement::ServiceRates>& rates) {
+  const auto rounded = [](double rate) {
+    return Json::Value(
+        static_cast<Json::UInt64>(std::llround(rate * kRateScale)));
+  };
+  Json::Value list(Json::arrayValue);
+  for (const auto& [service, it] : rates) {
+    Json::Value value;
+    value["service"] = service;
+    value["rate"] = rounded(it.per_second);
+    value["shards"] = Json::Value(Json::arrayValue);
+    for (const double rate : it.shards) {
+      value["shards"].append(rounded(rate));
+    }
+    value["keys"] = Json::Value(Json::arrayValue);
+    for (const core::placement::KeyRate& key : it.hottest) {
+      Json::Value entry;
+      entry["hash"] = Uint(key.key_hash);
+      entry["rate"] = rounded(key.per_second);
+      value["keys"].append(entry);
+    }
+    list.append(value);
+  }
+  return list;
+}
+
+std::map<std::string, core::placement::ServiceRates> ParseRates(
+    const Json::Value& list,
+    absl::Status& status) {
+  std::map<std::string, core::placement::ServiceRates> rates;
+  for (const Json::Value& value : list) {
+    ObjectReader reader(value, status);
+    core::placement::ServiceRates& it = rates[reader.String("service")];
+    it.per_second = static_cast<double>(reader.Uint("rate")) / kRateScale;
+    for (const Json::Value& shard : reader.Array("shards")) {
+      if (!shard.isUInt64()) {
+        reader.Fail("'shards' holds something else than rates");
+        break;
+      }
+      it.shards.push_back(static_cast<double>(shard.asUInt64()) / kRateScale);
+    }
+    for (const Json::Value& key : reader.Array("keys")) {
+      ObjectReader entry(key, status);
+      it.hottest.push_back(
+          {entry.Uint("hash"),
+           static_cast<double>(entry.Uint("rate")) / kRateScale});
+    }
+  }
+  return rates;
+}
+
 // Parses `text` as an object and fills a message from it.
 template <typename Message, typename Fill>
 absl::StatusOr<Message> ParseMessage(const std::string& text, Fill fill) {
@@ -168,6 +230,9 @@
   for (const Signal& signal : message.signals) {
     value["signals"].append(ToJson(signal));
   }
+  if (!message.rates.empty()) {
+    value["rates"] = RatesToJson(message.rates);
+  }
   return WriteJson(value);
 }
 
@@ -231,6 +296,9 @@
         for (const Json::Value& signal : reader.Array("signals")) {
           it.signals.push_back(ParseSignal(signal, status));
         }
+        if (reader.Has("rates")) {
+          it.rates = ParseRates(reader.Array("rates"), status);
+        }
       });
 }
 
--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -113,6 +113,10 @@
       if (it.to.fence > current.fence) {
         current = it.to;
       }
+      if (current.owner.empty()) {
+        // The hot key is part of its shard again.
+        state_.assignments.erase(it.unit);
+      }
       state_.next_fence = std::max(state_.next_fence, it.to.fence + 1);
     }
     return FoldResult::kApplied;
--- a/src/core/control/decider.cc
+++ b/src/core/control/decider.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "core/placement/placement.h"
 
 namespace toucandock::core::control {
 namespace {
@@ -19,7 +18,6 @@
 constexpr Fence kFenceSkip = Fence{1} << 16;
 constexpr size_t kMaxSettled = 1'024;
 constexpr size_t kMaxVoters = 7;
-constexpr std::uint32_t kMaxPlannedMoves = 4;
 constexpr Offset kCheckpointEvery = 1'000;
 
 bool Contains(const std::vector<Unit>& units, const Unit& unit) {
@@ -128,6 +126,7 @@
   for (const detection::Signal& signal : request.signals) {
     targets_.OnSignal(signal, now);
   }
+  OnRates(request.host.id, request.rates, now);
   UpdateAuthority(now);
   if (HasAuthority(now) && same_ballot && !IsBlockingMoves(holder, now)) {
     reply.lease = true;
@@ -162,6 +161,15 @@
   UpdateAuthority(now);
 }
 
+void Decider::OnRates(
+    const HostId& host,
+    const std::map<std::string, placement::ServiceRates>& rates,
+    TimePoint now) {
+  if (!rates.empty()) {
+    loads_.Report(host, rates, now);
+  }
+}
+
 void Decider::OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out) {
   writer_.OnLogRead(read, now, out);
 }
@@ -271,76 +279,6 @@
   }
 }
 
-void Decider::PlaceService(const config::ServiceConfig& service,
-                           TimePoint now,
-                           Actions& out) {
-  placement::PlacementInput input;
-  for (const config::TargetConfig& target : service.targets) {
-    const TargetId id = config::MakeTargetId(service, target);
-    if (!targets_.WasContacted(id)) {
-      // Placing on the first targets to answer would only move units twice.
-      return;
-    }
-    if (targets_.MayOwn(id)) {
-      input.candidates.push_back({id, target.failure_domain,
-                                  targets_.WeightOf(id, now),
-                                  targets_.IsUsable(id)});
-    }
-  }
-  input.max_planned_moves =
-      kMaxPlannedMoves - std::min(kMaxPlannedMoves, PlannedMoves(service.name));
-  for (std::uint64_t n = 0; n < service.shards; ++n) {
-    const Unit unit{service.name, n};
-    const UnitMove* move = replica_.MoveOf(unit);
-    // A move whose new owner was lost must be replaced.
-    const bool moving = move != nullptr && move->phase != MovePhase::kActive &&
-                        targets_.MayOwn(move->to.owner);
-    input.shards.push_back(
-        {.owner = replica_.AssignmentOf(unit).owner, .moving = moving});
-  }
-  for (const placement::ShardMove& it : placement::PlaceShards(input)) {
-    StartMove({service.name, it.shard}, it.to, now, out);
-  }
-}
-
-std::uint32_t Decider::PlannedMoves(const std::string& service) const {
-  return std::count_if(directive_.moves.begin(), directive_.moves.end(),
-                       [&](const UnitMove& it) {
-                         return it.planned && it.unit.service == service &&
-                                it.phase != MovePhase::kActive;
-                       });
-}
-
-void Decider::StartMove(const Unit& unit,
-                        const TargetId& to,
-                        TimePoint now,
-                        Actions& out) {
-  const Assignment current = replica_.AssignmentOf(unit);
-  const UnitMove* replaced = replica_.MoveOf(unit);
-  UnitMove move = {.unit = unit,
-                   .to = {to, next_fence_++},
-                   .from = current.owner,
-                   .since = directive_.sequence + 1};
-  if (replaced != nullptr && replaced->phase == MovePhase::kRevoking) {
-    // The owner that was chosen before never got its grant.
-    move.from = replaced->from;
-  }
-  move.planned = !move.from.empty() && !directive_.lost.contains(move.from);
-  std::erase_if(directive_.moves,
-                [&](const UnitMove& it) { return it.unit == unit; });
-  const char* cause = move.from.empty() ? "had no owner"
-                      : move.planned    ? "rebalanced or drained"
-                                        : "its owner was lost";
-  out.push_back(
-      DecisionAction{absl::StrCat("unit ", ToString(unit), " moves from ",
-                                  move.from.empty() ? "nobody" : move.from,
-                                  " to ", to, ", fence ", move.to.fence),
-                     cause});
-  directive_.moves.push_back(std::move(move));
-  move_started_[unit] = now;
-  changed_ = true;
-}
-
 void Decider::ProgressMoves(TimePoint now, Actions& out) {
   for (UnitMove& move : directive_.moves) {
     if (!ProgressMove(move, now)) {
@@ -360,10 +298,12 @@
 bool Decider::ProgressMove(UnitMove& move, TimePoint now) {
   switch (move.phase) {
     case MovePhase::kRevoking:
-      if (!IsRevokedEverywhere(move, now) || !IsDurable(move, now)) {
+      if (!IsRevokedEverywhere(move, now) || !IsDurable(move, now) ||
+          (move.after && IsMoving(*move.after))) {
         return false;
       }
-      move.phase = MovePhase::kGranting;
+      move.phase =
+          move.to.owner.empty() ? MovePhase::kActive : MovePhase::kGranting;
       return true;
     case MovePhase::kGranting:
       if (!targets_.IsGranted(move.to.owner, {move.unit, move.to.fence})) {
@@ -407,6 +347,9 @@
 bool Decider::IsSettled(const UnitMove& move) const {
   const auto& assignments = replica_.state().assignments;
   const auto it = assignments.find(move.unit);
+  if (move.to.owner.empty()) {
+    return it == assignments.end();
+  }
   return it != assignments.end() && it->second.fence >= move.to.fence;
 }
 
@@ -449,6 +392,7 @@
 }
 
 void Decider::ForgetSilentHolders(TimePoint now) {
+  loads_.ForgetSilentHosts(now);
   std::erase_if(holders_, [&](const auto& it) {
     return it.first != self_.id && now > it.second.lease_ends &&
            now - it.second.heard_at > 2 * kEvictAfter &&
--- a/src/core/control/decider.h
+++ b/src/core/control/decider.h
@@ -6,11 +6,14 @@
 #include <string>
 #include <vector>
 
+#include "core/control/load_book.h"
 #include "core/control/log_writer.h"
 #include "core/control/messages.h"
 #include "core/control/replica.h"
 #include "core/control/target_book.h"
 #include "core/lease/lease.h"
+#include "core/placement/hot_keys.h"
+#include "core/placement/placement.h"
 
 namespace toucandock::core::control {
 
@@ -37,6 +40,9 @@
   void OnOwnAck(std::uint64_t acked_sequence,
                 const std::vector<Unit>& busy,
                 TimePoint now);
+  void OnRates(const HostId& host,
+               const std::map<std::string, placement::ServiceRates>& rates,
+               TimePoint now);
   void OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out);
   void OnLogFailed() { writer_.OnLogFailed(); }
   void OnAppendResult(const AppendResultEvent& result, TimePoint now);
@@ -67,10 +73,29 @@
   void PlaceService(const config::ServiceConfig& service,
                     TimePoint now,
                     Actions& out);
-  void StartMove(const Unit& unit,
-                 const TargetId& to,
-                 TimePoint now,
-                 Actions& out);
+  void PlaceShards(const config::ServiceConfig& service,
+                   const std::vector<placement::Candidate>& candidates,
+                   bool balance,
+                   Actions& out,
+                   TimePoint now);
+  void AddLoads(const config::ServiceConfig& service,
+                placement::PlacementInput& input) const;
+  void PlaceHotKeys(const config::ServiceConfig& service,
+                    const std::vector<placement::Candidate>& candidates,
+                    bool balance,
+                    Actions& out,
+                    TimePoint now);
+  void ChangeHotKey(const config::ServiceConfig& service,
+                    const placement::HotKeyChange& change,
+                    TimePoint now,
+                    Actions& out);
+  std::map<std::uint64_t, TargetId> PlacedHotKeys(
+      const std::string& service) const;
+  bool IsMoving(const Unit& unit) const;
+  UnitMove& StartMove(const Unit& unit,
+                      const TargetId& to,
+                      TimePoint now,
+                      Actions& out);
   void ProgressMoves(TimePoint now, Actions& out);
   bool ProgressMove(UnitMove& move, TimePoint now);
   bool IsBlockingMoves(const Holder& holder, TimePoint now) const;
@@ -105,6 +130,9 @@
   std::map<Unit, TimePoint> move_started_;
   std::map<HostId, Holder> holders_;
   TargetBook targets_;
+  LoadBook loads_;
+  // Next time at which a service's loads are looked at.
+  std::map<std::string, TimePoint> balance_at_;
   std::uint64_t targets_version_ = 0;
   LogWriter writer_;
   // Sequence of the directive that put the last change of voters in force.
--- /dev/null
+++ b/src/core/control/decider_placement.cc
@@ -0,0 +1,240 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/control/decider.h"
+
+// The decider's placement of units: which targets may own what, and the moves
+// that follow from it.
+namespace toucandock::core::control {
+namespace {
+
+// How often planned moves are considered for a service. Shards and hot keys
+// without an owner never wait.
+constexpr Duration kBalanceInterval = std::chrono::seconds(5);
+constexpr std::uint32_t kMinPlannedMoves = 4;
+// Of a service's shards, one in so many may be in a planned move at a time.
+constexpr std::uint32_t kPlannedShare = 64;
+// A shard counts at least as this part of the average one, so that shards
+// without requests are spread as well.
+constexpr double kLeastShardLoad = 0.2;
+constexpr double kLeastTolerance = 0.10;
+// Differences below three standard deviations of a Poisson count are chance.
+constexpr double kDeviations = 3;
+
+}  // namespace
+
+void Decider::PlaceService(const config::ServiceConfig& service,
+                           TimePoint now,
+                           Actions& out) {
+  std::vector<placement::Candidate> candidates;
+  for (const config::TargetConfig& target : service.targets) {
+    const TargetId id = config::MakeTargetId(service, target);
+    if (!targets_.WasContacted(id)) {
+      // Placing on the first targets to answer would only move units twice.
+      return;
+    }
+    if (targets_.MayOwn(id)) {
+      candidates.push_back({.id = id,
+                            .failure_domain = target.failure_domain,
+                            .weight = targets_.WeightOf(id, now),
+                            .accepts = targets_.IsUsable(id)});
+    }
+  }
+  const bool balance = now >= balance_at_[service.name];
+  if (balance) {
+    balance_at_[service.name] = now + kBalanceInterval;
+  }
+  PlaceShards(service, candidates, balance, out, now);
+  PlaceHotKeys(service, candidates, balance, out, now);
+}
+
+void Decider::PlaceShards(const config::ServiceConfig& service,
+                          const std::vector<placement::Candidate>& candidates,
+                          bool balance,
+                          Actions& out,
+                          TimePoint now) {
+  placement::PlacementInput input;
+  input.candidates = candidates;
+  input.shards.resize(service.shards);
+  for (std::uint64_t n = 0; n < service.shards; ++n) {
+    const Unit unit{service.name, n};
+    const UnitMove* move = replica_.MoveOf(unit);
+    // A move whose new owner was lost must be replaced.
+    input.shards[n].moving = move != nullptr &&
+                             move->phase != MovePhase::kActive &&
+                             targets_.MayOwn(move->to.owner);
+    input.shards[n].owner = replica_.AssignmentOf(unit).owner;
+  }
+  input.max_planned_moves = 0;
+  if (balance) {
+    const std::uint32_t limit =
+        std::max(kMinPlannedMoves, service.shards / kPlannedShare);
+    input.max_planned_moves =
+        limit - std::min(limit, PlannedMoves(service.name));
+    AddLoads(service, input);
+  }
+  for (const placement::ShardMove& it : placement::PlaceShards(input)) {
+    StartMove({service.name, it.shard}, it.to, now, out);
+  }
+}
+
+// Weighs shards by their measured rates, less those of keys that are placed on
+// their own.
+void Decider::AddLoads(const config::ServiceConfig& service,
+                       placement::PlacementInput& input) const {
+  const placement::ServiceRates rates = loads_.RatesOf(service.name);
+  if (rates.shards.size() != service.shards || rates.per_second <= 0) {
+    return;
+  }
+  std::vector<double> loads = rates.shards;
+  const std::map<std::uint64_t, TargetId> placed = PlacedHotKeys(service.name);
+  for (const placement::KeyRate& it : rates.hottest) {
+    const auto found = placed.find(it.key_hash);
+    if (found == placed.end()) {
+      continue;
+    }
+    double& shard = loads[ShardOf(it.key_hash, service.shards)];
+    shard = std::max(0.0, shard - it.per_second);
+    for (placement::Candidate& candidate : input.candidates) {
+      candidate.other_load += candidate.id == found->second ? it.per_second : 0;
+    }
+  }
+  const double least = kLeastShardLoad * rates.per_second / service.shards;
+  for (std::uint64_t n = 0; n < service.shards; ++n) {
+    input.shards[n].load = least + loads[n];
+  }
+  const double requests_per_target =
+      rates.per_second *
+      std::chrono::duration<double>(LoadBook::kTimeConstant).count() /
+      static_cast<double>(std::max<size_t>(1, input.candidates.size()));
+  input.tolerance =
+      std::max(kLeastTolerance, kDeviations / std::sqrt(requests_per_target));
+}
+
+void Decider::PlaceHotKeys(const config::ServiceConfig& service,
+                           const std::vector<placement::Candidate>& candidates,
+                           bool balance,
+                           Actions& out,
+                           TimePoint now) {
+  placement::HotKeyInput input;
+  input.placed = PlacedHotKeys(service.name);
+  if (input.placed.empty() && !balance) {
+    return;
+  }
+  input.candidates = candidates;
+  for (std::uint64_t n = 0; n < service.shards; ++n) {
+    input.shard_owners.push_back(
+        replica_.AssignmentOf({service.name, n}).owner);
+  }
+  for (const UnitMove& it : directive_.moves) {
+    if (it.unit.service == service.name && IsHotKey(it.unit) &&
+        it.phase != MovePhase::kActive &&
+        (it.to.owner.empty() || targets_.MayOwn(it.to.owner))) {
+      input.moving.push_back(it.unit.number & ~kHotKeyBit);
+    }
+  }
+  input.rates = loads_.RatesOf(service.name);
+  placement::HotKeyTerms terms;
+  if (!balance) {
+    terms.max_changes = 0;
+  }
+  for (const placement::HotKeyChange& it :
+       placement::PlaceHotKeys(input, terms)) {
+    ChangeHotKey(service, it, now, out);
+  }
+}
+
+// A key that leaves or joins its shard moves together with a new fence for the
+// shard, so that a late request under the shard's old fence is refused.
+void Decider::ChangeHotKey(const config::ServiceConfig& service,
+                           const placement::HotKeyChange& change,
+                           TimePoint now,
+                           Actions& out) {
+  const Unit key{service.name, HotKeyNumber(change.key_hash)};
+  const Unit shard{service.name, ShardOf(change.key_hash, service.shards)};
+  const bool placed = !replica_.AssignmentOf(key).owner.empty();
+  const TargetId shard_owner = replica_.AssignmentOf(shard).owner;
+  if ((!placed || change.to.empty()) && IsMoving(shard)) {
+    return;
+  }
+  UnitMove& move = StartMove(key, change.to, now, out);
+  if (!placed) {
+    move.from = shard_owner;
+    move.planned = true;
+  }
+  if (placed && !change.to.empty()) {
+    return;
+  }
+  UnitMove& refence = StartMove(shard, shard_owner, now, out);
+  if (change.to.empty()) {
+    refence.after = key;
+  }
+}
+
+std::map<std::uint64_t, TargetId> Decider::PlacedHotKeys(
+    const std::string& service) const {
+  std::map<std::uint64_t, TargetId> placed;
+  const auto& assignments = replica_.state().assignments;
+  for (auto it = assignments.lower_bound({service, kHotKeyBit});
+       it != assignments.end() && it->first.service == service; ++it) {
+    placed[it->first.number & ~kHotKeyBit] =
+        replica_.AssignmentOf(it->first).owner;
+  }
+  for (const UnitMove& it : directive_.moves) {
+    if (it.unit.service == service && IsHotKey(it.unit)) {
+      placed[it.unit.number & ~kHotKeyBit] = it.to.owner;
+    }
+  }
+  return placed;
+}
+
+bool Decider::IsMoving(const Unit& unit) const {
+  return std::any_of(directive_.moves.begin(), directive_.moves.end(),
+                     [&](const UnitMove& it) {
+                       return it.unit == unit && it.phase != MovePhase::kActive;
+                     });
+}
+
+std::uint32_t Decider::PlannedMoves(const std::string& service) const {
+  return std::count_if(directive_.moves.begin(), directive_.moves.end(),
+                       [&](const UnitMove& it) {
+                         return it.planned && it.unit.service == service &&
+                                it.phase != MovePhase::kActive;
+                       });
+}
+
+UnitMove& Decider::StartMove(const Unit& unit,
+                             const TargetId& to,
+                             TimePoint now,
+                             Actions& out) {
+  const Assignment current = replica_.AssignmentOf(unit);
+  const UnitMove* replaced = replica_.MoveOf(unit);
+  UnitMove move = {.unit = unit,
+                   .to = {to, next_fence_++},
+                   .from = current.owner,
+                   .since = directive_.sequence + 1};
+  if (replaced != nullptr && replaced->phase == MovePhase::kRevoking) {
+    // The owner that was chosen before never got its grant.
+    move.from = replaced->from;
+    move.after = replaced->after;
+  }
+  move.planned = !move.from.empty() && !directive_.lost.contains(move.from);
+  std::erase_if(directive_.moves,
+                [&](const UnitMove& it) { return it.unit == unit; });
+  const char* cause = move.from.empty() ? "had no owner"
+                      : move.planned    ? "rebalanced or drained"
+                                        : "its owner was lost";
+  out.push_back(
+      DecisionAction{absl::StrCat("unit ", ToString(unit), " moves from ",
+                                  move.from.empty() ? "nobody" : move.from,
+                                  " to ", to, ", fence ", move.to.fence),
+                     cause});
+  directive_.moves.push_back(std::move(move));
+  move_started_[unit] = now;
+  changed_ = true;
+  return directive_.moves.back();
+}
+
+}  // namespace toucandock::core::control
--- a/src/core/control/host_controller.cc
+++ b/src/core/control/host_controller.cc
@@ -180,6 +180,7 @@
 void HostController::Step() {
   if (decider_) {
     decider_->OnOwnAck(member_.acked_sequence(), member_.busy(), now_);
+    decider_->OnRates(options_.self.id, member_.TakeRates(), now_);
     decider_->Step(now_, out_);
     member_.UpdateAck();
     if (decider_->IsSuperseded()) {
--- /dev/null
+++ b/src/core/control/load_book.h
@@ -0,0 +1,38 @@
+#ifndef TOUCANDOCK_CORE_CONTROL_LOAD_BOOK_H_
+#define TOUCANDOCK_CORE_CONTROL_LOAD_BOOK_H_
+
+#include <map>
+#include <string>
+
+#include "core/placement/key_rates.h"
+#include "core/time.h"
+#include "core/unit.h"
+
+namespace toucandock::core::control {
+
+// Request rates that the hosts report to the decider, smoothed over time.
+class LoadBook {
+ public:
+  // Time after which a step in the rates shows to about two thirds.
+  static constexpr Duration kTimeConstant = std::chrono::seconds(10);
+
+  void Report(const HostId& host,
+              const std::map<std::string, placement::ServiceRates>& rates,
+              TimePoint now);
+  placement::ServiceRates RatesOf(const std::string& service) const;
+  void ForgetSilentHosts(TimePoint now);
+
+ private:
+  struct HostRates {
+    TimePoint reported;
+    double per_second = 0;
+    std::vector<double> shards;
+    std::map<std::uint64_t, double> keys;
+  };
+
+  std::map<std::string, std::map<HostId, HostRates>> services_;
+};
+
+}  // namespace toucandock::core::control
+
+#endif  // TOUCANDOCK_CORE_CONTROL_LOAD_BOOK_H_
--- a/src/core/control/member.cc
+++ b/src/core/control/member.cc
@@ -23,9 +23,16 @@
   }
   oldest_sending_ = tick.oldest_sending;
   busy_ = tick.busy;
+  if (!tick.rates.empty()) {
+    rates_ = tick.rates;
+  }
   UpdateAck();
 }
 
+std::map<std::string, placement::ServiceRates> Member::TakeRates() {
+  return std::exchange(rates_, {});
+}
+
 // A directive is acknowledged once no request is still being sent that was
 // routed under an earlier one.
 void Member::UpdateAck() {
@@ -211,6 +218,9 @@
   request.config_version = replica_.config_version();
   request.busy = busy_;
   request.leaving = leaving_;
+  if (decider_) {
+    request.rates = TakeRates();
+  }
   for (const auto& [key, signal] : signals_) {
     request.signals.push_back(signal);
   }
--- a/src/core/control/member.h
+++ b/src/core/control/member.h
@@ -27,6 +27,7 @@
   const Ballot& promised() const { return promised_; }
   std::uint64_t acked_sequence() const { return acked_sequence_; }
   const std::vector<Unit>& busy() const { return busy_; }
+  std::map<std::string, placement::ServiceRates> TakeRates();
 
   void OnTick(const TickEvent& tick, TimePoint now);
   void OnRenewReply(const RenewReplyEvent& event, TimePoint now, Actions& out);
@@ -80,6 +81,8 @@
   bool leaving_ = false;
   std::optional<std::uint64_t> oldest_sending_;
   std::vector<Unit> busy_;
+  // Not reported yet.
+  std::map<std::string, placement::ServiceRates> rates_;
   std::uint64_t acked_sequence_ = 0;
   std::map<std::pair<TargetId, detection::SignalSource>, detection::Signal>
       signals_;
--- a/src/core/control/messages.h
+++ b/src/core/control/messages.h
@@ -2,6 +2,7 @@
 #define TOUCANDOCK_CORE_CONTROL_MESSAGES_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -13,6 +14,7 @@
 #include "core/control/control_state.h"
 #include "core/control/records.h"
 #include "core/detection/loss_detector.h"
+#include "core/placement/key_rates.h"
 #include "core/time.h"
 
 namespace toucandock::core::control {
@@ -30,13 +32,17 @@
 struct UnitMove {
   Unit unit;
   Assignment to;
-  // Empty when the unit had no owner.
+  // Empty when the unit had no owner. A move to nobody gives a hot key back to
+  // its shard.
   TargetId from;
   MovePhase phase = MovePhase::kRevoking;
   // The old owner is alive: requests in flight end before the unit moves.
   bool planned = false;
   // Sequence of the directive that started the move.
   std::uint64_t since = 0;
+  // The move becomes active only after that of this unit. A shard takes a hot
+  // key back only when the key's owner has given it up.
+  std::optional<Unit> after;
 
   bool operator==(const UnitMove&) const = default;
 };
@@ -69,6 +75,8 @@
   // Units with requests in flight.
   std::vector<Unit> busy;
   std::vector<detection::Signal> signals;
+  // Request rates by service; only when there is a new measurement.
+  std::map<std::string, placement::ServiceRates> rates;
   bool leaving = false;
 };
 
@@ -155,6 +163,8 @@
   // empty when none is.
   std::optional<std::uint64_t> oldest_sending;
   std::vector<Unit> busy;
+  // Request rates by service; only when there is a new measurement.
+  std::map<std::string, placement::ServiceRates> rates;
 };
 struct LogReadEvent {
   // Time at which the read was sent.
--- a/src/core/placement/placement.cc
+++ b/src/core/placement/placement.cc
@@ -25,12 +25,16 @@
       total_weight += it.weight;
     }
     double total_load = 0;
+    for (const Candidate& it : input.candidates) {
+      total_load += it.other_load;
+    }
     for (const ShardState& shard : input.shards) {
       total_load += shard.load;
     }
     for (const Candidate& it : input.candidates) {
       index_[it.id] = targets_.size();
-      targets_.push_back({&it, total_load * it.weight / total_weight, 0});
+      targets_.push_back(
+          {&it, total_load * it.weight / total_weight, it.other_load});
     }
     for (const ShardState& shard : input.shards) {
       if (TargetLoad* owner = Find(shard.owner)) {
@@ -115,29 +119,60 @@
     }
   }
 
-  // Moves shards off the most loaded target while that lowers the larger of
-  // the two relative loads; so a new target takes no more than its share and
-  // no shard moves between targets that are within the tolerance.
+  // Moves shards from the most loaded targets to the least loaded one while
+  // that lowers the larger of the two relative loads; so a new target takes no
+  // more than its share and no shard moves between targets that are within the
+  // tolerance.
   void RelieveOverloaded() {
     std::vector<bool> moved(input_.shards.size(), false);
     for (std::uint32_t n = 0; n < input_.max_planned_moves; ++n) {
-      const auto [least, most] =
-          std::minmax_element(targets_.begin(), targets_.end(),
-                              [](const TargetLoad& a, const TargetLoad& b) {
-                                return a.Relative() < b.Relative();
-                              });
-      if (most->Relative() <= input_.tolerance || !least->candidate->accepts) {
+      TargetLoad* to = LeastLoaded();
+      if (to == nullptr || !MoveOneShardTo(*to, moved)) {
         return;
       }
-      const std::uint64_t shard = BestShardToMove(*most, *least, moved);
+    }
+  }
+
+  TargetLoad* LeastLoaded() {
+    TargetLoad* least = nullptr;
+    for (TargetLoad& it : targets_) {
+      if (it.candidate->accepts &&
+          (least == nullptr || it.Relative() < least->Relative())) {
+        least = &it;
+      }
+    }
+    return least;
+  }
+
+  // The most loaded target may hold nothing but a hot key, so the next ones are
+  // tried as well. Returns false when no move is worth it.
+  bool MoveOneShardTo(TargetLoad& to, std::vector<bool>& moved) {
+    std::vector<TargetLoad*> by_load;
+    by_load.reserve(targets_.size());
+    for (TargetLoad& it : targets_) {
+      by_load.push_back(&it);
+    }
+    std::sort(by_load.begin(), by_load.end(),
+              [](const TargetLoad* a, const TargetLoad* b) {
+                return a->Relative() > b->Relative();
+              });
+    const bool starved = to.Relative() < 1 - input_.tolerance;
+    const double give_above = starved ? 1 : 1 + input_.tolerance;
+    for (TargetLoad* from : by_load) {
+      if (from->Relative() <= give_above) {
+        return false;
+      }
+      const std::uint64_t shard = BestShardToMove(*from, to, moved);
       if (shard == input_.shards.size()) {
-        return;
+        continue;
       }
       moved[shard] = true;
-      most->load -= input_.shards[shard].load;
-      least->load += input_.shards[shard].load;
-      moves_.push_back({shard, least->candidate->id});
+      from->load -= input_.shards[shard].load;
+      to.load += input_.shards[shard].load;
+      moves_.push_back({shard, to.candidate->id});
+      return true;
     }
+    return false;
   }
 
   // Returns the largest shard of `from` whose move leaves `to` below the
--- a/src/core/placement/placement.h
+++ b/src/core/placement/placement.h
@@ -17,6 +17,8 @@
   double weight = 1.0;
   // False for a target that keeps its shards but does not answer just now.
   bool accepts = true;
+  // Load that the target has besides shards, in the unit of ShardState::load.
+  double other_load = 0;
 };
 
 struct ShardState {
@@ -33,8 +35,9 @@
   std::vector<ShardState> shards;
   // Limits planned moves per call; shards without an owner always move.
   std::uint32_t max_planned_moves = 4;
-  // A target is relieved when its load exceeds its quota by this factor.
-  double tolerance = 1.10;
+  // Shards move when the most loaded target is above its quota by more than
+  // this part, or the least loaded one below it.
+  double tolerance = 0.10;
 };
 
 struct ShardMove {
--- a/src/core/routing/routing_snapshot.cc
+++ b/src/core/routing/routing_snapshot.cc
@@ -36,7 +36,13 @@
       route_.hot_keys[it->first.number] = RouteOf(it->first);
     }
     for (const UnitMove& move : replica_.directive().moves) {
-      if (move.unit.service == name && IsHotKey(move.unit)) {
+      if (move.unit.service != name || !IsHotKey(move.unit)) {
+        continue;
+      }
+      if (move.to.owner.empty() && move.phase == MovePhase::kActive) {
+        // The key is part of its shard again.
+        route_.hot_keys.erase(move.unit.number);
+      } else {
         route_.hot_keys[move.unit.number] = RouteOf(move.unit);
       }
     }
--- a/src/core/unit.cc
+++ b/src/core/unit.cc
@@ -5,8 +5,9 @@
 
 namespace toucandock::core {
 
+// The upper bit is left to tell hot keys from shards.
 std::uint64_t HashKey(absl::string_view key) {
-  return util::Hash64(key);
+  return util::Hash64(key) & ~kHotKeyBit;
 }
 
 // `shards` must not be 0.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -144,8 +144,8 @@
       .now = Now,
       .tick =
           [this] {
-            return TickEvent{in_flight_.OldestSending(),
-                             in_flight_.BusyUnits()};
+            return TickEvent{in_flight_.OldestSending(), in_flight_.BusyUnits(),
+                             key_meter_.TakeIfDue(Now())};
           },
       .perform =
           [this](const Action& action, const HostController& controller) {
@@ -421,6 +421,12 @@
                 return core::request::RecordResult::kRecorded;
               },
           .is_stopping = [this] { return stopping_.load(); },
+          .count_key =
+              [this](const core::routing::ServiceRoute& service,
+                     const std::string& key) {
+                key_meter_.Count(service.config.name, service.config.shards,
+                                 core::HashKey(key));
+              },
           .new_request_id = RandomId};
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -20,6 +20,7 @@
 #include "platform/log_client.h"
 #include "proxy/caller_front.h"
 #include "proxy/in_flight_table.h"
+#include "proxy/key_meter.h"
 #include "proxy/published_view.h"
 #include "proxy/target_client.h"
 #include "settings/settings.h"
@@ -78,6 +79,7 @@
   observe::DecisionHistory history_;
   proxy::PublishedView view_;
   proxy::InFlightTable in_flight_;
+  proxy::KeyMeter key_meter_;
   proxy::TargetClient targets_;
   platform::LogClient log_;
   std::unique_ptr<ControlLoop> control_;
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -196,6 +196,9 @@
 }
 
 http::Response CallerFront::ServeChecked(Job& job) {
+  if (job.service->config.keyed) {
+    hooks_.count_key(*job.service, job.key);
+  }
   core::request::RequestLife life(
       {.idempotent = job.request_class->idempotent, .deadline = job.deadline},
       core::request::RetryTerms{}, Random());
--- a/src/proxy/caller_front.h
+++ b/src/proxy/caller_front.h
@@ -33,6 +33,9 @@
   // Records that a non-idempotent request is about to be sent.
   std::function<core::request::RecordResult(const AttemptKey&)> record_attempt;
   std::function<bool()> is_stopping;
+  // Counts a request for a key.
+  std::function<void(const core::routing::ServiceRoute&, const std::string&)>
+      count_key;
   std::function<std::string()> new_request_id;
 };
 
