--- a/tests/core/placement/placement_test.cc
+++ b/tests/core/placement/placement_test.cc
@@ -16,6 +16,7 @@
 
 std::vector<Candidate> Targets(int count) {
   std::vector<Candidate> targets;
+  targets.reserve(count);
   for (int n = 0; n < count; ++n) {
     targets.push_back({.id = "t" + std::to_string(n), .failure_domain = "d"});
   }
