Review targets and units only when something changed

Change: units are placed when a target's state, the directive or the loads' second changed; due contacts are looked for from the earliest due time on.

--- a/src/core/control/decider.cc
+++ b/src/core/control/decider.cc
@@ -16,6 +16,10 @@
 constexpr Duration kEvictAfter = std::chrono::seconds(5);
 // Fences that an earlier decider may have used without our knowledge.
 constexpr Fence kFenceSkip = Fence{1} << 16;
+// Adds at most this much to the time until a loss is seen.
+constexpr Duration kReviewInterval = std::chrono::milliseconds(10);
+// Loads and warming targets are looked at this often without other cause.
+constexpr Duration kPlaceInterval = std::chrono::seconds(1);
 constexpr size_t kMaxSettled = 1'024;
 constexpr size_t kMaxVoters = 7;
 constexpr Offset kCheckpointEvery = 1'000;
@@ -407,6 +411,35 @@
   });
 }
 
+// Looks at all targets and units. The work grows with their number, so it is
+// not done for every event.
+void Decider::Review(TimePoint now, Actions& out) {
+  if (!changed_ && now < review_at_) {
+    return;
+  }
+  review_at_ = now + kReviewInterval;
+  JudgeTargets(now, out);
+  const bool same = !changed_ && placed_revision_ == targets_.revision() &&
+                    placed_sequence_ == directive_.sequence;
+  if (!same || now >= place_at_) {
+    PlaceServices(now, out);
+  }
+}
+
+void Decider::PlaceServices(TimePoint now, Actions& out) {
+  placed_revision_ = targets_.revision();
+  placed_sequence_ = directive_.sequence;
+  place_at_ = now + kPlaceInterval;
+  if (replica_.config() == nullptr) {
+    return;
+  }
+  for (const config::ServiceConfig& service : replica_.config()->services) {
+    if (service.keyed) {
+      PlaceService(service, now, out);
+    }
+  }
+}
+
 // Does everything that is due. All work is derived from the state, so that a
 // lost message or a late event only delays it.
 void Decider::Step(TimePoint now, Actions& out) {
@@ -423,14 +456,7 @@
     PublishDirective(now, out);
     return;
   }
-  JudgeTargets(now, out);
-  if (replica_.config()) {
-    for (const config::ServiceConfig& service : replica_.config()->services) {
-      if (service.keyed) {
-        PlaceService(service, now, out);
-      }
-    }
-  }
+  Review(now, out);
   PublishDirective(now, out);
   ProgressMoves(now, out);
   DropFinishedMoves();
--- a/src/core/control/decider.h
+++ b/src/core/control/decider.h
@@ -69,7 +69,9 @@
   void Refence();
   void UpdateAuthority(TimePoint now);
   void AdvanceEffective(TimePoint now);
+  void Review(TimePoint now, Actions& out);
   void JudgeTargets(TimePoint now, Actions& out);
+  void PlaceServices(TimePoint now, Actions& out);
   void PlaceService(const config::ServiceConfig& service,
                     TimePoint now,
                     Actions& out);
@@ -131,6 +133,11 @@
   std::map<HostId, Holder> holders_;
   TargetBook targets_;
   LoadBook loads_;
+  TimePoint review_at_;
+  // What the last placement of all services was based on.
+  std::uint64_t placed_revision_ = 0;
+  std::uint64_t placed_sequence_ = 0;
+  TimePoint place_at_;
   // Next time at which a service's loads are looked at.
   std::map<std::string, TimePoint> balance_at_;
   std::uint64_t targets_version_ = 0;
--- a/src/core/control/target_book.cc
+++ b/src/core/control/target_book.cc
@@ -47,6 +47,8 @@
 
 // Targets that left the configuration stay known until their grant has ended.
 void TargetBook::SetTargets(const config::Config& config) {
+  ++revision_;
+  next_due_ = TimePoint{};
   for (auto& [id, entry] : entries_) {
     entry.configured = false;
   }
@@ -100,14 +102,19 @@
     // Sent at once: a move waits for this answer.
     entry.in_flight = false;
     entry.sent_at = TimePoint{};
+    next_due_ = TimePoint{};
   }
 }
 
 void TargetBook::OnAnswer(Entry& entry,
                           const TargetAnswer& answer,
                           TimePoint now) {
+  const bool alive = KindOf(answer.result) == SignalKind::kAlive;
+  if (!entry.contacted || alive != entry.alive_since.has_value()) {
+    ++revision_;
+  }
   entry.contacted = true;
-  if (KindOf(answer.result) != SignalKind::kAlive) {
+  if (!alive) {
     entry.alive_since.reset();
     return;
   }
@@ -125,7 +132,10 @@
   }
   entry.clock = answer.clock;
   entry.clock_read_at = now;
-  entry.health = answer.health;
+  if (entry.health != answer.health) {
+    entry.health = answer.health;
+    ++revision_;
+  }
 }
 
 void TargetBook::OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now) {
@@ -183,7 +193,10 @@
                        now);
     }
     entry.listed = entry.listed || listed;
-    entry.listed_leaving = listed && it->leaving;
+    if (entry.listed_leaving != (listed && it->leaving)) {
+      entry.listed_leaving = !entry.listed_leaving;
+      ++revision_;
+    }
   }
 }
 
@@ -207,10 +220,15 @@
       changed.push_back(id);
     }
   }
+  revision_ += changed.size();
   return changed;
 }
 
 void TargetBook::SendDue(TimePoint now, Actions& out) {
+  if (now < next_due_) {
+    return;
+  }
+  next_due_ = now + terms_.renew_interval;
   for (auto& [id, entry] : entries_) {
     if (!entry.configured && entry.grant_ends <= now) {
       continue;
@@ -219,6 +237,7 @@
         entry.lost ? kLostContactInterval : terms_.renew_interval;
     const Duration wait = entry.in_flight ? kContactTimeout : interval;
     if (now - entry.sent_at < wait) {
+      next_due_ = std::min(next_due_, entry.sent_at + wait);
       continue;
     }
     entry.in_flight = true;
--- a/src/core/control/target_book.h
+++ b/src/core/control/target_book.h
@@ -37,6 +37,8 @@
   std::vector<TargetId> Judge(size_t observers, TimePoint now);
   void SendDue(TimePoint now, Actions& out);
 
+  // Changes whenever one of the answers below may have changed.
+  std::uint64_t revision() const { return revision_; }
   bool WasContacted(const TargetId& target) const;
   bool MayOwn(const TargetId& target) const;
   bool IsUsable(const TargetId& target) const;
@@ -88,6 +90,9 @@
   const TimePoint elected_at_;
   detection::LossDetector detector_;
   std::map<TargetId, Entry> entries_;
+  std::uint64_t revision_ = 0;
+  // Earliest time at which a target is to be contacted.
+  TimePoint next_due_;
 };
 
 }  // namespace toucandock::core::control
