Replace a lost decider and acknowledge moves only after a tick

Cause: a fake fleet (tests/core/control/controller_fixture) showed that a killed or cut-off decider was never replaced: every renewal, answered or not, prolonged the member's promise to it. Further faults that the same cases or their preparation showed: - a host that returned from a pause got a serving lease while it still routed by its old directive (two owners for 15 ms in the fake); - a host that had asked for votes while cut off ignored the present decider for good, since its own candidacy counted as a promise; - a request that is stuck in sending on the decider's own host kept all moves waiting (not served again within 3 s); - a directive was acknowledged by the in-flight table of an earlier tick; - a successor could miss a settled move that its predecessor had activated.

--- a/src/core/control/decider.cc
+++ b/src/core/control/decider.cc
@@ -14,9 +14,15 @@
 constexpr Duration kAckGrace = std::chrono::milliseconds(150);
 // A planned move waits this long for requests in flight.
 constexpr Duration kDrainLimit = std::chrono::seconds(10);
+// A voter that answers but gives no support for this long needs an election.
+constexpr Duration kEstrangedAfter = std::chrono::seconds(2);
 constexpr Duration kEvictAfter = std::chrono::seconds(5);
 // Fences that an earlier decider may have used without our knowledge.
 constexpr Fence kFenceSkip = Fence{1} << 16;
+// The same for sequences. Else a host that still sends under an unknown, higher
+// sequence of the earlier decider would seem to send under this one's.
+constexpr std::uint64_t kSequenceSkip = std::uint64_t{1} << 16;
+constexpr int kSequenceBits = 32;
 constexpr size_t kMaxSettled = 1'024;
 constexpr size_t kMaxVoters = 7;
 constexpr std::uint32_t kMaxPlannedMoves = 4;
@@ -50,10 +56,12 @@
   if (founding) {
     directive_ = Directive{};
     directive_.founded = state.founded;
+    directive_.sequence = state.founded << kSequenceBits;
     authority_from_ =
         lease::SurelyEnded(terms_, now, std::max(terms_.grant, terms_.serving));
   }
   directive_.ballot = ballot_;
+  directive_.sequence += kSequenceSkip;
   directive_.effective = std::max(directive_.effective, state.next);
   next_fence_ = state.next_fence;
   for (const UnitMove& move : directive_.moves) {
@@ -65,23 +73,31 @@
   }
   voters_changed_ = state.voters_changed;
   voters_sequence_ = directive_.sequence + 1;
-  // Phases are run through again: this decider does not know which hosts and
-  // targets its predecessor had heard from.
+  InheritMoves(now);
+  if (!founding) {
+    AdoptEarlySettles(now);
+  }
+  replica_.set_directive(directive_);
+  earlier_leases_end_ = lease::SurelyEnded(terms_, now, terms_.serving);
+  for (const auto& [id, member] : state.members) {
+    holders_[id] = Holder{.host = member.host,
+                          .lease_ends = earlier_leases_end_,
+                          .heard_at = now};
+  }
+  holders_[self_.id].host = self_;
+}
+
+// Phases are run through again: this decider does not know which hosts and
+// targets its predecessor had heard from.
+void Decider::InheritMoves(TimePoint now) {
   for (UnitMove& move : directive_.moves) {
-    if (move.phase == MovePhase::kGranting) {
+    if (move.phase != MovePhase::kActive) {
       move.phase = MovePhase::kRevoking;
+      may_hold_[move.unit].insert(move.to.owner);
     }
     move.since = directive_.sequence + 1;
     move_started_[move.unit] = now;
   }
-  replica_.set_directive(directive_);
-  const TimePoint unknown_ends =
-      lease::SurelyEnded(terms_, now, terms_.serving);
-  for (const auto& [id, member] : state.members) {
-    holders_[id] = Holder{
-        .host = member.host, .lease_ends = unknown_ends, .heard_at = now};
-  }
-  holders_[self_.id].host = self_;
 }
 
 // After the whole membership was lost, nobody knows which assignments an
@@ -95,12 +111,38 @@
   }
 }
 
-// Returns whether the log shows a higher ballot or another membership.
+// Returns whether the log or a host shows a higher ballot or another
+// membership.
 bool Decider::IsSuperseded() const {
-  return replica_.state().founded != directive_.founded ||
+  return saw_later_ballot_ || replica_.state().founded != directive_.founded ||
          replica_.state().ballot > ballot_;
 }
 
+// Returns whether this decider has been without authority for so long that
+// others have begun to elect another. While the log is down, nothing else tells
+// a decider that was cut off that it was replaced.
+bool Decider::IsSilenced(TimePoint now) const {
+  const TimePoint since =
+      std::max({authority_until_, authority_from_, elected_at_});
+  return now - since > terms_.election;
+}
+
+// Returns whether a voter is in contact but has not supported this decider for
+// long: it has voted for a candidate that was not elected, and may not follow a
+// lower ballot any more.
+bool Decider::HasEstrangedVoter(TimePoint now) const {
+  if (now - elected_at_ < kEstrangedAfter) {
+    return false;
+  }
+  const std::vector<HostId> voters = Voters(replica_.state());
+  return std::any_of(voters.begin(), voters.end(), [&](const HostId& id) {
+    const auto it = holders_.find(id);
+    return it != holders_.end() && now - it->second.heard_at < terms_.serving &&
+           now - it->second.supports_until > kEstrangedAfter &&
+           now - it->second.first_heard_at > kEstrangedAfter;
+  });
+}
+
 RenewReply Decider::OnRenew(const RenewRequest& request, TimePoint now) {
   RenewReply reply;
   reply.host = self_.id;
@@ -110,7 +152,13 @@
   reply.stamp = now.time_since_epoch();
   reply.sequence = directive_.sequence;
 
+  saw_later_ballot_ =
+      saw_later_ballot_ ||
+      (request.founded == directive_.founded && request.ballot > ballot_);
   Holder& holder = holders_[request.host.id];
+  if (now - holder.heard_at > terms_.serving) {
+    holder.first_heard_at = now;
+  }
   holder.host = request.host;
   holder.heard_at = now;
   holder.busy = request.busy;
@@ -145,6 +193,7 @@
   return std::any_of(directive_.moves.begin(), directive_.moves.end(),
                      [&](const UnitMove& move) {
                        return move.phase == MovePhase::kRevoking &&
+                              move.since <= directive_.sequence &&
                               move.since > holder.acked_sequence &&
                               now - move_started_.at(move.unit) > kAckGrace;
                      });
@@ -158,8 +207,11 @@
   own.busy = busy;
   own.heard_at = now;
   own.supports_until = now + terms_.support;
-  own.lease_ends = std::max(own.lease_ends, authority_until_);
   UpdateAuthority(now);
+  if (!IsBlockingMoves(own, now)) {
+    own_lease_until_ = authority_until_;
+  }
+  own.lease_ends = std::max(own.lease_ends, own_lease_until_);
 }
 
 void Decider::OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out) {
@@ -204,51 +256,62 @@
   authority_until_ = supports[MajorityOf(voters.size()) - 1];
 }
 
-// Folds what was read. An assignment that a predecessor wrote without our
-// knowledge becomes a move, since nobody has waited for its old owner yet.
+// Folds what was read.
 void Decider::AdvanceEffective(TimePoint now) {
   if (replica_.log_end() <= directive_.effective) {
     return;
   }
-  std::map<Unit, Assignment> before;
-  const std::vector<LogEntry> applied =
-      replica_.FoldUpTo(replica_.log_end(), [&](const LogEntry& entry) {
-        const auto* settle = std::get_if<SettleRecord>(&entry.record.body);
-        if (settle == nullptr) {
-          return;
-        }
-        for (const UnitAssignment& it : settle->assignments) {
-          const auto old = replica_.state().assignments.find(it.unit);
-          before.try_emplace(it.unit, old == replica_.state().assignments.end()
-                                          ? Assignment{}
-                                          : old->second);
-        }
-      });
-  directive_.effective = replica_.state().next;
+  replica_.FoldAll();
+  if (IsSuperseded()) {
+    return;
+  }
+  const ControlState& state = replica_.state();
+  directive_.effective = state.next;
   changed_ = true;
-  for (const LogEntry& entry : applied) {
-    const auto* settle = std::get_if<SettleRecord>(&entry.record.body);
-    if (settle == nullptr) {
+  AdoptEarlySettles(now);
+  replica_.set_directive(directive_);
+  for (const auto& [id, member] : state.members) {
+    // A host that has just joined has not found the decider yet.
+    holders_.try_emplace(id, Holder{.host = member.host, .heard_at = now});
+  }
+  if (state.voters_changed != voters_changed_) {
+    voters_changed_ = state.voters_changed;
+    voters_sequence_ = directive_.sequence + 1;
+  }
+}
+
+// An assignment that a predecessor wrote without our knowledge becomes a move,
+// since nobody has waited for its old owner yet.
+void Decider::AdoptEarlySettles(TimePoint now) {
+  for (const auto& early : replica_.early_settles()) {
+    const Unit& unit = early.first;
+    const Replica::EarlySettle& settle = early.second;
+    const auto found = replica_.state().assignments.find(unit);
+    if (found == replica_.state().assignments.end() ||
+        found->second.fence <= settle.before.fence) {
       continue;
     }
-    for (const UnitAssignment& it : settle->assignments) {
-      next_fence_ = std::max(next_fence_, it.to.fence + 1);
-      const UnitMove* known = replica_.MoveOf(it.unit);
-      const Assignment& old = before.at(it.unit);
-      if (old.fence >= it.to.fence ||
-          (known != nullptr && known->to.fence >= it.to.fence)) {
+    const Assignment& to = found->second;
+    next_fence_ = std::max(next_fence_, to.fence + 1);
+    const auto known =
+        std::find_if(directive_.moves.begin(), directive_.moves.end(),
+                     [&](const UnitMove& it) { return it.unit == unit; });
+    UnitMove move = {.unit = unit,
+                     .to = to,
+                     .from = settle.before.owner,
+                     .since = directive_.sequence + 1};
+    if (known != directive_.moves.end()) {
+      if (known->to.fence >= to.fence) {
         continue;
       }
-      directive_.moves.push_back(UnitMove{.unit = it.unit,
-                                          .to = it.to,
-                                          .from = old.owner,
-                                          .since = directive_.sequence + 1});
-      move_started_[it.unit] = now;
+      may_hold_[unit].insert(known->to.owner);
+      move.from =
+          known->phase == MovePhase::kRevoking ? known->from : known->to.owner;
+      directive_.moves.erase(known);
     }
-  }
-  if (replica_.state().voters_changed != voters_changed_) {
-    voters_changed_ = replica_.state().voters_changed;
-    voters_sequence_ = directive_.sequence + 1;
+    may_hold_[unit].insert(to.owner);
+    directive_.moves.push_back(std::move(move));
+    move_started_[unit] = now;
   }
 }
 
@@ -378,7 +441,15 @@
 }
 
 bool Decider::IsRevokedEverywhere(const UnitMove& move, TimePoint now) const {
-  if (move.since > directive_.sequence) {
+  if (move.since > directive_.sequence || now < earlier_leases_end_) {
+    return false;
+  }
+  const auto earlier = may_hold_.find(move.unit);
+  if (earlier != may_hold_.end() &&
+      !std::all_of(earlier->second.begin(), earlier->second.end(),
+                   [&](const TargetId& id) {
+                     return id == move.to.owner || targets_.IsReleased(id, now);
+                   })) {
     return false;
   }
   const bool drain =
@@ -393,13 +464,11 @@
   return move.from.empty() || targets_.IsReleased(move.from, now);
 }
 
-// An assignment counts as acknowledged once the log has it or, while the log
-// is down or slow, once a majority of the voters knows it.
+// An assignment counts as acknowledged once a majority of the voters knows it
+// and, unless the log is down or slow, the log has it. The log alone is not
+// enough: a successor may be elected before it has read the log that far.
 bool Decider::IsDurable(const UnitMove& move, TimePoint now) const {
-  if (IsSettled(move)) {
-    return true;
-  }
-  return writer_.IsLogSlow(now) &&
+  return (IsSettled(move) || writer_.IsLogSlow(now)) &&
          VotersWhoAcked(move.since) >=
              MajorityOf(Voters(replica_.state()).size());
 }
@@ -416,6 +485,7 @@
       return false;
     }
     move_started_.erase(it.unit);
+    may_hold_.erase(it.unit);
     return true;
   });
   changed_ = changed_ || n > 0;
@@ -468,6 +538,9 @@
 void Decider::Step(TimePoint now, Actions& out) {
   UpdateAuthority(now);
   AdvanceEffective(now);
+  if (IsSuperseded()) {
+    return;
+  }
   ForgetSilentHolders(now);
   if (replica_.config() && targets_version_ != replica_.config_version()) {
     targets_version_ = replica_.config_version();
--- a/src/core/control/decider.h
+++ b/src/core/control/decider.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,11 @@
   const Ballot& ballot() const { return ballot_; }
   TimePoint authority_until() const { return authority_until_; }
   bool HasAuthority(TimePoint now) const { return now < authority_until_; }
+  // Until when this host itself may send to owners of keys.
+  TimePoint own_lease_until() const { return own_lease_until_; }
   bool IsSuperseded() const;
+  bool IsSilenced(TimePoint now) const;
+  bool HasEstrangedVoter(TimePoint now) const;
   bool IsLogSlow(TimePoint now) const { return writer_.IsLogSlow(now); }
 
   RenewReply OnRenew(const RenewRequest& request, TimePoint now);
@@ -55,12 +60,16 @@
     // The host supports this decider until then.
     TimePoint supports_until;
     TimePoint heard_at;
+    // Start of the present run of renewals without a gap.
+    TimePoint first_heard_at;
     std::uint64_t acked_sequence = 0;
     std::vector<Unit> busy;
     bool leaving = false;
   };
 
   void Refence();
+  void InheritMoves(TimePoint now);
+  void AdoptEarlySettles(TimePoint now);
   void UpdateAuthority(TimePoint now);
   void AdvanceEffective(TimePoint now);
   void JudgeTargets(TimePoint now, Actions& out);
@@ -99,10 +108,18 @@
   // No authority before then: leases of an unknown earlier decider may run.
   TimePoint authority_from_;
   TimePoint authority_until_;
+  TimePoint own_lease_until_;
+  // Until then any host may send under a lease of an earlier decider.
+  TimePoint earlier_leases_end_;
+  // A renewal showed a later decider of this membership.
+  bool saw_later_ballot_ = false;
   Fence next_fence_ = 1;
   Directive directive_;
   bool changed_ = true;
   std::map<Unit, TimePoint> move_started_;
+  // Targets that an earlier decider may have granted the unit while it was
+  // moving there.
+  std::map<Unit, std::set<TargetId>> may_hold_;
   std::map<HostId, Holder> holders_;
   TargetBook targets_;
   std::uint64_t targets_version_ = 0;
--- a/src/core/control/host_controller.cc
+++ b/src/core/control/host_controller.cc
@@ -120,7 +120,6 @@
 void HostController::On(const StateReplyEvent& event) {
   if (event.reply && !decider_) {
     replica_.Install(*event.reply);
-    member_.UpdateAck();
     out_.push_back(PublishViewAction{});
   }
 }
@@ -178,16 +177,7 @@
 }
 
 void HostController::Step() {
-  if (decider_) {
-    decider_->OnOwnAck(member_.acked_sequence(), member_.busy(), now_);
-    decider_->Step(now_, out_);
-    member_.UpdateAck();
-    if (decider_->IsSuperseded()) {
-      Resign("the log shows a later decider");
-    } else {
-      member_.HoldOffice(decider_->ballot(), decider_->authority_until());
-    }
-  }
+  StepDecider();
   if (const std::optional<Directive> won = member_.Step(now_, out_)) {
     TakeOffice(*won);
   }
@@ -200,11 +190,31 @@
   WriteOwnRecord();
 }
 
+void HostController::StepDecider() {
+  if (decider_ && decider_->IsSilenced(now_)) {
+    Resign("no majority of the voters has supported it");
+  }
+  if (!decider_) {
+    return;
+  }
+  decider_->OnOwnAck(member_.acked_sequence(), member_.busy(), now_);
+  decider_->Step(now_, out_);
+  if (decider_->IsSuperseded()) {
+    Resign("there is a later decider");
+  } else if (decider_->HasEstrangedVoter(now_)) {
+    Resign("a voter follows only a higher ballot");
+    member_.Campaign(now_, out_);
+  } else {
+    member_.HoldOffice(decider_->ballot(), decider_->authority_until(),
+                       decider_->own_lease_until());
+  }
+}
+
 void HostController::TakeOffice(const Directive& inherited) {
   replica_.FoldAll();
   decider_.emplace(options_.self, options_.terms, hooks_, replica_,
                    member_.promised(), inherited, now_);
-  member_.HoldOffice(member_.promised(), now_);
+  member_.HoldOffice(member_.promised(), now_, now_);
   out_.push_back(DecisionAction{
       absl::StrCat("host ", options_.self.id, " is the decider, ballot ",
                    member_.promised().number),
--- a/src/core/control/host_controller.h
+++ b/src/core/control/host_controller.h
@@ -76,6 +76,7 @@
   void On(const StopEvent& event);
 
   void Step();
+  void StepDecider();
   void TakeOffice(const Directive& inherited);
   void Resign(const std::string& cause);
   void WriteOwnRecord();
--- a/src/core/control/member.cc
+++ b/src/core/control/member.cc
@@ -8,6 +8,9 @@
 
 // How long a host waits for its own log reader before it asks the decider.
 constexpr Duration kLogLagLimit = std::chrono::milliseconds(200);
+// After this long without an answer from the decider, a host asks others who
+// it is: the one that it knows may be lost and replaced.
+constexpr Duration kDeciderSilence = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -21,18 +24,16 @@
   if (last_contact_ == TimePoint{}) {
     last_contact_ = now;
   }
-  oldest_sending_ = tick.oldest_sending;
   busy_ = tick.busy;
-  UpdateAck();
-}
-
-// A directive is acknowledged once no request is still being sent that was
-// routed under an earlier one.
-void Member::UpdateAck() {
+  // A directive is acknowledged once no request is still being sent that was
+  // routed under an earlier one. Only a tick that follows the directive shows
+  // that: requests may have started since the tick before.
+  const std::uint64_t before = acked_sequence_;
   acked_sequence_ = replica_.directive().sequence;
-  if (oldest_sending_) {
-    acked_sequence_ = std::min(acked_sequence_, *oldest_sending_);
+  if (tick.oldest_sending) {
+    acked_sequence_ = std::min(acked_sequence_, *tick.oldest_sending);
   }
+  renew_now_ = renew_now_ || acked_sequence_ > before;
 }
 
 void Member::AddSignal(const detection::Signal& signal) {
@@ -58,29 +59,19 @@
   }
   const RenewReply& reply = *event.reply;
   if (!reply.accepted) {
-    if (decider_ && decider_->id == event.from) {
-      decider_.reset();
-      echo_.reset();
-    }
-    if (!decider_ && reply.decider && reply.decider->id != self_.id) {
-      decider_ = reply.decider;
-      renew_now_ = true;
-    }
-    if (reply.resigned) {
-      // The decider has no authority any more, so the promise to it is void.
-      support_until_ = now;
-      last_contact_ = now - terms_.election;
-    }
+    OnUnaccepted(event, now);
     return;
   }
   if (reply.ballot < promised_) {
     return;
   }
   promised_ = reply.ballot;
+  candidacy_.reset();
   last_contact_ = now;
   echo_ = reply.stamp;
+  echo_received_ = now;
   if (reply.decider) {
-    decider_ = reply.decider;
+    SetDecider(*reply.decider, now);
   }
   if (reply.directive &&
       reply.directive->Position() > replica_.directive().Position()) {
@@ -90,7 +81,13 @@
     pending_ = reply.directive;
     TryPendingDirective(now, out);
   }
-  if (reply.lease && replica_.directive().ballot == reply.ballot) {
+  // A lease is for sending under the decider's present directive: under an
+  // earlier one, or with records folded that the decider has not put in force,
+  // this host may see owners that the decider has not waited for.
+  const Directive& directive = replica_.directive();
+  if (reply.lease && directive.ballot == reply.ballot &&
+      directive.sequence >= reply.sequence &&
+      replica_.state().next <= directive.effective) {
     lease_until_ = std::max(lease_until_, event.sent_at + terms_.serving);
   }
   for (const TargetId& target : reply.suspects) {
@@ -99,6 +96,38 @@
   }
 }
 
+// The host that was asked is not the decider; it may know who is.
+void Member::OnUnaccepted(const RenewReplyEvent& event, TimePoint now) {
+  const RenewReply& reply = *event.reply;
+  const bool was_decider = decider_ && decider_->id == event.from;
+  if (was_decider) {
+    ForgetDecider();
+  }
+  if (was_decider && reply.resigned && reply.host == event.from) {
+    // The decider has no authority any more, so the promise to it is void. A
+    // host that is stopping but was not this host's decider says nothing about
+    // that promise.
+    support_until_ = now;
+    last_contact_ = now - terms_.election;
+  }
+  if (!decider_ && reply.decider && reply.decider->id != self_.id) {
+    SetDecider(*reply.decider, now);
+    renew_now_ = true;
+  }
+}
+
+void Member::SetDecider(const HostInfo& decider, TimePoint now) {
+  decider_ = decider;
+  decider_heard_ = now;
+}
+
+// Without the echo, no renewal supports a decider by mistake: the stamp means
+// nothing on another host's clock.
+void Member::ForgetDecider() {
+  decider_.reset();
+  echo_.reset();
+}
+
 // Puts the directive in force once the log was read far enough. When the log
 // lags, fetches the state from the decider instead.
 void Member::TryPendingDirective(TimePoint now, Actions& out) {
@@ -107,10 +136,9 @@
   }
   if (replica_.Apply(*pending_)) {
     pending_.reset();
-    renew_now_ = true;
-    UpdateAck();
     out.push_back(PublishViewAction{});
-  } else if (decider_ && now - pending_since_ >= kLogLagLimit) {
+  } else if (decider_ && pending_->effective > replica_.log_end() &&
+             now - pending_since_ >= kLogLagLimit) {
     pending_since_ = now;
     out.push_back(FetchStateAction{*decider_});
   }
@@ -124,32 +152,39 @@
   const ControlState& state = replica_.state();
   const bool current = request.founded == state.founded &&
                        request.voters_changed >= state.voters_changed;
-  const bool free = in_office_ ? now >= lease_until_ : now >= support_until_;
-  if (current && free && request.ballot > promised_) {
+  // A host that asks for votes again has given up the office that it held.
+  const bool free =
+      in_office_ ? now >= authority_until_
+                 : now >= support_until_ || supported_ == request.host.id;
+  highest_seen_ = std::max(highest_seen_, request.ballot.number);
+  const bool above_own = !candidacy_ || request.ballot > candidacy_->ballot;
+  if (current && free && above_own && request.ballot > promised_) {
     promised_ = request.ballot;
-    decider_.reset();
-    echo_.reset();
+    ForgetDecider();
     last_contact_ = now;
     candidacy_.reset();
     reply.granted = true;
     reply.directive = replica_.directive();
   }
-  reply.promised = promised_;
+  reply.promised =
+      candidacy_ ? std::max(promised_, candidacy_->ballot) : promised_;
   return reply;
 }
 
 void Member::OnVoteReply(const VoteReplyEvent& event) {
-  if (!candidacy_ || !event.reply || event.ballot != candidacy_->ballot) {
+  if (!candidacy_ || !event.reply || event.ballot != candidacy_->ballot ||
+      !replica_.state().members.contains(event.from)) {
     return;
   }
   if (!event.reply->granted) {
     // Lets the next candidacy start above what the voter promised.
-    promised_.number = std::max(promised_.number, event.reply->promised.number);
+    highest_seen_ = std::max(highest_seen_, event.reply->promised.number);
     return;
   }
   candidacy_->granted.insert(event.from);
   if (event.reply->directive.Position() > candidacy_->best.Position()) {
     candidacy_->best = event.reply->directive;
+    candidacy_->best_from = replica_.state().members.at(event.from).host;
   }
 }
 
@@ -159,14 +194,11 @@
     return std::nullopt;
   }
   TryPendingDirective(now, out);
-  if (candidacy_) {
-    const size_t needed = MajorityOf(Voters(replica_.state()).size());
-    if (candidacy_->granted.size() >= needed) {
-      return std::exchange(candidacy_, std::nullopt)->best;
-    }
-    if (now - candidacy_->started > terms_.election_step) {
-      candidacy_.reset();
-    }
+  if (std::optional<Directive> won = StepCandidacy(now, out)) {
+    return won;
+  }
+  if (decider_ && now - decider_heard_ >= kDeciderSilence) {
+    ForgetDecider();
   }
   if (renew_now_ || now - last_sent_ >= terms_.renew_interval) {
     SendRenewal(now, out);
@@ -178,6 +210,27 @@
   return std::nullopt;
 }
 
+// Returns the directive to continue from when the votes suffice.
+std::optional<Directive> Member::StepCandidacy(TimePoint now, Actions& out) {
+  if (!candidacy_) {
+    return std::nullopt;
+  }
+  const size_t needed = MajorityOf(Voters(replica_.state()).size());
+  if (candidacy_->granted.size() >= needed) {
+    Candidacy won = *std::exchange(candidacy_, std::nullopt);
+    if (won.best.effective <= replica_.log_end()) {
+      promised_ = won.ballot;
+      return std::move(won.best);
+    }
+    // Moves that were settled below that offset are no longer part of the
+    // directive; without those records this host would restore older owners.
+    out.push_back(FetchStateAction{won.best_from});
+  } else if (now - candidacy_->started > terms_.election_step) {
+    candidacy_.reset();
+  }
+  return std::nullopt;
+}
+
 bool Member::IsEligible() const {
   const auto it = replica_.state().members.find(self_.id);
   return !leaving_ && it != replica_.state().members.end() &&
@@ -217,12 +270,15 @@
   std::erase_if(signals_, [](const auto& it) {
     return it.second.kind == detection::SignalKind::kAlive;
   });
-  if (decider_) {
+  if (decider_ && echo_) {
     // The decider counts this renewal from the echoed stamp, which is older
-    // than now; so this promise lasts longer than the decider relies on it.
-    support_until_ = std::max(
-        support_until_,
-        now + lease::WithDrift(terms_, terms_.support) + terms_.margin);
+    // than its receipt here; so this promise lasts longer than the decider
+    // relies on it. Renewals that repeat an echo promise nothing new, else a
+    // host would never stop to support a lost decider.
+    supported_ = decider_->id;
+    support_until_ =
+        std::max(support_until_,
+                 lease::SurelyEnded(terms_, echo_received_, terms_.support));
   }
   out.push_back(SendRenewAction{*to, std::move(request)});
 }
@@ -247,20 +303,20 @@
 }
 
 void Member::StartCandidacy(TimePoint now, Actions& out) {
-  promised_ = Ballot{promised_.number + 1, self_.id};
-  promised_.number =
-      std::max(promised_.number, replica_.state().ballot.number + 1);
-  candidacy_ = Candidacy{.ballot = promised_,
+  highest_seen_ = std::max({highest_seen_, promised_.number,
+                            replica_.state().ballot.number}) +
+                  1;
+  candidacy_ = Candidacy{.ballot = {highest_seen_, self_.id},
                          .granted = {self_.id},
                          .best = replica_.directive(),
+                         .best_from = self_,
                          .started = now};
-  decider_.reset();
-  echo_.reset();
+  ForgetDecider();
   const VoteRequest request = {
       .host = self_,
       .founded = replica_.state().founded,
       .voters_changed = replica_.state().voters_changed,
-      .ballot = promised_,
+      .ballot = candidacy_->ballot,
   };
   for (const auto& [id, member] : replica_.state().members) {
     if (member.votes && id != self_.id) {
@@ -276,23 +332,31 @@
   }
   founded_ = replica_.state().founded;
   promised_ = Ballot{};
+  highest_seen_ = 0;
   pending_.reset();
-  decider_.reset();
-  echo_.reset();
+  ForgetDecider();
   candidacy_.reset();
 }
 
-void Member::HoldOffice(const Ballot& ballot, TimePoint authority_until) {
+void Member::HoldOffice(const Ballot& ballot,
+                        TimePoint authority_until,
+                        TimePoint lease_until) {
   in_office_ = true;
   promised_ = std::max(promised_, ballot);
   decider_ = self_;
-  lease_until_ = authority_until;
+  authority_until_ = authority_until;
+  lease_until_ = lease_until;
+}
+
+void Member::Campaign(TimePoint now, Actions& out) {
+  if (IsEligible() && now >= support_until_) {
+    StartCandidacy(now, out);
+  }
 }
 
 void Member::LoseOffice(TimePoint now) {
   in_office_ = false;
-  decider_.reset();
-  echo_.reset();
+  ForgetDecider();
   last_contact_ = now;
 }
 
--- a/src/core/control/member.h
+++ b/src/core/control/member.h
@@ -41,15 +41,19 @@
   std::optional<Directive> Step(TimePoint now, Actions& out);
 
   // Used while this host itself is the decider.
-  void HoldOffice(const Ballot& ballot, TimePoint authority_until);
+  void HoldOffice(const Ballot& ballot,
+                  TimePoint authority_until,
+                  TimePoint lease_until);
   void LoseOffice(TimePoint now);
-  void UpdateAck();
+  // Asks for votes without waiting.
+  void Campaign(TimePoint now, Actions& out);
 
  private:
   struct Candidacy {
     Ballot ballot;
     std::set<HostId> granted;
     Directive best;
+    HostInfo best_from;
     TimePoint started;
   };
 
@@ -58,7 +62,11 @@
   void SendRenewal(TimePoint now, Actions& out);
   std::optional<HostInfo> NextContact();
   void TryPendingDirective(TimePoint now, Actions& out);
+  std::optional<Directive> StepCandidacy(TimePoint now, Actions& out);
   void StartCandidacy(TimePoint now, Actions& out);
+  void OnUnaccepted(const RenewReplyEvent& event, TimePoint now);
+  void SetDecider(const HostInfo& decider, TimePoint now);
+  void ForgetDecider();
   void ForgetOldMembership();
 
   const HostInfo self_;
@@ -67,10 +75,21 @@
   Replica& replica_;
 
   Offset founded_ = 0;
+  // Highest ballot that this host has voted for or followed. Its own
+  // candidacies don't count until they are won: a host that was cut off and
+  // asked for votes in vain must be able to follow the present decider.
   Ballot promised_;
+  // Highest ballot number that any host has mentioned.
+  std::uint64_t highest_seen_ = 0;
+  // The decider that `support_until_` was promised to.
+  HostId supported_;
   std::optional<HostInfo> decider_;
+  // The decider was named or answered at this time for the last time.
+  TimePoint decider_heard_;
   std::optional<Duration> echo_;
+  TimePoint echo_received_;
   bool in_office_ = false;
+  TimePoint authority_until_;
   TimePoint lease_until_;
   // Until then this host votes for no other decider.
   TimePoint support_until_;
@@ -78,7 +97,6 @@
   TimePoint last_contact_;
   bool renew_now_ = false;
   bool leaving_ = false;
-  std::optional<std::uint64_t> oldest_sending_;
   std::vector<Unit> busy_;
   std::uint64_t acked_sequence_ = 0;
   std::map<std::pair<TargetId, detection::SignalSource>, detection::Signal>
--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -48,27 +48,37 @@
   return true;
 }
 
-// Folds entries below `end` and returns those that were applied.
-std::vector<LogEntry> Replica::FoldUpTo(Offset end,
-                                        const EntryHook& before_fold) {
-  std::vector<LogEntry> applied;
+// Folds entries below `end`.
+void Replica::FoldUpTo(Offset end) {
   const Offset founded = state_.founded;
   while (!unfolded_.empty() && unfolded_.front().offset < end) {
-    LogEntry entry = std::move(unfolded_.front());
+    const LogEntry entry = std::move(unfolded_.front());
     unfolded_.pop_front();
-    if (before_fold) {
-      before_fold(entry);
-    }
-    if (Fold(state_, entry) == FoldResult::kApplied) {
-      applied.push_back(std::move(entry));
-    }
+    NoteEarlySettles(entry);
+    Fold(state_, entry);
   }
   state_.next = std::max(state_.next, std::min(end, read_end_));
   if (state_.founded != founded && directive_.founded < state_.founded) {
     set_directive(Directive{});
   }
   ReadConfig();
-  return applied;
+}
+
+// Remembers what a settle record beyond the directive replaces: its author may
+// not have waited for the old owner. A void record leaves an entry whose unit
+// has no higher fence than before.
+void Replica::NoteEarlySettles(const LogEntry& entry) {
+  const auto* settle = std::get_if<SettleRecord>(&entry.record.body);
+  if (settle == nullptr || entry.offset < directive_.effective) {
+    return;
+  }
+  for (const UnitAssignment& it : settle->assignments) {
+    const auto old = state_.assignments.find(it.unit);
+    early_settles_.try_emplace(
+        it.unit, EarlySettle{entry.offset, old == state_.assignments.end()
+                                               ? Assignment{}
+                                               : old->second});
+  }
 }
 
 void Replica::FoldAll() {
@@ -76,9 +86,10 @@
 }
 
 // Puts a directive in force. Returns false when this host has not read the log
-// far enough yet.
+// far enough yet, or has folded records that the decider has not: their owners
+// would show without the moves that lead to them.
 bool Replica::Apply(const Directive& directive) {
-  if (directive.effective > log_end()) {
+  if (directive.effective > log_end() || directive.effective < state_.next) {
     return false;
   }
   FoldUpTo(directive.effective);
@@ -96,6 +107,7 @@
     return;
   }
   state_ = *reply.state;
+  early_settles_.clear();
   std::erase_if(unfolded_, [this](const LogEntry& entry) {
     return entry.offset < state_.next;
   });
@@ -109,6 +121,9 @@
 
 void Replica::set_directive(Directive directive) {
   directive_ = std::move(directive);
+  std::erase_if(early_settles_, [this](const auto& it) {
+    return it.second.offset < directive_.effective;
+  });
   move_index_.clear();
   for (size_t n = 0; n < directive_.moves.size(); ++n) {
     move_index_[directive_.moves[n].unit] = n;
--- a/src/core/control/replica.h
+++ b/src/core/control/replica.h
@@ -41,22 +41,28 @@
   Offset log_end() const;
 
   bool AddEntries(const LogReadEvent& read);
-  // Called with each entry before it is folded.
-  using EntryHook = std::function<void(const LogEntry&)>;
-  std::vector<LogEntry> FoldUpTo(Offset end,
-                                 const EntryHook& before_fold = nullptr);
+  void FoldUpTo(Offset end);
   void FoldAll();
   bool Apply(const Directive& directive);
   void Install(const StateReply& reply);
 
   Assignment AssignmentOf(const Unit& unit) const;
   const UnitMove* MoveOf(const Unit& unit) const;
+  // A settled assignment that the directive does not cover yet.
+  struct EarlySettle {
+    Offset offset = 0;
+    Assignment before;
+  };
+  const std::map<Unit, EarlySettle>& early_settles() const {
+    return early_settles_;
+  }
 
   void set_directive(Directive directive);
 
  private:
   bool StartFrom(const LogReadEvent& read);
   void ReadConfig();
+  void NoteEarlySettles(const LogEntry& entry);
 
   const ControlHooks& hooks_;
   ControlState state_;
@@ -65,6 +71,7 @@
   bool started_ = false;
   Directive directive_;
   std::map<Unit, size_t> move_index_;
+  std::map<Unit, EarlySettle> early_settles_;
   std::shared_ptr<const config::Config> config_;
   std::uint64_t config_version_ = 0;
   std::uint64_t config_read_ = 0;
--- a/src/core/control/target_book.h
+++ b/src/core/control/target_book.h
@@ -58,8 +58,9 @@
     std::vector<UnitFence> units;
     std::uint64_t sequence = 1;
     std::uint64_t acked_sequence = 0;
-    // Sequence from which a unit that left the target is revoked.
-    std::uint64_t revoked_sequence = 0;
+    // Sequence from which a unit that left the target is revoked. An earlier
+    // decider may have granted units that this one's first grant leaves out.
+    std::uint64_t revoked_sequence = 1;
     // Last reading of the target's clock and when it arrived.
     std::optional<Duration> clock;
     TimePoint clock_read_at;
