Prove log outages; verify checkpoints before starting from them

Cause: a checkpoint of a replaced decider that lands as the last record was used by new hosts; nothing wrote a checkpoint on a quiet log; a new host that found an emptied log founded its own membership beside a living fleet; a sole voter that was paused took up office without knowing whether it was replaced.

--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -1,7 +1,6 @@
 #include "core/control/control_state.h"
 
 #include <algorithm>
-#include <set>
 
 namespace toucandock::core::control {
 namespace {
@@ -197,19 +196,26 @@
   return result;
 }
 
-// Returns the position of the latest checkpoint that a host without state may
-// start from. A checkpoint of a replaced decider is never built upon, so one
-// that is followed by decider records must be named by one of them.
-std::optional<size_t> SelectCheckpoint(const std::vector<LogEntry>& entries) {
-  std::set<Offset> built_upon;
+// Returns the state after the latest valid checkpoint among consecutive
+// entries. A checkpoint of a replaced decider may land late and be the last
+// record; it is void, which shows when the records between its author's
+// position and itself are folded. They have to be among the entries.
+std::optional<ControlState> StateFromCheckpoint(
+    const std::vector<LogEntry>& entries) {
   for (size_t n = entries.size(); n-- > 0;) {
-    const LogEntry& entry = entries[n];
-    if (std::holds_alternative<CheckpointRecord>(entry.record.body) &&
-        (built_upon.empty() || built_upon.contains(entry.offset))) {
-      return n;
+    const auto* body = std::get_if<CheckpointRecord>(&entries[n].record.body);
+    if (body == nullptr || body->state->next < entries.front().offset) {
+      continue;
+    }
+    ControlState state = *body->state;
+    FoldResult result = FoldResult::kVoid;
+    for (size_t i = 0; i <= n; ++i) {
+      if (entries[i].offset >= state.next) {
+        result = Fold(state, entries[i]);
+      }
     }
-    if (IsDeciderRecord(entry.record.body)) {
-      built_upon.insert(entry.record.builds_on);
+    if (result == FoldResult::kApplied) {
+      return state;
     }
   }
   return std::nullopt;
--- a/src/core/control/control_state.h
+++ b/src/core/control/control_state.h
@@ -62,7 +62,8 @@
 
 FoldResult Fold(ControlState& state, const LogEntry& entry);
 
-std::optional<size_t> SelectCheckpoint(const std::vector<LogEntry>& entries);
+std::optional<ControlState> StateFromCheckpoint(
+    const std::vector<LogEntry>& entries);
 
 std::vector<HostId> Voters(const ControlState& state);
 
--- a/src/core/control/decider.cc
+++ b/src/core/control/decider.cc
@@ -27,6 +27,9 @@
 constexpr size_t kMaxVoters = 7;
 constexpr std::uint32_t kMaxPlannedMoves = 4;
 constexpr Offset kCheckpointEvery = 1'000;
+// A quiet fleet needs checkpoints as well, since retention passes by time. A
+// third of the shortest retention that we expect, half an hour.
+constexpr Duration kCheckpointInterval = std::chrono::minutes(10);
 
 bool Contains(const std::vector<Unit>& units, const Unit& unit) {
   return std::find(units.begin(), units.end(), unit) != units.end();
@@ -78,6 +81,7 @@
     AdoptEarlySettles(now);
   }
   replica_.set_directive(directive_);
+  checkpoint_written_at_ = now;
   earlier_leases_end_ = lease::SurelyEnded(terms_, now, terms_.serving);
   for (const auto& [id, member] : state.members) {
     holders_[id] = Holder{.host = member.host,
@@ -215,6 +219,7 @@
 }
 
 void Decider::OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out) {
+  first_retained_ = std::max(first_retained_, read.first_retained);
   writer_.OnLogRead(read, now, out);
 }
 
@@ -597,14 +602,23 @@
   if (std::optional<RecordBody> body = NextVoterChange(now)) {
     return body;
   }
-  if (replica_.state().next >= checkpoint_at_ + kCheckpointEvery) {
+  if (IsCheckpointDue(now)) {
     checkpoint_at_ = replica_.state().next;
+    checkpoint_written_at_ = now;
     return CheckpointRecord{
         std::make_shared<const ControlState>(replica_.state())};
   }
   return std::nullopt;
 }
 
+// A checkpoint is also due at once when retention has passed the last one that
+// this decider knows of: new hosts cannot start without.
+bool Decider::IsCheckpointDue(TimePoint now) const {
+  return replica_.state().next >= checkpoint_at_ + kCheckpointEvery ||
+         first_retained_ > checkpoint_at_ ||
+         now - checkpoint_written_at_ >= kCheckpointInterval;
+}
+
 std::optional<RecordBody> Decider::NextSettle() const {
   SettleRecord settle;
   for (const UnitMove& move : directive_.moves) {
--- a/src/core/control/decider.h
+++ b/src/core/control/decider.h
@@ -98,6 +98,7 @@
   std::optional<RecordBody> NextSettle() const;
   std::optional<RecordBody> NextVerdict() const;
   std::optional<RecordBody> NextVoterChange(TimePoint now) const;
+  bool IsCheckpointDue(TimePoint now) const;
 
   const HostInfo self_;
   const lease::LeaseTerms terms_;
@@ -127,7 +128,10 @@
   // Sequence of the directive that put the last change of voters in force.
   std::uint64_t voters_sequence_ = 0;
   Offset voters_changed_ = 0;
+  // Position of this term's last checkpoint, and when it was written.
   Offset checkpoint_at_ = 0;
+  TimePoint checkpoint_written_at_;
+  Offset first_retained_ = 0;
 };
 
 }  // namespace toucandock::core::control
--- a/src/core/control/host_controller.cc
+++ b/src/core/control/host_controller.cc
@@ -43,6 +43,8 @@
 
 void HostController::On(const LogReadEvent& event) {
   log_read_at_ = now_;
+  log_read_sent_at_ = std::max(log_read_sent_at_, event.sent_at);
+  log_truncated_ = log_truncated_ || event.first_retained > 0;
   if (!replica_.AddEntries(event)) {
     // Retention passed the state of this host and no checkpoint was read.
     return;
@@ -178,7 +180,8 @@
 
 void HostController::Step() {
   StepDecider();
-  if (const std::optional<Directive> won = member_.Step(now_, out_)) {
+  if (const std::optional<Directive> won = member_.Step(now_, out_);
+      won && MayTakeOffice()) {
     TakeOffice(*won);
   }
   const bool lost = !decider_ && now_ >= member_.lease_until();
@@ -210,6 +213,13 @@
   }
 }
 
+// A fleet's only voter has nobody to tell it that the others founded a new
+// membership while it was paused; the log does.
+bool HostController::MayTakeOffice() const {
+  return Voters(replica_.state()).size() > 1 || !lost_office_at_ ||
+         log_read_sent_at_ > *lost_office_at_;
+}
+
 void HostController::TakeOffice(const Directive& inherited) {
   replica_.FoldAll();
   decider_.emplace(options_.self, options_.terms, hooks_, replica_,
@@ -226,6 +236,7 @@
       absl::StrCat("host ", options_.self.id, " is no longer the decider"),
       cause});
   decider_.reset();
+  lost_office_at_ = now_;
   member_.LoseOffice(now_);
 }
 
@@ -247,7 +258,9 @@
       body = LeaveRecord{options_.self.id};
     }
   } else if (own == state.members.end()) {
-    body = JoinRecord{options_.self};
+    if (MayJoin()) {
+      body = JoinRecord{options_.self};
+    }
   } else if (std::optional<ReformRecord> reform = Reform()) {
     body = *std::move(reform);
   }
@@ -262,6 +275,13 @@
                  now_, out_);
 }
 
+// A join without any known member founds a fleet. When retention has removed
+// the records of earlier ones, a living fleet first gets time to show itself.
+bool HostController::MayJoin() const {
+  return !replica_.state().members.empty() || !log_truncated_ ||
+         (decider_lost_since_ && now_ - *decider_lost_since_ >= kReformAfter);
+}
+
 // Founds a new membership when the majority of the voters is gone for good.
 std::optional<ReformRecord> HostController::Reform() const {
   if (!decider_lost_since_ || now_ - *decider_lost_since_ < kReformAfter ||
--- a/src/core/control/host_controller.h
+++ b/src/core/control/host_controller.h
@@ -79,7 +79,9 @@
   void StepDecider();
   void TakeOffice(const Directive& inherited);
   void Resign(const std::string& cause);
+  bool MayTakeOffice() const;
   void WriteOwnRecord();
+  bool MayJoin() const;
   bool IsLogReadable() const;
   std::optional<ReformRecord> Reform() const;
   bool IsGone(const HostInfo& host) const;
@@ -97,6 +99,10 @@
   TimePoint now_;
   Actions out_;
   std::optional<TimePoint> log_read_at_;
+  // When the latest successful read was sent.
+  TimePoint log_read_sent_at_;
+  bool log_truncated_ = false;
+  std::optional<TimePoint> lost_office_at_;
   std::optional<TimePoint> decider_lost_since_;
   // Processes whose address was answered by another process.
   std::set<HostId> replaced_;
--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -13,7 +13,10 @@
 // host needs and the part holds no checkpoint to start from.
 bool Replica::AddEntries(const LogReadEvent& read) {
   const bool gap = read.first_retained > log_end();
-  if ((!started_ || gap) && !StartFrom(read)) {
+  // A host that found an empty part of the log has no members yet. If another
+  // fleet is alive, its decider's checkpoint may follow.
+  const bool blank = !started_ || gap || state_.members.empty();
+  if (blank && !StartFrom(read) && (!started_ || gap)) {
     return false;
   }
   for (const LogEntry& entry : read.entries) {
@@ -29,13 +32,11 @@
 // Starts from the latest checkpoint of the part, or from its first record when
 // that is the beginning of the log.
 bool Replica::StartFrom(const LogReadEvent& read) {
-  const std::optional<size_t> n = SelectCheckpoint(read.entries);
-  if (n) {
-    const LogEntry& entry = read.entries[*n];
-    const auto& body = std::get<CheckpointRecord>(entry.record.body);
-    state_ = *body.state;
-    state_.last_decider = entry.offset;
-  } else if (read.first_retained == 0 || read.entries.empty()) {
+  std::optional<ControlState> checkpoint = StateFromCheckpoint(read.entries);
+  const bool needed = !started_ || read.first_retained > log_end();
+  if (checkpoint) {
+    state_ = *std::move(checkpoint);
+  } else if (needed && (read.first_retained == 0 || read.entries.empty())) {
     state_ = ControlState{};
     state_.next = read.first_retained;
   } else {
