--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -13,7 +13,10 @@
 // host needs and the part holds no checkpoint to start from.
 bool Replica::AddEntries(const LogReadEvent& read) {
   const bool gap = read.first_retained > log_end();
-  if ((!started_ || gap) && !StartFrom(read)) {
+  // A host that found an empty part of the log has no members yet. If another
+  // fleet is alive, its decider's checkpoint may follow.
+  const bool blank = !started_ || gap || state_.members.empty();
+  if (blank && !StartFrom(read) && (!started_ || gap)) {
     return false;
   }
   for (const LogEntry& entry : read.entries) {
@@ -29,13 +32,11 @@
 // Starts from the latest checkpoint of the part, or from its first record when
 // that is the beginning of the log.
 bool Replica::StartFrom(const LogReadEvent& read) {
-  const std::optional<size_t> n = SelectCheckpoint(read.entries);
-  if (n) {
-    const LogEntry& entry = read.entries[*n];
-    const auto& body = std::get<CheckpointRecord>(entry.record.body);
-    state_ = *body.state;
-    state_.last_decider = entry.offset;
-  } else if (read.first_retained == 0 || read.entries.empty()) {
+  std::optional<ControlState> checkpoint = StateFromCheckpoint(read.entries);
+  const bool needed = !started_ || read.first_retained > log_end();
+  if (checkpoint) {
+    state_ = *std::move(checkpoint);
+  } else if (needed && (read.first_retained == 0 || read.entries.empty())) {
     state_ = ControlState{};
     state_.next = read.first_retained;
   } else {
@@ -48,27 +49,37 @@
   return true;
 }
 
-// Folds entries below `end` and returns those that were applied.
-std::vector<LogEntry> Replica::FoldUpTo(Offset end,
-                                        const EntryHook& before_fold) {
-  std::vector<LogEntry> applied;
+// Folds entries below `end`.
+void Replica::FoldUpTo(Offset end) {
   const Offset founded = state_.founded;
   while (!unfolded_.empty() && unfolded_.front().offset < end) {
-    LogEntry entry = std::move(unfolded_.front());
+    const LogEntry entry = std::move(unfolded_.front());
     unfolded_.pop_front();
-    if (before_fold) {
-      before_fold(entry);
-    }
-    if (Fold(state_, entry) == FoldResult::kApplied) {
-      applied.push_back(std::move(entry));
-    }
+    NoteEarlySettles(entry);
+    Fold(state_, entry);
   }
   state_.next = std::max(state_.next, std::min(end, read_end_));
   if (state_.founded != founded && directive_.founded < state_.founded) {
     set_directive(Directive{});
   }
   ReadConfig();
-  return applied;
+}
+
+// Remembers what a settle record beyond the directive replaces: its author may
+// not have waited for the old owner. A void record leaves an entry whose unit
+// has no higher fence than before.
+void Replica::NoteEarlySettles(const LogEntry& entry) {
+  const auto* settle = std::get_if<SettleRecord>(&entry.record.body);
+  if (settle == nullptr || entry.offset < directive_.effective) {
+    return;
+  }
+  for (const UnitAssignment& it : settle->assignments) {
+    const auto old = state_.assignments.find(it.unit);
+    early_settles_.try_emplace(
+        it.unit, EarlySettle{entry.offset, old == state_.assignments.end()
+                                               ? Assignment{}
+                                               : old->second});
+  }
 }
 
 void Replica::FoldAll() {
@@ -76,9 +87,10 @@
 }
 
 // Puts a directive in force. Returns false when this host has not read the log
-// far enough yet.
+// far enough yet, or has folded records that the decider has not: their owners
+// would show without the moves that lead to them.
 bool Replica::Apply(const Directive& directive) {
-  if (directive.effective > log_end()) {
+  if (directive.effective > log_end() || directive.effective < state_.next) {
     return false;
   }
   FoldUpTo(directive.effective);
@@ -96,6 +108,7 @@
     return;
   }
   state_ = *reply.state;
+  early_settles_.clear();
   std::erase_if(unfolded_, [this](const LogEntry& entry) {
     return entry.offset < state_.next;
   });
@@ -109,6 +122,9 @@
 
 void Replica::set_directive(Directive directive) {
   directive_ = std::move(directive);
+  std::erase_if(early_settles_, [this](const auto& it) {
+    return it.second.offset < directive_.effective;
+  });
   move_index_.clear();
   for (size_t n = 0; n < directive_.moves.size(); ++n) {
     move_index_[directive_.moves[n].unit] = n;
