Add traces of core events, their replay, and checked settings

Cause: a run could not be replayed, and settings accepted any address, name or level. Settings are checked whole, with ranges.

--- a/src/codec/config_yaml.cc
+++ b/src/codec/config_yaml.cc
@@ -100,8 +100,9 @@
       config.services.push_back(ParseService(it, at, faults));
     });
   }
-  if (faults.empty()) {
-    for (const ConfigFault& it : core::config::Validate(config)) {
+  // A member that could not be read holds a value that nobody wrote.
+  for (const ConfigFault& it : core::config::Validate(config)) {
+    if (!faults.HasFaultAt(it.field)) {
       faults.Add(faults.LineOf(it.field), it.field, it.message);
     }
   }
--- /dev/null
+++ b/src/codec/event_json.h
@@ -0,0 +1,58 @@
+#ifndef TOUCANDOCK_CODEC_EVENT_JSON_H_
+#define TOUCANDOCK_CODEC_EVENT_JSON_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "core/control/host_controller.h"
+#include "core/control/messages.h"
+#include "core/time.h"
+
+namespace toucandock::codec {
+
+// One input of the controller with its time.
+struct TracedEvent {
+  core::TimePoint at;
+  core::control::Event event;
+};
+
+// A record id that the controller drew; a replay hands out the same one.
+struct TracedRecordId {
+  std::string id;
+};
+
+struct ExpectedOwner {
+  core::Unit unit;
+  // Empty: nobody may own the unit.
+  core::TargetId target;
+};
+
+// What must hold after the event before this line; absent members are not
+// checked.
+struct Expectation {
+  std::optional<std::uint64_t> config_version;
+  std::optional<bool> has_lease;
+  std::optional<bool> is_decider;
+  std::optional<bool> log_available;
+  std::optional<std::uint64_t> voters;
+  std::optional<std::uint64_t> moves_under_way;
+  std::optional<std::vector<core::TargetId>> lost_targets;
+  std::vector<ExpectedOwner> owners;
+};
+
+using TraceLine = std::variant<core::control::ControllerOptions,
+                               TracedEvent,
+                               TracedRecordId,
+                               Expectation>;
+
+std::string EncodeTraceLine(const TraceLine& line);
+
+absl::StatusOr<TraceLine> ParseTraceLine(const std::string& text);
+
+}  // namespace toucandock::codec
+
+#endif  // TOUCANDOCK_CODEC_EVENT_JSON_H_
--- a/src/codec/message_json.cc
+++ b/src/codec/message_json.cc
@@ -132,17 +132,16 @@
           .kind = ParseEnum<SignalKind>(reader, "kind", kMaxKind)};
 }
 
-// Parses `text` as an object and fills a message from it.
-template <typename Message, typename Fill>
-absl::StatusOr<Message> ParseMessage(const std::string& text, Fill fill) {
+template <typename Message>
+absl::StatusOr<Message> ParseText(const std::string& text,
+                                  Message (*parse)(const Json::Value&,
+                                                   absl::Status&)) {
   absl::StatusOr<Json::Value> value = ParseJson(text);
   if (!value.ok()) {
     return value.status();
   }
   absl::Status status;
-  ObjectReader reader(*value, status);
-  Message message;
-  fill(message, reader, status);
+  Message message = parse(*value, status);
   if (!status.ok()) {
     return status;
   }
@@ -151,7 +150,7 @@
 
 }  // namespace
 
-std::string Encode(const RenewRequest& message) {
+Json::Value ToJson(const RenewRequest& message) {
   Json::Value value;
   value["host"] = ToJson(message.host);
   value["founded"] = Uint(message.founded);
@@ -168,10 +167,10 @@
   for (const Signal& signal : message.signals) {
     value["signals"].append(ToJson(signal));
   }
-  return WriteJson(value);
+  return value;
 }
 
-std::string Encode(const RenewReply& message) {
+Json::Value ToJson(const RenewReply& message) {
   Json::Value value;
   value["host"] = message.host;
   value["accepted"] = message.accepted;
@@ -188,100 +187,140 @@
   }
   value["suspects"] = ToJson(
       std::set<TargetId>(message.suspects.begin(), message.suspects.end()));
-  return WriteJson(value);
+  return value;
 }
 
-std::string Encode(const VoteRequest& message) {
+Json::Value ToJson(const VoteRequest& message) {
   Json::Value value;
   value["host"] = ToJson(message.host);
   value["founded"] = Uint(message.founded);
   value["voters_changed"] = Uint(message.voters_changed);
   value["ballot"] = ToJson(message.ballot);
-  return WriteJson(value);
+  return value;
 }
 
-std::string Encode(const VoteReply& message) {
+Json::Value ToJson(const VoteReply& message) {
   Json::Value value;
   value["granted"] = message.granted;
   value["promised"] = ToJson(message.promised);
   value["directive"] = ToJson(message.directive);
-  return WriteJson(value);
+  return value;
 }
 
-std::string Encode(const StateReply& message) {
+Json::Value ToJson(const StateReply& message) {
   Json::Value value;
   value["state"] = ToJson(*message.state);
   value["directive"] = ToJson(message.directive);
-  return WriteJson(value);
+  return value;
+}
+
+std::string Encode(const RenewRequest& message) {
+  return WriteJson(ToJson(message));
+}
+
+std::string Encode(const RenewReply& message) {
+  return WriteJson(ToJson(message));
+}
+
+std::string Encode(const VoteRequest& message) {
+  return WriteJson(ToJson(message));
+}
+
+std::string Encode(const VoteReply& message) {
+  return WriteJson(ToJson(message));
+}
+
+std::string Encode(const StateReply& message) {
+  return WriteJson(ToJson(message));
+}
+
+RenewRequest ParseRenewRequest(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  RenewRequest it;
+  it.host = ParseHost(reader.Object("host"), status);
+  it.founded = reader.Uint("founded");
+  it.echo = reader.Nanoseconds("echo");
+  it.ballot = ParseBallot(reader.Object("ballot"), status);
+  it.acked_sequence = reader.Uint("acked_sequence");
+  it.config_version = reader.Uint("config_version");
+  it.leaving = reader.Bool("leaving");
+  for (const Json::Value& unit : reader.Array("busy")) {
+    it.busy.push_back(ParseUnit(unit, status));
+  }
+  for (const Json::Value& signal : reader.Array("signals")) {
+    it.signals.push_back(ParseSignal(signal, status));
+  }
+  return it;
+}
+
+RenewReply ParseRenewReply(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  RenewReply it;
+  it.host = reader.String("host");
+  it.accepted = reader.Bool("accepted");
+  it.ballot = ParseBallot(reader.Object("ballot"), status);
+  it.stamp = reader.Nanoseconds("stamp");
+  it.lease = reader.Bool("lease");
+  it.resigned = reader.Bool("resigned");
+  it.sequence = reader.Uint("sequence");
+  if (reader.Has("decider")) {
+    it.decider = ParseHost(reader.Object("decider"), status);
+  }
+  if (reader.Has("directive")) {
+    it.directive = ParseDirective(reader.Object("directive"), status);
+  }
+  const std::set<TargetId> suspects =
+      ParseTargets(reader.Array("suspects"), status);
+  it.suspects.assign(suspects.begin(), suspects.end());
+  return it;
+}
+
+VoteRequest ParseVoteRequest(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  VoteRequest it;
+  it.host = ParseHost(reader.Object("host"), status);
+  it.founded = reader.Uint("founded");
+  it.voters_changed = reader.Uint("voters_changed");
+  it.ballot = ParseBallot(reader.Object("ballot"), status);
+  return it;
+}
+
+VoteReply ParseVoteReply(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  VoteReply it;
+  it.granted = reader.Bool("granted");
+  it.promised = ParseBallot(reader.Object("promised"), status);
+  it.directive = ParseDirective(reader.Object("directive"), status);
+  return it;
+}
+
+StateReply ParseStateReply(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  StateReply it;
+  it.state = std::make_shared<const ControlState>(
+      ParseState(reader.Object("state"), status));
+  it.directive = ParseDirective(reader.Object("directive"), status);
+  return it;
 }
 
 absl::StatusOr<RenewRequest> ParseRenewRequest(const std::string& text) {
-  return ParseMessage<RenewRequest>(
-      text, [](RenewRequest& it, ObjectReader& reader, absl::Status& status) {
-        it.host = ParseHost(reader.Object("host"), status);
-        it.founded = reader.Uint("founded");
-        it.echo = reader.Nanoseconds("echo");
-        it.ballot = ParseBallot(reader.Object("ballot"), status);
-        it.acked_sequence = reader.Uint("acked_sequence");
-        it.config_version = reader.Uint("config_version");
-        it.leaving = reader.Bool("leaving");
-        for (const Json::Value& unit : reader.Array("busy")) {
-          it.busy.push_back(ParseUnit(unit, status));
-        }
-        for (const Json::Value& signal : reader.Array("signals")) {
-          it.signals.push_back(ParseSignal(signal, status));
-        }
-      });
+  return ParseText<RenewRequest>(text, ParseRenewRequest);
 }
 
 absl::StatusOr<RenewReply> ParseRenewReply(const std::string& text) {
-  return ParseMessage<RenewReply>(
-      text, [](RenewReply& it, ObjectReader& reader, absl::Status& status) {
-        it.host = reader.String("host");
-        it.accepted = reader.Bool("accepted");
-        it.ballot = ParseBallot(reader.Object("ballot"), status);
-        it.stamp = reader.Nanoseconds("stamp");
-        it.lease = reader.Bool("lease");
-        it.resigned = reader.Bool("resigned");
-        it.sequence = reader.Uint("sequence");
-        if (reader.Has("decider")) {
-          it.decider = ParseHost(reader.Object("decider"), status);
-        }
-        if (reader.Has("directive")) {
-          it.directive = ParseDirective(reader.Object("directive"), status);
-        }
-        const std::set<TargetId> suspects =
-            ParseTargets(reader.Array("suspects"), status);
-        it.suspects.assign(suspects.begin(), suspects.end());
-      });
+  return ParseText<RenewReply>(text, ParseRenewReply);
 }
 
 absl::StatusOr<VoteRequest> ParseVoteRequest(const std::string& text) {
-  return ParseMessage<VoteRequest>(
-      text, [](VoteRequest& it, ObjectReader& reader, absl::Status& status) {
-        it.host = ParseHost(reader.Object("host"), status);
-        it.founded = reader.Uint("founded");
-        it.voters_changed = reader.Uint("voters_changed");
-        it.ballot = ParseBallot(reader.Object("ballot"), status);
-      });
+  return ParseText<VoteRequest>(text, ParseVoteRequest);
 }
 
 absl::StatusOr<VoteReply> ParseVoteReply(const std::string& text) {
-  return ParseMessage<VoteReply>(
-      text, [](VoteReply& it, ObjectReader& reader, absl::Status& status) {
-        it.granted = reader.Bool("granted");
-        it.promised = ParseBallot(reader.Object("promised"), status);
-        it.directive = ParseDirective(reader.Object("directive"), status);
-      });
+  return ParseText<VoteReply>(text, ParseVoteReply);
 }
 
 absl::StatusOr<StateReply> ParseStateReply(const std::string& text) {
-  return ParseMessage<StateReply>(
-      text, [](StateReply& it, ObjectReader& reader, absl::Status& status) {
-        it.state = std::make_shared<const ControlState>(
-            ParseState(reader.Object("state"), status));
-        it.directive = ParseDirective(reader.Object("directive"), status);
-      });
+  return ParseText<StateReply>(text, ParseStateReply);
 }
 
 }  // namespace toucandock::codec
--- a/src/codec/message_json.h
+++ b/src/codec/message_json.h
@@ -1,8 +1,11 @@
 #ifndef TOUCANDOCK_CODEC_MESSAGE_JSON_H_
 #define TOUCANDOCK_CODEC_MESSAGE_JSON_H_
 
+#include <json/value.h>
+
 #include <string>
 
+#include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "core/control/messages.h"
 
@@ -27,6 +30,19 @@
 absl::StatusOr<core::control::StateReply> ParseStateReply(
     const std::string& text);
 
+// The same as parts of a larger text; the first error is kept in `status`.
+Json::Value ToJson(const core::control::RenewRequest& message);
+Json::Value ToJson(const core::control::RenewReply& message);
+Json::Value ToJson(const core::control::VoteRequest& message);
+Json::Value ToJson(const core::control::VoteReply& message);
+Json::Value ToJson(const core::control::StateReply& message);
+
+core::control::RenewRequest ParseRenewRequest(const Json::Value& value, absl::Status& status);
+core::control::RenewReply ParseRenewReply(const Json::Value& value, absl::Status& status);
+core::control::VoteRequest ParseVoteRequest(const Json::Value& value, absl::Status& status);
+core::control::VoteReply ParseVoteReply(const Json::Value& value, absl::Status& status);
+core::control::StateReply ParseStateReply(const Json::Value& value, absl::Status& status);
+
 }  // namespace toucandock::codec
 
 #endif  // TOUCANDOCK_CODEC_MESSAGE_JSON_H_
--- a/src/codec/record_json.cc
+++ b/src/codec/record_json.cc
@@ -168,13 +168,17 @@
 }  // namespace
 
 std::string EncodeRecord(const Record& record) {
+  return WriteJson(ToJson(record));
+}
+
+Json::Value ToJson(const Record& record) {
   Json::Value value;
   value["id"] = record.id;
   value["author"] = record.author;
   value["ballot"] = ToJson(record.ballot);
   value["builds_on"] = Uint(record.builds_on);
   std::visit(BodyWriter{value}, record.body);
-  return WriteJson(value);
+  return value;
 }
 
 absl::StatusOr<Record> ParseRecord(const std::string& text) {
@@ -186,18 +190,22 @@
     return value.status();
   }
   absl::Status status;
-  ObjectReader reader(*value, status);
-  Record record = {.id = reader.String("id"),
-                   .author = reader.String("author"),
-                   .ballot = ParseBallot(reader.Object("ballot"), status),
-                   .builds_on = reader.Uint("builds_on"),
-                   .body = ParseBody(*value, status)};
+  Record record = ParseRecord(*value, status);
   if (!status.ok()) {
     return status;
   }
   return record;
 }
 
+Record ParseRecord(const Json::Value& value, absl::Status& status) {
+  ObjectReader reader(value, status);
+  return {.id = reader.String("id"),
+          .author = reader.String("author"),
+          .ballot = ParseBallot(reader.Object("ballot"), status),
+          .builds_on = reader.Uint("builds_on"),
+          .body = ParseBody(value, status)};
+}
+
 Json::Value ToJson(const Unit& unit) {
   Json::Value value;
   value["service"] = unit.service;
--- a/src/codec/record_json.h
+++ b/src/codec/record_json.h
@@ -15,11 +15,14 @@
 std::string EncodeRecord(const core::control::Record& record);
 absl::StatusOr<core::control::Record> ParseRecord(const std::string& text);
 
+Json::Value ToJson(const core::control::Record& record);
 Json::Value ToJson(const core::Unit& unit);
 Json::Value ToJson(const core::control::Ballot& ballot);
 Json::Value ToJson(const core::control::HostInfo& host);
 Json::Value ToJson(const core::control::ControlState& state);
 
+core::control::Record ParseRecord(const Json::Value& value,
+                                  absl::Status& status);
 core::Unit ParseUnit(const Json::Value& value, absl::Status& status);
 core::control::Ballot ParseBallot(const Json::Value& value,
                                   absl::Status& status);
--- a/src/codec/yaml_reader.cc
+++ b/src/codec/yaml_reader.cc
@@ -1,7 +1,9 @@
 #include "codec/yaml_reader.h"
 
 #include <algorithm>
+#include <limits>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -20,7 +22,18 @@
                      const std::string& field,
                      const std::string& message) {
   faults_.push_back(
-      {line, absl::StrCat(file_, ":", line, ": ", field, ": ", message)});
+      {line, field,
+       absl::StrCat(file_, ":", line, ": ", field, ": ", message)});
+}
+
+// Whether the field or something that contains it was reported already.
+bool YamlFaults::HasFaultAt(const std::string& field) const {
+  return std::any_of(faults_.begin(), faults_.end(), [&](const Fault& it) {
+    const std::string& at = it.field;
+    return absl::StartsWith(field, at) &&
+           (field.size() == at.size() || field[at.size()] == '.' ||
+            field[at.size()] == '[');
+  });
 }
 
 // Returns the line of the field or, when it is absent, of what contains it.
@@ -100,22 +113,32 @@
   value = text == "true";
 }
 
+void YamlMap::Read(const char* name, int& value) {
+  ReadNumber(name, value);
+}
+
 void YamlMap::Read(const char* name, std::uint32_t& value) {
-  std::string text;
-  if (ReadScalar(name, "a whole number", text) &&
-      !absl::SimpleAtoi(text, &value)) {
-    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
-                absl::StrCat("'", text, "' is not a whole number"));
-  }
+  ReadNumber(name, value);
 }
 
 void YamlMap::Read(const char* name, std::uint64_t& value) {
+  ReadNumber(name, value);
+}
+
+template <typename Number>
+void YamlMap::ReadNumber(const char* name, Number& value) {
   std::string text;
-  if (ReadScalar(name, "a whole number", text) &&
-      !absl::SimpleAtoi(text, &value)) {
+  Number parsed = 0;
+  if (!ReadScalar(name, "a whole number", text)) {
+    return;
+  }
+  if (!absl::SimpleAtoi(text, &parsed) || parsed < Number{0}) {
     faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
-                absl::StrCat("'", text, "' is not a whole number"));
+                absl::StrCat("'", text, "' is not a whole number from 0 to ",
+                             std::numeric_limits<Number>::max()));
+    return;
   }
+  value = parsed;
 }
 
 void YamlMap::Read(const char* name, core::Duration& value) {
@@ -210,7 +233,13 @@
                       const std::string& text,
                       YAML::Node& root) {
   try {
-    root = YAML::Load(text);
+    const std::vector<YAML::Node> documents = YAML::LoadAll(text);
+    if (documents.size() > 1) {
+      return absl::InvalidArgumentError(absl::StrCat(
+          file, ":", LineOfNode(documents[1]),
+          ": a second document starts here; remove the line with ---"));
+    }
+    root = documents.empty() ? YAML::Node() : documents[0];
   } catch (const YAML::Exception& e) {
     return absl::InvalidArgumentError(
         absl::StrCat(file, ":", e.mark.line + 1, ": not YAML: ", e.msg));
--- a/src/codec/yaml_reader.h
+++ b/src/codec/yaml_reader.h
@@ -24,12 +24,14 @@
   // Remembers where a field stands, for faults that are found later.
   void NoteLine(const std::string& field, int line) { lines_[field] = line; }
   int LineOf(const std::string& field) const;
+  bool HasFaultAt(const std::string& field) const;
   bool empty() const { return faults_.empty(); }
   absl::Status ToStatus() const;
 
  private:
   struct Fault {
     int line = 0;
+    std::string field;
     std::string text;
   };
 
@@ -50,6 +52,7 @@
 
   void Read(const char* name, std::string& value);
   void Read(const char* name, bool& value);
+  void Read(const char* name, int& value);
   void Read(const char* name, std::uint32_t& value);
   void Read(const char* name, std::uint64_t& value);
   void Read(const char* name, core::Duration& value);
@@ -65,6 +68,8 @@
   YAML::Node Get(const char* name);
   std::string FieldOf(const char* name) const;
   bool ReadScalar(const char* name, const char* expected, std::string& text);
+  template <typename Number>
+  void ReadNumber(const char* name, Number& value);
 
   YAML::Node node_;
   std::string field_;
--- a/src/core/config/validate.cc
+++ b/src/core/config/validate.cc
@@ -4,9 +4,9 @@
 #include <map>
 #include <set>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "util/text_check.h"
 
 namespace toucandock::core::config {
 namespace {
@@ -16,30 +16,6 @@
 constexpr std::uint32_t kMaxShards = 65'536;
 constexpr std::uint32_t kMaxSlots = 1'024;
 constexpr std::uint32_t kMaxQueue = 65'536;
-constexpr size_t kMaxNameLength = 63;
-
-bool IsName(const std::string& text) {
-  if (text.empty() || text.size() > kMaxNameLength) {
-    return false;
-  }
-  return std::all_of(text.begin(), text.end(), [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
-  });
-}
-
-// "a.b.c.d:port": hosts talk by IP number, so no names are resolved.
-bool IsAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  std::uint32_t port = 0;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 ||
-      port > 65'535) {
-    return false;
-  }
-  const std::string ip = text.substr(0, colon);
-  return !ip.empty() && ip.find_first_not_of("0123456789.") == ip.npos &&
-         std::count(ip.begin(), ip.end(), '.') == 3;
-}
 
 class Validator {
  public:
@@ -84,7 +60,7 @@
   }
 
   void CheckName(const std::string& field, const std::string& name) {
-    if (!IsName(name)) {
+    if (!util::IsName(name)) {
       Add(field, absl::StrCat("'", name,
                               "' is not a name; use 1 to 63 of a-z, 0-9, -"));
     }
@@ -121,7 +97,7 @@
     for (size_t n = 0; n < service.targets.size(); ++n) {
       const TargetConfig& target = service.targets[n];
       const std::string at = absl::StrCat(field, ".targets[", n, "]");
-      if (!IsAddress(target.address)) {
+      if (!util::IsAddress(target.address)) {
         Add(at + ".address",
             absl::StrCat("'", target.address,
                          "' is not an address; write IP:PORT, such as "
@@ -147,12 +123,29 @@
       if (it.path_prefix.empty() || it.path_prefix[0] != '/') {
         Add(at + ".path_prefix", "must start with /");
       }
+      CheckMethods(at, it.methods);
       if (it.deadline <= Duration::zero()) {
         Add(at + ".deadline", "must be longer than 0");
       }
     }
   }
 
+  // Methods compare with case (RFC 9110, section 9.1): "get" matches nothing.
+  void CheckMethods(const std::string& at,
+                    const std::vector<std::string>& methods) {
+    for (size_t n = 0; n < methods.size(); ++n) {
+      const std::string& method = methods[n];
+      if (method.empty() || !std::all_of(method.begin(), method.end(), [](char c) {
+            return c >= 'A' && c <= 'Z';
+          })) {
+        Add(absl::StrCat(at, ".methods[", n, "]"),
+            absl::StrCat("'", method,
+                         "' is not a method; write it in capitals, such as "
+                         "GET"));
+      }
+    }
+  }
+
   // Depth-first search; a service that is reached again while its own
   // dependencies are being visited closes a cycle.
   void CheckCycles() {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -43,6 +43,7 @@
     : settings_(std::move(settings)),
       host_id_(absl::StrCat(settings_.host_name, "-", RandomId().substr(0, 8))),
       history_(kHistorySize),
+      trace_(settings_),
       targets_(client_, duration_cast<milliseconds>(settings_.probe_timeout)),
       log_(client_,
            {.address = settings_.log_address, .stream = settings_.log_stream}) {
@@ -139,7 +140,7 @@
                                   [](const std::string& text) {
                                     return codec::ParseConfig("config", text);
                                   },
-                              .new_record_id = RandomId};
+                              .new_record_id = trace_.NewRecordId(RandomId)};
   LoopHooks loop_hooks = {
       .now = Now,
       .tick =
@@ -153,7 +154,8 @@
           },
       .after_event = [this](
                          const HostController& controller,
-                         core::TimePoint now) { AfterEvent(controller, now); }};
+                         core::TimePoint now) { AfterEvent(controller, now); },
+      .trace = trace_.Start(options)};
   control_ = std::make_unique<ControlLoop>(std::move(options), hooks,
                                            std::move(loop_hooks));
   control_->Start();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/status.h"
 #include "daemon/control_loop.h"
+#include "daemon/control_trace.h"
 #include "daemon/operator_front.h"
 #include "daemon/work_pool.h"
 #include "http/client.h"
@@ -76,6 +77,7 @@
   http::Client client_;
   observe::Metrics metrics_;
   observe::DecisionHistory history_;
+  ControlTrace trace_;
   proxy::PublishedView view_;
   proxy::InFlightTable in_flight_;
   proxy::TargetClient targets_;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,25 +1,40 @@
 #include "settings/settings.h"
 
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "codec/yaml_reader.h"
+#include "util/duration.h"
+#include "util/text_check.h"
 
 namespace toucandock::settings {
 namespace {
 
 using codec::YamlFaults;
 using codec::YamlMap;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using util::PortRule;
+
+constexpr const char* kLogLevels[] = {"trace",   "debug", "info",
+                                      "warning", "error", "off"};
 
 void ReadLease(YamlMap& map, core::lease::LeaseTerms& terms) {
-  std::uint32_t drift = terms.drift_permille;
   map.Read("renew_interval", terms.renew_interval);
   map.Read("serving", terms.serving);
   map.Read("support", terms.support);
   map.Read("grant", terms.grant);
   map.Read("election", terms.election);
   map.Read("election_step", terms.election_step);
-  map.Read("drift_permille", drift);
+  map.Read("drift_permille", terms.drift_permille);
   map.Read("margin", terms.margin);
-  terms.drift_permille = static_cast<int>(drift);
 }
 
 void ReadLimits(YamlMap& map, Limits& limits) {
@@ -32,26 +47,143 @@
   map.Read("peer_connections", limits.peer_connections);
 }
 
-void CheckLease(const core::lease::LeaseTerms& terms, YamlFaults& faults) {
-  const auto require = [&](bool holds, const char* field, const char* message) {
-    if (!holds) {
-      faults.Add(faults.LineOf(absl::StrCat("lease.", field)),
-                 absl::StrCat("lease.", field), message);
+// Checks values against each other and their ranges. A member that could not
+// be read is left out, since its value is not what the text says.
+class Checker {
+ public:
+  Checker(const Settings& settings, YamlFaults& faults)
+      : settings_(settings), faults_(faults) {}
+
+  void Run() {
+    CheckNames();
+    CheckAddresses();
+    CheckDurations();
+    CheckLimits();
+    CheckLease(settings_.lease);
+  }
+
+ private:
+  void Require(bool holds,
+               const std::string& field,
+               const std::string& message) {
+    if (!holds && !faults_.HasFaultAt(field)) {
+      faults_.Add(faults_.LineOf(field), field, message);
     }
-  };
-  require(terms.renew_interval > core::Duration::zero(), "renew_interval",
-          "must be longer than 0");
-  require(terms.serving >= 2 * terms.renew_interval, "serving",
-          "must be at least two renewal intervals");
-  require(terms.support >= 2 * terms.renew_interval, "support",
-          "must be at least two renewal intervals");
-  require(terms.grant >= 2 * terms.renew_interval, "grant",
-          "must be at least two renewal intervals");
-  require(terms.election > terms.support, "election",
-          "must be longer than the support period");
-  require(terms.drift_permille >= 1 && terms.drift_permille <= 200,
-          "drift_permille", "is outside 1 to 200");
-}
+  }
+
+  void CheckNames() {
+    const std::vector<std::pair<const char*, std::string>> names = {
+        {"host_name", settings_.host_name},
+        {"failure_domain", settings_.failure_domain},
+        {"log_stream", settings_.log_stream}};
+    for (const auto& [field, name] : names) {
+      Require(util::IsName(name), field,
+              absl::StrCat("'", name,
+                           "' is not a name; use 1 to 63 of a-z, 0-9, -"));
+    }
+    Require(std::find(std::begin(kLogLevels), std::end(kLogLevels),
+                      settings_.log_level) != std::end(kLogLevels),
+            "log_level",
+            absl::StrCat("'", settings_.log_level, "' is not one of ",
+                         absl::StrJoin(kLogLevels, ", ")));
+  }
+
+  void CheckAddress(const std::string& field,
+                    const std::string& address,
+                    PortRule rule) {
+    Require(util::IsAddress(address, rule), field,
+            absl::StrCat("'", address,
+                         "' is not an address; write IP:PORT, such as "
+                         "10.0.0.7:7001"));
+  }
+
+  void CheckAddresses() {
+    CheckAddress("caller_address", settings_.caller_address,
+                 PortRule::kOrChosen);
+    CheckAddress("peer_address", settings_.peer_address, PortRule::kOrChosen);
+    CheckAddress("operator_address", settings_.operator_address,
+                 PortRule::kOrChosen);
+    CheckAddress("log_address", settings_.log_address, PortRule::kGiven);
+    // Other hosts use these addresses to reach this one.
+    for (const auto& [field, address] :
+         {std::pair("caller_address", settings_.caller_address),
+          std::pair("peer_address", settings_.peer_address)}) {
+      Require(!absl::StartsWith(address, "0.0.0.0:"), field,
+              "other hosts cannot reach 0.0.0.0; write this host's own IP");
+    }
+    if (!settings_.host_list_address.empty()) {
+      CheckAddress("host_list_address", settings_.host_list_address,
+                   PortRule::kGiven);
+    }
+    for (size_t n = 0; n < settings_.seed_peers.size(); ++n) {
+      CheckAddress(absl::StrCat("seed_peers[", n, "]"),
+                   settings_.seed_peers[n], PortRule::kGiven);
+    }
+  }
+
+  void CheckRange(const std::string& field,
+                  core::Duration value,
+                  core::Duration min,
+                  core::Duration max) {
+    Require(value >= min && value <= max, field,
+            absl::StrCat(util::FormatDuration(value), " is outside ",
+                         util::FormatDuration(min), " to ",
+                         util::FormatDuration(max)));
+  }
+
+  void CheckDurations() {
+    CheckRange("host_list_interval", settings_.host_list_interval,
+               milliseconds(100), minutes(1));
+    CheckRange("probe_timeout", settings_.probe_timeout, milliseconds(1),
+               seconds(10));
+    CheckRange("peer_timeout", settings_.peer_timeout, milliseconds(1),
+               seconds(10));
+    CheckRange("stop_limit", settings_.stop_limit, seconds(1), hours(1));
+  }
+
+  void CheckLimit(const std::string& name,
+                  std::uint64_t value,
+                  std::uint64_t min,
+                  std::uint64_t max) {
+    Require(value >= min && value <= max, name,
+            absl::StrCat(value, " is outside ", min, " to ", max));
+  }
+
+  void CheckLimits() {
+    const Limits& it = settings_.limits;
+    constexpr std::uint64_t kMiB = 1 << 20;
+    CheckLimit("limits.body_bytes", it.body_bytes, 1, 64 * kMiB);
+    CheckLimit("limits.header_bytes", it.header_bytes, 1'024, kMiB);
+    CheckLimit("limits.answer_bytes", it.answer_bytes, 1, 64 * kMiB);
+    CheckLimit("limits.key_bytes", it.key_bytes, 1, 8'192);
+    CheckLimit("limits.request_id_bytes", it.request_id_bytes, 1, 1'024);
+    CheckLimit("limits.caller_connections", it.caller_connections, 1, 65'536);
+    CheckLimit("limits.peer_connections", it.peer_connections, 1, 65'536);
+    CheckLimit("trace_limit_bytes", settings_.trace_limit_bytes, 4'096,
+               16'384 * kMiB);
+  }
+
+  void CheckLease(const core::lease::LeaseTerms& terms) {
+    const core::Duration two_renewals = 2 * terms.renew_interval;
+    CheckRange("lease.renew_interval", terms.renew_interval, milliseconds(10),
+               seconds(10));
+    Require(terms.serving >= two_renewals, "lease.serving",
+            "must be at least two renewal intervals");
+    Require(terms.support >= two_renewals, "lease.support",
+            "must be at least two renewal intervals");
+    Require(terms.grant >= two_renewals, "lease.grant",
+            "must be at least two renewal intervals");
+    Require(terms.election > terms.support, "lease.election",
+            "must be longer than lease.support");
+    CheckRange("lease.election_step", terms.election_step, milliseconds(1),
+               seconds(10));
+    CheckRange("lease.margin", terms.margin, milliseconds(1), seconds(1));
+    CheckLimit("lease.drift_permille", terms.drift_permille, 1, 200);
+  }
+
+  const Settings& settings_;
+  YamlFaults& faults_;
+};
 
 }  // namespace
 
@@ -84,12 +216,14 @@
     map.Read("stop_limit", settings.stop_limit);
     map.Read("seed_peers", settings.seed_peers);
     map.Read("address_file", settings.address_file);
+    map.Read("trace_file", settings.trace_file);
+    map.Read("trace_limit_bytes", settings.trace_limit_bytes);
     map.Read("log_level", settings.log_level);
     map.ReadMap("lease", [&](YamlMap& it) { ReadLease(it, settings.lease); });
     map.ReadMap("limits",
                 [&](YamlMap& it) { ReadLimits(it, settings.limits); });
   }
-  CheckLease(settings.lease, faults);
+  Checker(settings, faults).Run();
   if (!faults.empty()) {
     return faults.ToStatus();
   }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -41,6 +41,10 @@
   std::vector<std::string> seed_peers;
   // File that the bound addresses are written to; empty: none.
   std::string address_file;
+  // File that all events of the control thread are written to for "toucandock
+  // replay"; empty: none. For diagnosis only, as the control thread writes it.
+  std::string trace_file;
+  std::uint64_t trace_limit_bytes = 256 << 20;
   std::string log_level = "info";
   core::lease::LeaseTerms lease;
   Limits limits;
--- /dev/null
+++ b/src/util/text_check.h
@@ -0,0 +1,17 @@
+#ifndef TOUCANDOCK_UTIL_TEXT_CHECK_H_
+#define TOUCANDOCK_UTIL_TEXT_CHECK_H_
+
+#include "absl/strings/string_view.h"
+
+namespace toucandock::util {
+
+bool IsName(absl::string_view text);
+
+// kOrChosen: port 0 is allowed, which lets the kernel choose.
+enum class PortRule { kGiven, kOrChosen };
+
+bool IsAddress(absl::string_view text, PortRule rule = PortRule::kGiven);
+
+}  // namespace toucandock::util
+
+#endif  // TOUCANDOCK_UTIL_TEXT_CHECK_H_
