Add rollback, replay, help for each command and JSON output to the tool

Cause: an operator could not go back to an older version, and errors had exit codes from the flag library or plain text only. Change: commands are a table of functions that return an answer, printed as text or JSON. rollback publishes an older text from the log as a new version; publish explains what to do with a text that names no version.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -49,15 +49,18 @@
   printf -v "address_$name" '%s' "$(cat "$run_dir/$name.address")"
 }
 
-# start_host NAME FAILURE_DOMAIN: sets caller_NAME, peer_NAME, operator_NAME.
+# start_host NAME FAILURE_DOMAIN [SETTINGS LINE...]: sets caller_NAME, peer_NAME,
+# operator_NAME.
 start_host() {
   local name=$1 domain=$2
+  shift 2
   cat > "$run_dir/$name.yaml" <<YAML
 host_name: $name
 failure_domain: $domain
 log_address: $address_log
 host_list_address: $address_hosts
 address_file: $run_dir/$name.addresses
+$(printf '%s\n' "$@")
 YAML
   start "$name" "$bin/toucandockd" --settings="$run_dir/$name.yaml"
   wait_for 10 "addresses of $name" grep -q operator "$run_dir/$name.addresses" 2>/dev/null
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -1,336 +1,175 @@
 #include "cli/commands.h"
 
-#include <fstream>
-#include <iostream>
-#include <sstream>
+#include <algorithm>
 #include <utility>
 
-#include "absl/status/statusor.h"
-#include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
-#include "cli/log_view.h"
-#include "codec/config_yaml.h"
+#include "cli/config_commands.h"
+#include "cli/host_commands.h"
+#include "cli/replay_command.h"
 #include "codec/json.h"
-#include "core/config/config.h"
-#include "core/error_kind.h"
-#include "http/client.h"
 
 namespace toucandock::cli {
 namespace {
 
 using core::ErrorKind;
-using core::config::Config;
-using core::control::ConfigVerdict;
-using core::control::ControlState;
 
-constexpr absl::string_view kVersionComment = "# version: ";
-
-int Fail(ErrorKind kind, const std::string& message) {
-  std::cerr << core::ToString(kind) << ": " << message << "\n";
-  return core::AnswerFor(kind).exit_code;
+constexpr const char* kOptionsHelp =
+    "options:\n"
+    "  --log=IP:PORT       the platform's log (default 127.0.0.1:7000)\n"
+    "  --stream=NAME       stream on the log (default toucandock)\n"
+    "  --host=IP:PORT      operator port of an entry host (default "
+    "127.0.0.1:7003)\n"
+    "  --author=NAME       who publishes (default operator)\n"
+    "  --edited_from=N     version that the text was edited from (default: "
+    "its first line)\n"
+    "  --wait=10s          how long to wait for an answer\n"
+    "  --output=text|json  how to print the answer\n";
+
+const Command* FindCommand(const std::string& name) {
+  const std::vector<Command>& commands = AllCommands();
+  const auto it =
+      std::find_if(commands.begin(), commands.end(),
+                   [&](const Command& entry) { return entry.name == name; });
+  return it == commands.end() ? nullptr : &*it;
 }
 
-absl::StatusOr<std::string> ReadFile(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    return absl::NotFoundError(absl::StrCat("cannot read '", file, "'"));
+std::string Usage(const Command& command) {
+  std::string usage = absl::StrCat("toucandock ", command.name);
+  if (*command.arguments != '\0') {
+    absl::StrAppend(&usage, " ", command.arguments);
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
+  return usage;
 }
 
-// The version that "toucandock config" writes into the first line.
-std::optional<std::uint64_t> VersionOf(const std::string& text) {
-  std::uint64_t version = 0;
-  const absl::string_view first = text;
-  const absl::string_view line = first.substr(0, first.find('\n'));
-  if (absl::StartsWith(line, kVersionComment) &&
-      absl::SimpleAtoi(line.substr(kVersionComment.size()), &version)) {
-    return version;
-  }
-  return std::nullopt;
+Answer Dispatch(const std::vector<std::string>& words, const Options& options) {
+  if (words.empty()) {
+    return Failed(ErrorKind::kUsage, "name a command; try 'toucandock help'");
+  }
+  const Command* command = FindCommand(words[0]);
+  if (command == nullptr) {
+    const std::string names = absl::StrJoin(
+        AllCommands(), ", ", [](std::string* out, const Command& it) {
+          out->append(it.name);
+        });
+    return Failed(ErrorKind::kUsage, absl::StrCat("unknown command '", words[0],
+                                                  "'; known: ", names));
+  }
+  const std::vector<std::string> arguments(words.begin() + 1, words.end());
+  const std::vector<absl::string_view> expected =
+      absl::StrSplit(command->arguments, ' ', absl::SkipEmpty());
+  if (arguments.size() != expected.size()) {
+    return Failed(
+        ErrorKind::kUsage,
+        absl::StrCat(arguments.size() > expected.size()
+                         ? absl::StrCat("extra argument '",
+                                        arguments[expected.size()], "'")
+                         : absl::StrCat(expected[arguments.size()],
+                                        " is missing"),
+                     "; usage: ", Usage(*command)));
+  }
+  return command->run(arguments, options);
 }
 
-std::string EscapeQuery(const std::string& text) {
-  std::string result;
-  for (const unsigned char c : text) {
-    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
-      result += static_cast<char>(c);
-    } else {
-      absl::StrAppend(&result, "%", absl::Hex(c, absl::kZeroPad2));
-    }
-  }
-  return result;
+void PrintError(const Answer& answer, bool json, std::ostream& err) {
+  const core::ErrorAnswer& row = core::AnswerFor(answer.error);
+  if (!json) {
+    err << row.name << ": " << answer.text << "\n";
+    return;
+  }
+  Json::Value value = answer.value;
+  value["error"] = std::string(row.name);
+  value["message"] = answer.text;
+  value["exit_code"] = row.exit_code;
+  err << codec::WriteJson(value) << "\n";
 }
 
-// One run of the tool: its words and options.
-class Command {
- public:
-  Command(const std::vector<std::string>& words, const Options& options)
-      : words_(words),
-        options_(options),
-        log_({.address = options.log_address, .stream = options.log_stream}) {}
-
-  int Run() {
-    const std::string& name = words_[0];
-    if (name == "validate") {
-      return Validate();
-    }
-    if (name == "diff") {
-      return Diff();
-    }
-    if (name == "publish") {
-      return Publish();
-    }
-    if (name == "config") {
-      return ShowConfig();
-    }
-    if (name == "status") {
-      return ShowHost("/status");
-    }
-    if (name == "decisions") {
-      return ShowHost("/decisions");
-    }
-    if (name == "explain") {
-      return Explain();
-    }
-    return Fail(ErrorKind::kUsage,
-                absl::StrCat("unknown command '", name, "'; try --help"));
-  }
-
- private:
-  bool HasArguments(size_t n) const { return words_.size() == n + 1; }
-
-  int WrongArguments() const {
-    for (const CommandHelp& it : AllCommands()) {
-      if (it.name == words_[0]) {
-        return Fail(
-            ErrorKind::kUsage,
-            absl::StrCat("usage: toucandock ", it.name, " ", it.arguments));
-      }
-    }
-    return Fail(ErrorKind::kUsage, "see --help");
-  }
-
-  // Reads and checks the file named as the first argument.
-  absl::StatusOr<Config> LoadFile(std::string& text) const {
-    absl::StatusOr<std::string> read = ReadFile(words_[1]);
-    if (!read.ok()) {
-      return read.status();
-    }
-    text = *std::move(read);
-    return codec::ParseConfig(words_[1], text);
-  }
-
-  int Validate() {
-    if (!HasArguments(1)) {
-      return WrongArguments();
-    }
-    std::string text;
-    const auto config = LoadFile(text);
-    if (!config.ok()) {
-      return Fail(ErrorKind::kConfigInvalid,
-                  std::string(config.status().message()));
-    }
-    std::cout << words_[1] << ": valid, " << config->services.size()
-              << " services\n";
-    return 0;
-  }
-
-  int Diff() {
-    if (!HasArguments(1)) {
-      return WrongArguments();
-    }
-    std::string text;
-    const auto config = LoadFile(text);
-    if (!config.ok()) {
-      return Fail(ErrorKind::kConfigInvalid,
-                  std::string(config.status().message()));
-    }
-    const auto state = log_.ReadState();
-    if (!state.ok()) {
-      return Fail(ErrorKind::kLogUnavailable,
-                  std::string(state.status().message()));
-    }
-    PrintDiff(*state, *config);
-    return 0;
-  }
-
-  static void PrintDiff(const ControlState& state, const Config& to) {
-    Config from;
-    if (state.config_version != 0) {
-      auto parsed = codec::ParseConfig("config", state.config_text);
-      if (parsed.ok()) {
-        from = *std::move(parsed);
-      }
-    }
-    const std::vector<std::string> lines = core::config::Diff(from, to);
-    std::cout << "against version " << state.config_version << ":\n"
-              << (lines.empty() ? "no difference" : absl::StrJoin(lines, "\n"))
-              << "\n";
-  }
-
-  int Publish() {
-    if (!HasArguments(1)) {
-      return WrongArguments();
-    }
-    std::string text;
-    const auto config = LoadFile(text);
-    if (!config.ok()) {
-      return Fail(ErrorKind::kConfigInvalid,
-                  std::string(config.status().message()));
-    }
-    const std::optional<std::uint64_t> edited_from =
-        options_.edited_from ? options_.edited_from : VersionOf(text);
-    const auto verdict =
-        log_.Publish({.text = text,
-                      .author = options_.author,
-                      // Without any statement, only a first text is accepted.
-                      .edited_from = edited_from.value_or(0),
-                      .wait = options_.wait});
-    if (!verdict.ok()) {
-      return Fail(ErrorKind::kLogUnavailable,
-                  std::string(verdict.status().message()));
-    }
-    return ReportVerdict(*verdict, *config);
-  }
-
-  int ReportVerdict(const ConfigVerdict& verdict, const Config& config) {
-    if (verdict.accepted) {
-      if (options_.json) {
-        Json::Value value;
-        value["accepted"] = true;
-        value["version"] = static_cast<Json::UInt64>(verdict.version);
-        std::cout << codec::WriteJson(value) << "\n";
-      } else {
-        std::cout << "accepted as version " << verdict.version << "\n";
-      }
-      return 0;
-    }
-    const bool conflict = absl::StartsWith(verdict.reason, "config-conflict");
-    std::cerr << "refused: " << verdict.reason << "\n";
-    if (conflict) {
-      if (const auto state = log_.ReadState(); state.ok()) {
-        PrintDiff(*state, config);
-      }
-      std::cerr << "fetch the text in force with 'toucandock config', apply "
-                   "your change to it and publish again\n";
-    }
-    return core::AnswerFor(conflict ? ErrorKind::kConfigConflict
-                                    : ErrorKind::kConfigInvalid)
-        .exit_code;
-  }
+}  // namespace
 
-  int ShowConfig() {
-    if (!HasArguments(0)) {
-      return WrongArguments();
-    }
-    const auto state = log_.ReadState();
-    if (!state.ok()) {
-      return Fail(ErrorKind::kLogUnavailable,
-                  std::string(state.status().message()));
-    }
-    std::string text = state->config_text;
-    if (VersionOf(text)) {
-      text = text.substr(text.find('\n') + 1);
-    }
-    std::cout << kVersionComment << state->config_version << "\n" << text;
-    return 0;
-  }
+Answer Failed(ErrorKind error, std::string message) {
+  return {.error = error, .text = std::move(message)};
+}
 
-  int Explain() {
-    if (!HasArguments(2)) {
-      return WrongArguments();
-    }
-    return ShowHost(absl::StrCat("/explain?service=", EscapeQuery(words_[1]),
-                                 "&key=", EscapeQuery(words_[2])));
-  }
+const std::vector<Command>& AllCommands() {
+  static const std::vector<Command> kCommands = {
+      {"validate", "FILE", "check a configuration text without publishing it",
+       "Reads FILE and prints every fault with its line, its field and what\n"
+       "would be right. Nothing is changed and no host is asked.\n",
+       Validate},
+      {"diff", "FILE", "show how a text differs from the one in force",
+       "Prints one line for each difference between FILE and the version in\n"
+       "force. Nothing is changed.\n",
+       ShowDiff},
+      {"publish", "FILE", "publish a text and wait for the verdict",
+       "Checks FILE, appends it to the log and waits until the entry hosts\n"
+       "accept or refuse it. Start from the text that 'toucandock config'\n"
+       "prints: its first line says which version it was edited from. When\n"
+       "somebody else published meanwhile, the text is refused and nothing\n"
+       "changes.\n",
+       Publish},
+      {"rollback", "VERSION", "publish an older text as a new version",
+       "Reads the text of VERSION from the log and publishes it again. It\n"
+       "gets a new version number; versions never go back. When the log no\n"
+       "longer holds that text, the versions that it holds are named.\n",
+       Rollback},
+      {"config", "", "print the text in force, with its version",
+       "Prints the configuration in force. Its first line holds the version\n"
+       "and must stay there for 'toucandock publish'.\n",
+       ShowConfig},
+      {"status", "", "show the state of an entry host (--host)",
+       "Shows what the host knows: the decider, its lease, the version in\n"
+       "force, lost targets, and under 'degraded' what is not as it should\n"
+       "be.\n",
+       ShowStatus},
+      {"explain", "SERVICE KEY", "show who owns a key and why (--host)",
+       "Shows the target that owns KEY of SERVICE and the decisions that\n"
+       "led to it, the newest last. Every host answers.\n",
+       Explain},
+      {"decisions", "", "show recent changes of state (--host)",
+       "Shows the host's latest changes of state with their causes, the\n"
+       "newest last.\n",
+       ShowDecisions},
+      {"replay", "FILE", "feed a recorded trace to a controller",
+       "Feeds the events of a trace (setting trace_file) to a controller,\n"
+       "prints its decisions and final state, and compares it with the\n"
+       "outcomes that the trace states. Asks no host and no log.\n",
+       ReplayTrace},
+  };
+  return kCommands;
+}
 
-  int ShowHost(const std::string& path) {
-    const std::vector<std::string> parts = absl::StrSplit(path, '?');
-    http::Client client;
-    const http::ExchangeResult result = client.Exchange(
-        options_.host_address,
-        {.path = parts[0], .query = parts.size() > 1 ? parts[1] : ""},
-        {.timeout = options_.wait});
-    if (result.progress != http::Progress::kComplete) {
-      return Fail(ErrorKind::kInternal,
-                  absl::StrCat("no answer from the entry host at '",
-                               options_.host_address,
-                               "'; name one with --host=IP:PORT"));
-    }
-    if (result.response.status != 200) {
-      std::cerr << result.response.body << "\n";
-      return core::AnswerFor(ErrorKind::kNotFound).exit_code;
-    }
-    Print(result.response.body);
-    return 0;
+// Help for one command, or for all when the name is empty or unknown.
+std::string HelpText(const std::string& name) {
+  if (const Command* command = FindCommand(name)) {
+    return absl::StrCat("usage: ", Usage(*command), " [OPTIONS]\n\n",
+                        command->help, "\n", kOptionsHelp);
   }
-
-  void Print(const std::string& body) const {
-    const auto value = codec::ParseJson(body);
-    if (options_.json || !value.ok()) {
-      std::cout << body << "\n";
-      return;
-    }
-    PrintValue(*value, "");
+  std::string text = "Publishes configurations and shows what hosts do.\n\n";
+  for (const Command& it : AllCommands()) {
+    absl::StrAppend(&text, "  ", Usage(it), "\n      ", it.summary, "\n");
   }
-
-  static void PrintValue(const Json::Value& value, const std::string& indent) {
-    if (value.isArray()) {
-      for (const Json::Value& it : value) {
-        if (it.isObject() && it.isMember("what")) {
-          std::cout << indent << it["at"].asString() << "  "
-                    << it["what"].asString() << "  (" << it["cause"].asString()
-                    << ")\n";
-        } else {
-          std::cout << indent << "- " << it.asString() << "\n";
-        }
-      }
-      return;
-    }
-    for (const std::string& name : value.getMemberNames()) {
-      const Json::Value& member = value[name];
-      if (member.isArray()) {
-        std::cout << indent << name << ":" << (member.empty() ? " none" : "")
-                  << "\n";
-        PrintValue(member, indent + "  ");
-      } else {
-        std::cout << indent << name << ": " << member.asString() << "\n";
-      }
-    }
-  }
-
-  const std::vector<std::string>& words_;
-  const Options& options_;
-  LogView log_;
-};
-
-}  // namespace
-
-const std::vector<CommandHelp>& AllCommands() {
-  static const std::vector<CommandHelp> kCommands = {
-      {"validate", "FILE", "check a configuration text without publishing it"},
-      {"diff", "FILE", "show how a text differs from the one in force"},
-      {"publish", "FILE", "publish a text and wait for the verdict"},
-      {"config", "", "print the text in force, with its version"},
-      {"status", "", "show the state of an entry host (--host)"},
-      {"explain", "SERVICE KEY", "show who owns a key and why (--host)"},
-      {"decisions", "", "show recent changes of state (--host)"},
-  };
-  return kCommands;
+  return absl::StrCat(text,
+                      "  toucandock help COMMAND\n"
+                      "      explain one command\n\n",
+                      kOptionsHelp);
 }
 
 // Returns the exit code: 0, or that of the error kind.
-int RunCommand(const std::vector<std::string>& words, const Options& options) {
-  if (words.empty()) {
-    return Fail(ErrorKind::kUsage, "name a command; try --help");
-  }
-  return Command(words, options).Run();
+int RunCommand(const std::vector<std::string>& words,
+               const Options& options,
+               std::ostream& out,
+               std::ostream& err) {
+  const Answer answer = Dispatch(words, options);
+  if (answer.error != ErrorKind::kNone) {
+    PrintError(answer, options.json, err);
+  } else if (options.json) {
+    out << codec::WriteJson(answer.value) << "\n";
+  } else {
+    out << answer.text;
+  }
+  return core::AnswerFor(answer.error).exit_code;
 }
 
 }  // namespace toucandock::cli
--- /dev/null
+++ b/src/cli/host_commands.cc
@@ -0,0 +1,114 @@
+#include "cli/host_commands.h"
+
+#include <utility>
+
+#include "absl/status/statusor.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "codec/json.h"
+#include "http/client.h"
+
+namespace toucandock::cli {
+namespace {
+
+using core::ErrorKind;
+
+std::string EscapeQuery(const std::string& text) {
+  std::string result;
+  for (const unsigned char c : text) {
+    if (absl::ascii_isalnum(c) || c == '-' || c == '_' || c == '.') {
+      result += static_cast<char>(c);
+    } else {
+      absl::StrAppend(&result, "%", absl::Hex(c, absl::kZeroPad2));
+    }
+  }
+  return result;
+}
+
+// The problem document of a refusal becomes the error of the same kind.
+Answer Refused(const Json::Value& problem, int status) {
+  if (problem.isObject() && problem["kind"].isString()) {
+    const ErrorKind kind = core::ErrorKindFromName(problem["kind"].asString());
+    if (kind != ErrorKind::kNone) {
+      return Failed(kind, problem["detail"].isString()
+                              ? problem["detail"].asString()
+                              : std::string(core::AnswerFor(kind).title));
+    }
+  }
+  return Failed(ErrorKind::kInternal,
+                absl::StrCat("the entry host answered with status ", status));
+}
+
+Answer AskHost(const Options& options,
+               const std::string& path,
+               const std::string& query = "") {
+  http::Client client;
+  const http::ExchangeResult result =
+      client.Exchange(options.host_address, {.path = path, .query = query},
+                      {.timeout = options.wait});
+  if (result.progress != http::Progress::kComplete) {
+    return Failed(ErrorKind::kHostUnavailable,
+                  absl::StrCat("no answer from the entry host at '",
+                               options.host_address,
+                               "'; name another with --host=IP:PORT"));
+  }
+  const auto value = codec::ParseJson(result.response.body);
+  if (!value.ok()) {
+    return Failed(ErrorKind::kInternal,
+                  absl::StrCat("what answers at '", options.host_address,
+                               "' is no operator port of an entry host"));
+  }
+  if (result.response.status != 200) {
+    return Refused(*value, result.response.status);
+  }
+  return {.text = ToText(*value, ""), .value = *value};
+}
+
+}  // namespace
+
+// One line for each member; lists are indented below their name.
+std::string ToText(const Json::Value& value, const std::string& indent) {
+  std::string text;
+  if (value.isArray()) {
+    for (const Json::Value& it : value) {
+      if (it.isObject()) {
+        absl::StrAppend(&text, indent, it["at"].asString(), "  ",
+                        it["what"].asString(), "  (", it["cause"].asString(),
+                        ")\n");
+      } else {
+        absl::StrAppend(&text, indent, "- ", it.asString(), "\n");
+      }
+    }
+    return text;
+  }
+  if (!value.isObject()) {
+    return absl::StrCat(indent, value.asString(), "\n");
+  }
+  for (const std::string& name : value.getMemberNames()) {
+    const Json::Value& member = value[name];
+    if (member.isArray() || member.isObject()) {
+      absl::StrAppend(&text, indent, name, ":", member.empty() ? " none" : "",
+                      "\n", ToText(member, indent + "  "));
+    } else {
+      absl::StrAppend(&text, indent, name, ": ", member.asString(), "\n");
+    }
+  }
+  return text;
+}
+
+Answer ShowStatus(const std::vector<std::string>&, const Options& options) {
+  return AskHost(options, "/status");
+}
+
+Answer ShowDecisions(const std::vector<std::string>&, const Options& options) {
+  return AskHost(options, "/decisions");
+}
+
+Answer Explain(const std::vector<std::string>& arguments,
+               const Options& options) {
+  return AskHost(options, "/explain",
+                 absl::StrCat("service=", EscapeQuery(arguments[0]),
+                              "&key=", EscapeQuery(arguments[1])));
+}
+
+}  // namespace toucandock::cli
--- a/src/cli/log_view.cc
+++ b/src/cli/log_view.cc
@@ -1,6 +1,7 @@
 #include "cli/log_view.h"
 
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -12,6 +13,9 @@
 
 using namespace core::control;  // NOLINT(google-build-using-namespace)
 
+// A log that refuses connections would otherwise be asked without a pause.
+constexpr std::chrono::milliseconds kReadRetry{100};
+
 std::string NewRecordId() {
   std::random_device device;
   std::uniform_int_distribution<std::uint64_t> distribution;
@@ -19,6 +23,17 @@
                       absl::Hex(distribution(device), absl::kZeroPad16));
 }
 
+ControlHooks MakeHooks() {
+  return {.parse_config = [](const std::string& text) {
+    return codec::ParseConfig("config", text);
+  }};
+}
+
+absl::Status NoCheckpoint() {
+  return absl::UnavailableError(
+      "the log holds no checkpoint to start reading from");
+}
+
 }  // namespace
 
 LogView::LogView(platform::LogOptions options)
@@ -29,18 +44,50 @@
   if (!read.ok()) {
     return read.status();
   }
-  const ControlHooks hooks = {.parse_config = [](const std::string& text) {
-    return codec::ParseConfig("config", text);
-  }};
+  const ControlHooks hooks = MakeHooks();
   Replica replica(hooks);
   if (!replica.AddEntries(*read)) {
-    return absl::UnavailableError(
-        "the log holds no checkpoint to start reading from");
+    return NoCheckpoint();
   }
   replica.FoldAll();
   return replica.state();
 }
 
+// Folds the log once from its latest checkpoint, for what is in force, and
+// once from its first one, for older versions.
+absl::StatusOr<ConfigHistory> LogView::ReadVersions() {
+  absl::StatusOr<LogReadEvent> read = log_.ReadAll();
+  if (!read.ok()) {
+    return read.status();
+  }
+  const ControlHooks hooks = MakeHooks();
+  Replica latest(hooks);
+  if (!latest.AddEntries(*read)) {
+    return NoCheckpoint();
+  }
+  latest.FoldAll();
+  ConfigHistory history = {.current = latest.state().config_version};
+  ControlState state;
+  bool started = read->first_retained == 0;
+  for (const LogEntry& it : read->entries) {
+    const auto* checkpoint = std::get_if<CheckpointRecord>(&it.record.body);
+    if (!started && checkpoint != nullptr) {
+      state = *checkpoint->state;
+      state.last_decider = it.offset;
+      started = true;
+    } else if (started) {
+      Fold(state, it);
+    }
+    if (state.config_version != 0) {
+      history.texts[state.config_version] = state.config_text;
+    }
+  }
+  if (history.current != 0) {
+    history.texts[history.current] = latest.state().config_text;
+  }
+  return history;
+}
+
 // Appends the proposal and reads the log until the verdict is on it. The
 // append is repeated under the same id when its answer was lost, which the
 // hosts recognise. The Unavailable error means that there is no verdict yet.
@@ -55,6 +102,7 @@
   while (std::chrono::steady_clock::now() < end) {
     const absl::StatusOr<ControlState> state = ReadState();
     if (!state.ok()) {
+      std::this_thread::sleep_for(kReadRetry);
       continue;
     }
     const auto it = state->verdicts.find(record.id);
--- a/src/cli/log_view.h
+++ b/src/cli/log_view.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -19,6 +20,12 @@
   std::chrono::milliseconds wait{10'000};
 };
 
+// Accepted texts that the log still holds, by version.
+struct ConfigHistory {
+  std::uint64_t current = 0;
+  std::map<std::uint64_t, std::string> texts;
+};
+
 // The log as an operator's tool sees it: the folded control state, and a way
 // to publish a configuration and learn the verdict.
 class LogView {
@@ -26,6 +33,7 @@
   explicit LogView(platform::LogOptions options);
 
   absl::StatusOr<core::control::ControlState> ReadState();
+  absl::StatusOr<ConfigHistory> ReadVersions();
   absl::StatusOr<core::control::ConfigVerdict> Publish(
       const PublishRequest& request);
 
--- /dev/null
+++ b/src/cli/read_file.h
@@ -0,0 +1,14 @@
+#ifndef TOUCANDOCK_CLI_READ_FILE_H_
+#define TOUCANDOCK_CLI_READ_FILE_H_
+
+#include <string>
+
+#include "absl/status/statusor.h"
+
+namespace toucandock::cli {
+
+absl::StatusOr<std::string> ReadFile(const std::string& file);
+
+}  // namespace toucandock::cli
+
+#endif  // TOUCANDOCK_CLI_READ_FILE_H_
--- a/src/core/error_kind.cc
+++ b/src/core/error_kind.cc
@@ -10,7 +10,7 @@
 using enum Outcome;
 
 // Indexed by ErrorKind.
-constexpr std::array<ErrorAnswer, 24> kAnswers = {{
+constexpr std::array<ErrorAnswer, 25> kAnswers = {{
     {kNone, "none", 200, kRan, false, 0, "No error"},
     {kMalformedRequest, "malformed-request", 400, kNotRun, false, 3,
      "The request is malformed"},
@@ -47,6 +47,8 @@
     {kStopping, "stopping", 503, kNotRun, true, 4, "This host is stopping"},
     {kLogUnavailable, "log-unavailable", 503, kUnknown, true, 5,
      "The platform's log cannot be reached"},
+    {kHostUnavailable, "host-unavailable", 503, kNotRun, true, 5,
+     "The entry host does not answer"},
     {kConfigInvalid, "config-invalid", 400, kNotRun, false, 2,
      "The configuration is invalid"},
     {kConfigConflict, "config-conflict", 409, kNotRun, false, 6,
@@ -73,6 +75,16 @@
   return kAnswers[static_cast<size_t>(kind)];
 }
 
+// Returns kNone for a text that names no kind.
+ErrorKind ErrorKindFromName(absl::string_view name) {
+  for (const ErrorAnswer& it : kAnswers) {
+    if (it.name == name) {
+      return it.kind;
+    }
+  }
+  return kNone;
+}
+
 absl::string_view ToString(Outcome outcome) {
   switch (outcome) {
     case kRan:
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -26,6 +26,7 @@
   kCallerGone,
   kStopping,
   kLogUnavailable,
+  kHostUnavailable,
   kConfigInvalid,
   kConfigConflict,
   kNotFound,
@@ -49,6 +50,8 @@
 
 const ErrorAnswer& AnswerFor(ErrorKind kind);
 
+ErrorKind ErrorKindFromName(absl::string_view name);
+
 absl::string_view ToString(Outcome outcome);
 
 absl::string_view ToString(ErrorKind kind);
