Derive decisions and unavailable time on every host; count control bytes both ways

Cause: only the decider could explain a key, and control bytes left out the log, the targets and the answers' direction. Change: OwnershipWatch compares the replica between directives and reports moves, owner changes (decider only) and time without owner or lease. Each kind of control system has its own HTTP client, whose bytes are counted.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -51,9 +51,8 @@
   const Command* command = FindCommand(words[0]);
   if (command == nullptr) {
     const std::string names = absl::StrJoin(
-        AllCommands(), ", ", [](std::string* out, const Command& it) {
-          out->append(it.name);
-        });
+        AllCommands(), ", ",
+        [](std::string* out, const Command& it) { out->append(it.name); });
     return Failed(ErrorKind::kUsage, absl::StrCat("unknown command '", words[0],
                                                   "'; known: ", names));
   }
@@ -63,12 +62,12 @@
   if (arguments.size() != expected.size()) {
     return Failed(
         ErrorKind::kUsage,
-        absl::StrCat(arguments.size() > expected.size()
-                         ? absl::StrCat("extra argument '",
-                                        arguments[expected.size()], "'")
-                         : absl::StrCat(expected[arguments.size()],
-                                        " is missing"),
-                     "; usage: ", Usage(*command)));
+        absl::StrCat(
+            arguments.size() > expected.size()
+                ? absl::StrCat("extra argument '", arguments[expected.size()],
+                               "'")
+                : absl::StrCat(expected[arguments.size()], " is missing"),
+            "; usage: ", Usage(*command)));
   }
   return command->run(arguments, options);
 }
--- a/src/cli/config_commands.cc
+++ b/src/cli/config_commands.cc
@@ -30,7 +30,8 @@
 };
 
 LogView OpenLog(const Options& options) {
-  return LogView({.address = options.log_address, .stream = options.log_stream});
+  return LogView(
+      {.address = options.log_address, .stream = options.log_stream});
 }
 
 Answer LogFailed(const Options& options, const absl::Status& status) {
@@ -161,7 +162,8 @@
           "edited from; nothing was published\n"
           "run 'toucandock config > new.yaml', make your change in new.yaml "
           "and publish that file\n"
-          "or, if your text holds all that version ", state.config_version,
+          "or, if your text holds all that version ",
+          state.config_version,
           " holds, publish it with --edited_from=", state.config_version));
   answer.value["version"] = static_cast<Json::UInt64>(state.config_version);
   return answer;
@@ -240,8 +242,9 @@
   const auto found = history->texts.find(version);
   if (found == history->texts.end()) {
     const std::string held = absl::StrJoin(
-        history->texts, ", ",
-        [](std::string* out, const auto& it) { absl::StrAppend(out, it.first); });
+        history->texts, ", ", [](std::string* out, const auto& it) {
+          absl::StrAppend(out, it.first);
+        });
     return Failed(
         ErrorKind::kNotFound,
         history->current < version
@@ -253,8 +256,8 @@
   }
   LoadedText loaded;
   loaded.text = WithVersion(found->second, history->current);
-  auto config = codec::ParseConfig(absl::StrCat("version ", version),
-                                   loaded.text);
+  auto config =
+      codec::ParseConfig(absl::StrCat("version ", version), loaded.text);
   if (!config.ok()) {
     return InvalidConfig(config.status());
   }
--- a/src/cli/host_commands.cc
+++ b/src/cli/host_commands.cc
@@ -47,10 +47,10 @@
       client.Exchange(options.host_address, {.path = path, .query = query},
                       {.timeout = options.wait});
   if (result.progress != http::Progress::kComplete) {
-    return Failed(ErrorKind::kHostUnavailable,
-                  absl::StrCat("no answer from the entry host at '",
-                               options.host_address,
-                               "'; name another with --host=IP:PORT"));
+    return Failed(
+        ErrorKind::kHostUnavailable,
+        absl::StrCat("no answer from the entry host at '", options.host_address,
+                     "'; name another with --host=IP:PORT"));
   }
   const auto value = codec::ParseJson(result.response.body);
   if (!value.ok()) {
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -83,8 +83,8 @@
     std::cout << HelpText(arguments[0]);
     return 0;
   }
-  std::string fault = toucandock::cli::FindFlagFault(
-      arguments, [](absl::string_view name) {
+  std::string fault =
+      toucandock::cli::FindFlagFault(arguments, [](absl::string_view name) {
         return absl::FindCommandLineFlag(name) != nullptr;
       });
   if (!fault.empty()) {
--- a/src/codec/event_json.cc
+++ b/src/codec/event_json.cc
@@ -206,8 +206,8 @@
                         .first_retained = reader.Uint("first_retained"),
                         .end = reader.Uint("end")};
   for (const Json::Value& it : reader.Array("entries")) {
-    event.entries.push_back({ObjectReader(it, status).Uint("offset"),
-                             ParseRecord(it, status)});
+    event.entries.push_back(
+        {ObjectReader(it, status).Uint("offset"), ParseRecord(it, status)});
   }
   return event;
 }
@@ -234,8 +234,7 @@
       {"renew_request",
        [](ObjectReader& it, absl::Status& status) {
          return RenewRequestEvent{
-             it.Uint("token"),
-             ParseRenewRequest(it.Object("request"), status)};
+             it.Uint("token"), ParseRenewRequest(it.Object("request"), status)};
        }},
       {"renew_reply",
        [](ObjectReader& it, absl::Status& status) {
@@ -245,8 +244,8 @@
        }},
       {"vote_request",
        [](ObjectReader& it, absl::Status& status) {
-         return VoteRequestEvent{it.Uint("token"),
-                                 ParseVoteRequest(it.Object("request"), status)};
+         return VoteRequestEvent{
+             it.Uint("token"), ParseVoteRequest(it.Object("request"), status)};
        }},
       {"vote_reply",
        [](ObjectReader& it, absl::Status& status) {
@@ -276,9 +275,8 @@
        }},
       {"traffic_signal",
        [](ObjectReader& it, absl::Status&) {
-         return TrafficSignalEvent{
-             it.String("target"),
-             ParseEnum<SignalKind>(it, "kind", kMaxKind)};
+         return TrafficSignalEvent{it.String("target"),
+                                   ParseEnum<SignalKind>(it, "kind", kMaxKind)};
        }},
       {"host_list", ParseHostListEvent},
       {"stop", [](ObjectReader&, absl::Status&) { return StopEvent{}; }},
@@ -306,8 +304,8 @@
     value["terms"][name] = Nanoseconds(it);
   });
   value["terms"]["drift_permille"] = options.terms.drift_permille;
-  value["seeds"] = ListToJson(
-      options.seeds, [](const HostInfo& it) { return ToJson(it); });
+  value["seeds"] =
+      ListToJson(options.seeds, [](const HostInfo& it) { return ToJson(it); });
   return value;
 }
 
--- a/src/codec/message_json.h
+++ b/src/codec/message_json.h
@@ -37,11 +37,16 @@
 Json::Value ToJson(const core::control::VoteReply& message);
 Json::Value ToJson(const core::control::StateReply& message);
 
-core::control::RenewRequest ParseRenewRequest(const Json::Value& value, absl::Status& status);
-core::control::RenewReply ParseRenewReply(const Json::Value& value, absl::Status& status);
-core::control::VoteRequest ParseVoteRequest(const Json::Value& value, absl::Status& status);
-core::control::VoteReply ParseVoteReply(const Json::Value& value, absl::Status& status);
-core::control::StateReply ParseStateReply(const Json::Value& value, absl::Status& status);
+core::control::RenewRequest ParseRenewRequest(const Json::Value& value,
+                                              absl::Status& status);
+core::control::RenewReply ParseRenewReply(const Json::Value& value,
+                                          absl::Status& status);
+core::control::VoteRequest ParseVoteRequest(const Json::Value& value,
+                                            absl::Status& status);
+core::control::VoteReply ParseVoteReply(const Json::Value& value,
+                                        absl::Status& status);
+core::control::StateReply ParseStateReply(const Json::Value& value,
+                                          absl::Status& status);
 
 }  // namespace toucandock::codec
 
--- a/src/core/config/validate.cc
+++ b/src/core/config/validate.cc
@@ -135,9 +135,9 @@
                     const std::vector<std::string>& methods) {
     for (size_t n = 0; n < methods.size(); ++n) {
       const std::string& method = methods[n];
-      if (method.empty() || !std::all_of(method.begin(), method.end(), [](char c) {
-            return c >= 'A' && c <= 'Z';
-          })) {
+      if (method.empty() ||
+          !std::all_of(method.begin(), method.end(),
+                       [](char c) { return c >= 'A' && c <= 'Z'; })) {
         Add(absl::StrCat(at, ".methods[", n, "]"),
             absl::StrCat("'", method,
                          "' is not a method; write it in capitals, such as "
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -42,10 +42,13 @@
 Daemon::Daemon(settings::Settings settings)
     : settings_(std::move(settings)),
       host_id_(absl::StrCat(settings_.host_name, "-", RandomId().substr(0, 8))),
+      control_clients_(metrics_),
       history_(kHistorySize),
       trace_(settings_),
-      targets_(client_, duration_cast<milliseconds>(settings_.probe_timeout)),
-      log_(client_,
+      ownership_(MakeOwnershipHooks()),
+      targets_(control_clients_.targets,
+               duration_cast<milliseconds>(settings_.probe_timeout)),
+      log_(control_clients_.log,
            {.address = settings_.log_address, .stream = settings_.log_stream}) {
 }
 
@@ -206,16 +209,39 @@
 void Daemon::AfterEvent(const HostController& controller, core::TimePoint now) {
   view_.SetLease(controller.lease_until(), now);
   metrics_.SetHasLease(now < controller.lease_until());
+  ownership_.Advance(now, now < controller.lease_until());
+}
+
+void Daemon::RecordDecision(const std::string& what, const std::string& cause) {
+  history_.Add({std::chrono::system_clock::now(), what, cause});
+  observe::LogStateChange(what, cause);
+}
+
+observe::OwnershipHooks Daemon::MakeOwnershipHooks() {
+  return {.decided =
+              [this](const std::string& what, const std::string& cause) {
+                RecordDecision(what, cause);
+              },
+          .owner_changed =
+              [this](const std::string& service) {
+                metrics_.CountOwnerChange(service);
+              },
+          .without_owner =
+              [this](const std::string& service, core::Duration time) {
+                metrics_.AddWithoutOwner(service, time);
+              },
+          .without_lease =
+              [this](core::Duration time) { metrics_.AddWithoutLease(time); }};
 }
 
 void Daemon::Perform(const Action& action, const HostController& controller) {
   if (const auto* decision = std::get_if<DecisionAction>(&action)) {
-    history_.Add(
-        {std::chrono::system_clock::now(), decision->what, decision->cause});
-    observe::LogStateChange(decision->what, decision->cause);
+    RecordDecision(decision->what, decision->cause);
   } else if (std::holds_alternative<PublishViewAction>(action)) {
     view_.Publish(core::routing::BuildSnapshot(controller.replica()));
     metrics_.SetConfigVersion(controller.replica().config_version());
+    ownership_.Observe(controller.replica(),
+                       controller.Status(Now()).is_decider);
     client_.WakeAll();
   } else if (const auto* append = std::get_if<AppendAction>(&action)) {
     Send(*append);
@@ -307,17 +333,15 @@
   const milliseconds timeout =
       duration_cast<milliseconds>(settings_.peer_timeout);
   const peer::Transport transport = [&](const std::string& body) {
-    const http::ExchangeResult result =
-        client_.Exchange(address,
-                         {.method = "POST",
-                          .path = "/rpc",
-                          .headers = {{"Content-Type", "application/json"}},
-                          .body = body},
-                         {.connect_timeout = timeout,
-                          .timeout = timeout,
-                          .max_body = kPeerBodyBytes});
-    metrics_.CountControlBytes("peer",
-                               body.size() + result.response.body.size());
+    const http::ExchangeResult result = control_clients_.peers.Exchange(
+        address,
+        {.method = "POST",
+         .path = "/rpc",
+         .headers = {{"Content-Type", "application/json"}},
+         .body = body},
+        {.connect_timeout = timeout,
+         .timeout = timeout,
+         .max_body = kPeerBodyBytes});
     return result.progress == http::Progress::kComplete ? result.response.body
                                                         : std::string();
   };
@@ -368,7 +392,9 @@
                                   core::Outcome::kNotRun,
                                   "peers send JSON-RPC 2.0 to POST /rpc", "");
   }
-  return http::JsonResponse(200, rpc_->Handle(request.body));
+  std::string answer = rpc_->Handle(request.body);
+  metrics_.CountControlBytes("peer", answer.size(), request.body.size());
+  return http::JsonResponse(200, std::move(answer));
 }
 
 OperatorHooks Daemon::MakeOperatorHooks() {
@@ -452,7 +478,8 @@
 
 void Daemon::ReadHostList() {
   while (!ended_) {
-    auto list = platform::FetchHostList(client_, settings_.host_list_address);
+    auto list = platform::FetchHostList(control_clients_.host_list,
+                                        settings_.host_list_address);
     if (list.ok()) {
       control_->Post(*std::move(list));
     }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "absl/status/status.h"
+#include "daemon/control_clients.h"
 #include "daemon/control_loop.h"
 #include "daemon/control_trace.h"
 #include "daemon/operator_front.h"
@@ -17,6 +18,7 @@
 #include "http/server.h"
 #include "observe/decision_history.h"
 #include "observe/metrics.h"
+#include "observe/ownership_watch.h"
 #include "peer/json_rpc.h"
 #include "platform/log_client.h"
 #include "proxy/caller_front.h"
@@ -58,6 +60,7 @@
   void Send(const core::control::SendNudgeAction& action);
   void Send(const core::control::SendGrantAction& action);
   void Send(const core::control::SendProbeAction& action);
+  void RecordDecision(const std::string& what, const std::string& cause);
   void AfterEvent(const core::control::HostController& controller,
                   core::TimePoint now);
 
@@ -67,6 +70,7 @@
   std::vector<peer::Method> PeerMethods();
   http::Response ServePeer(const http::Request& request);
   OperatorHooks MakeOperatorHooks();
+  observe::OwnershipHooks MakeOwnershipHooks();
   proxy::FrontHooks MakeFrontHooks();
   void ReadLog();
   void ReadHostList();
@@ -76,8 +80,10 @@
   const std::string host_id_;
   http::Client client_;
   observe::Metrics metrics_;
+  ControlClients control_clients_;
   observe::DecisionHistory history_;
   ControlTrace trace_;
+  observe::OwnershipWatch ownership_;
   proxy::PublishedView view_;
   proxy::InFlightTable in_flight_;
   proxy::TargetClient targets_;
--- a/src/daemon/operator_front.cc
+++ b/src/daemon/operator_front.cc
@@ -130,7 +130,13 @@
   value["key"] = key;
   value["unit"] = unit;
   value["owner"] = owner;
-  value["decisions"] = ToJson(history_.Matching("unit " + unit + " "));
+  std::vector<DecisionEntry> decisions =
+      history_.Matching("unit " + unit + " ");
+  if (decisions.empty()) {
+    decisions.push_back({started_at_, "unit " + unit + " is served by " + owner,
+                         "decided before this host's history begins"});
+  }
+  value["decisions"] = ToJson(decisions);
   return http::JsonResponse(200, codec::WriteJson(value));
 }
 
--- a/src/daemon/operator_front.h
+++ b/src/daemon/operator_front.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANDOCK_DAEMON_OPERATOR_FRONT_H_
 #define TOUCANDOCK_DAEMON_OPERATOR_FRONT_H_
 
+#include <chrono>
 #include <functional>
 #include <string>
 
@@ -43,6 +44,8 @@
   const observe::DecisionHistory& history_;
   const observe::Metrics& metrics_;
   const OperatorHooks hooks_;
+  const std::chrono::system_clock::time_point started_at_ =
+      std::chrono::system_clock::now();
 };
 
 }  // namespace toucandock::daemon
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -98,7 +98,8 @@
 
   ExchangeResult Run(const std::string& address,
                      const Request& request,
-                     const ExchangeOptions& options) {
+                     const ExchangeOptions& options,
+                     const ByteCounter& count_bytes) {
     Transfer transfer;
     transfer.options = &options;
     curl_slist* headers = SetUp(address, request, options, transfer);
@@ -118,6 +119,9 @@
           whole ? Progress::kComplete : Progress::kHeadersReceived;
       result.failure = whole ? Failure::kNone : Failure::kBroken;
     }
+    if (count_bytes) {
+      CountBytes(count_bytes);
+    }
     // Also closes the connection when the exchange is unfinished.
     curl_multi_remove_handle(multi_, easy_);
     curl_slist_free_all(headers);
@@ -204,6 +208,19 @@
     return message == nullptr ? CURLE_FAILED_INIT : message->data.result;
   }
 
+  void CountBytes(const ByteCounter& count_bytes) {
+    long sent_head = 0;
+    long received_head = 0;
+    curl_off_t sent_body = 0;
+    curl_off_t received_body = 0;
+    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sent_head);
+    curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent_body);
+    curl_easy_getinfo(easy_, CURLINFO_HEADER_SIZE, &received_head);
+    curl_easy_getinfo(easy_, CURLINFO_SIZE_DOWNLOAD_T, &received_body);
+    count_bytes(static_cast<std::uint64_t>(sent_head + sent_body),
+                static_cast<std::uint64_t>(received_head + received_body));
+  }
+
   Progress ProgressOf(const Request& request, const Transfer& transfer) {
     if (transfer.status_seen) {
       return Progress::kHeadersReceived;
@@ -226,7 +243,7 @@
   CURLM* multi_;
 };
 
-Client::Client() {
+Client::Client(ByteCounter count_bytes) : count_bytes_(std::move(count_bytes)) {
   static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   (void)kInitialized;
 }
@@ -237,7 +254,8 @@
                                 const Request& request,
                                 const ExchangeOptions& options) {
   std::unique_ptr<Connection> connection = Acquire(address);
-  ExchangeResult result = connection->Run(address, request, options);
+  ExchangeResult result =
+      connection->Run(address, request, options, count_bytes_);
   Release(address, std::move(connection));
   return result;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -55,11 +56,16 @@
   std::function<void()> on_sent;
 };
 
+// Called after each exchange, on its thread, with the bytes of heads and bodies
+// that were sent and received.
+using ByteCounter =
+    std::function<void(std::uint64_t sent, std::uint64_t received)>;
+
 // HTTP/1.1 client that keeps connections. All methods may be called from any
 // thread; Exchange() blocks its own.
 class Client {
  public:
-  Client();
+  explicit Client(ByteCounter count_bytes = nullptr);
   ~Client();
 
   Client(const Client&) = delete;
@@ -77,6 +83,7 @@
   std::unique_ptr<Connection> Acquire(const std::string& address);
   void Release(const std::string& address, std::unique_ptr<Connection> it);
 
+  const ByteCounter count_bytes_;
   std::mutex mutex_;
   std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
   std::vector<Connection*> active_;
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -56,6 +56,16 @@
                            prometheus::BuildCounter(),
                            "toucandock_owner_changes_total",
                            "Units whose owner changed, seen by the decider")),
+      without_owner_(
+          Build(*registry_,
+                prometheus::BuildCounter(),
+                "toucandock_without_owner_seconds_total",
+                "Time without an owner, summed over the units of a service")),
+      without_lease_(Build(*registry_,
+                           prometheus::BuildCounter(),
+                           "toucandock_without_lease_seconds_total",
+                           "Time in which this host had no serving lease")
+                         .Add({})),
       config_version_(Build(*registry_,
                             prometheus::BuildGauge(),
                             "toucandock_config_version",
@@ -92,16 +102,29 @@
   retries_.Add({{"service", service}}).Increment();
 }
 
-void Metrics::CountControlBytes(const std::string& peer_kind,
-                                std::uint64_t bytes) {
-  control_bytes_.Add({{"with", peer_kind}})
-      .Increment(static_cast<double>(bytes));
+void Metrics::CountControlBytes(const std::string& with,
+                                std::uint64_t sent,
+                                std::uint64_t received) {
+  control_bytes_.Add({{"with", with}, {"direction", "sent"}})
+      .Increment(static_cast<double>(sent));
+  control_bytes_.Add({{"with", with}, {"direction", "received"}})
+      .Increment(static_cast<double>(received));
 }
 
 void Metrics::CountOwnerChange(const std::string& service) {
   owner_changes_.Add({{"service", service}}).Increment();
 }
 
+void Metrics::AddWithoutOwner(const std::string& service,
+                              std::chrono::nanoseconds unit_time) {
+  without_owner_.Add({{"service", service}})
+      .Increment(std::chrono::duration<double>(unit_time).count());
+}
+
+void Metrics::AddWithoutLease(std::chrono::nanoseconds time) {
+  without_lease_.Increment(std::chrono::duration<double>(time).count());
+}
+
 void Metrics::SetConfigVersion(std::uint64_t version) {
   config_version_.Set(static_cast<double>(version));
 }
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -39,8 +39,14 @@
                     core::Outcome outcome,
                     std::chrono::nanoseconds latency);
   void CountRetry(const std::string& service);
-  void CountControlBytes(const std::string& peer_kind, std::uint64_t bytes);
+  // `with` is one of peer, log, target, host-list.
+  void CountControlBytes(const std::string& with,
+                         std::uint64_t sent,
+                         std::uint64_t received);
   void CountOwnerChange(const std::string& service);
+  void AddWithoutOwner(const std::string& service,
+                       std::chrono::nanoseconds unit_time);
+  void AddWithoutLease(std::chrono::nanoseconds time);
   void SetConfigVersion(std::uint64_t version);
   void SetHasLease(bool has_lease);
 
@@ -56,6 +62,8 @@
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& control_bytes_;
   prometheus::Family<prometheus::Counter>& owner_changes_;
+  prometheus::Family<prometheus::Counter>& without_owner_;
+  prometheus::Counter& without_lease_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& has_lease_;
   std::mutex mutex_;
--- /dev/null
+++ b/src/observe/ownership_watch.cc
@@ -0,0 +1,151 @@
+#include "observe/ownership_watch.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucandock::observe {
+namespace {
+
+using core::TargetId;
+using core::Unit;
+using core::control::Directive;
+using core::control::MovePhase;
+using core::control::Replica;
+using core::control::UnitMove;
+
+std::string CauseOf(const UnitMove* move, const Directive& directive) {
+  const std::string by = absl::StrCat(", directive ", directive.sequence,
+                                      " of host ", directive.ballot.host);
+  if (move == nullptr) {
+    return "read from the log";
+  }
+  if (move->from.empty()) {
+    return "had no owner" + by;
+  }
+  return (move->planned ? "planned move" : "its owner was lost") + by;
+}
+
+}  // namespace
+
+OwnershipWatch::OwnershipWatch(OwnershipHooks hooks)
+    : hooks_(std::move(hooks)) {}
+
+// Compares the replica with what it was at the call before. The first call
+// with a configuration reports no decisions, as they were made before.
+void OwnershipWatch::Observe(const Replica& replica, bool is_decider) {
+  const Directive& directive = replica.directive();
+  if (!is_decider && directive.ballot != ballot_ &&
+      !directive.ballot.host.empty()) {
+    hooks_.decided(
+        absl::StrCat("host ", directive.ballot.host, " is the decider, ballot ",
+                     directive.ballot.number),
+        "its directive was received");
+  }
+  ballot_ = directive.ballot;
+  if (!is_decider) {
+    ObserveTargets(directive);
+  }
+  lost_ = directive.lost;
+  draining_ = directive.draining;
+  for (const auto& [unit, assignment] : replica.state().assignments) {
+    ObserveUnit(replica, unit, is_decider);
+  }
+  for (const UnitMove& move : directive.moves) {
+    ObserveUnit(replica, move.unit, is_decider);
+  }
+  CountWithoutOwner(replica);
+}
+
+void OwnershipWatch::ObserveUnit(const Replica& replica,
+                                 const Unit& unit,
+                                 bool is_decider) {
+  const UnitMove* move = replica.MoveOf(unit);
+  const core::control::Assignment assignment = replica.AssignmentOf(unit);
+  const UnitView after = {
+      .owner = assignment.owner,
+      .fence = assignment.fence,
+      .moving = move != nullptr && move->phase != MovePhase::kActive};
+  UnitView& before = units_[unit];
+  if (before == after) {
+    return;
+  }
+  const UnitView last = std::exchange(before, after);
+  if (is_decider) {
+    if (!last.owner.empty() && last.owner != after.owner) {
+      hooks_.owner_changed(unit.service);
+    }
+    return;
+  }
+  // Without a move, the unit was settled before this host looked.
+  if (move == nullptr && last.owner.empty()) {
+    return;
+  }
+  const std::string cause = CauseOf(move, replica.directive());
+  if (after.moving) {
+    const TargetId from = move->from.empty() ? "nobody" : move->from;
+    hooks_.decided(
+        absl::StrCat("unit ", core::ToString(unit), " moves from ", from,
+                     " to ", after.owner, ", fence ", after.fence),
+        cause);
+  } else {
+    hooks_.decided(absl::StrCat("unit ", core::ToString(unit), " is served by ",
+                                after.owner, ", fence ", after.fence),
+                   cause);
+  }
+}
+
+void OwnershipWatch::ObserveTargets(const Directive& directive) {
+  const std::string cause = absl::StrCat("directive ", directive.sequence,
+                                         " of host ", directive.ballot.host);
+  const auto report = [&](const std::set<TargetId>& from,
+                          const std::set<TargetId>& to, const char* change) {
+    for (const TargetId& it : to) {
+      if (!from.contains(it)) {
+        hooks_.decided(absl::StrCat("target ", it, change), cause);
+      }
+    }
+  };
+  report(lost_, directive.lost, " lost");
+  report(directive.lost, lost_, " back");
+  report(draining_, directive.draining, " is draining");
+}
+
+void OwnershipWatch::CountWithoutOwner(const Replica& replica) {
+  without_owner_.clear();
+  if (replica.config() == nullptr) {
+    return;
+  }
+  for (const auto& service : replica.config()->services) {
+    if (!service.keyed) {
+      continue;
+    }
+    for (std::uint64_t n = 0; n < service.shards; ++n) {
+      const auto it = units_.find({service.name, n});
+      if (it == units_.end() || it->second.owner.empty() || it->second.moving) {
+        ++without_owner_[service.name];
+      }
+    }
+    for (auto it = units_.lower_bound({service.name, core::kHotKeyBit});
+         it != units_.end() && it->first.service == service.name; ++it) {
+      without_owner_[service.name] += it->second.moving ? 1 : 0;
+    }
+  }
+}
+
+// Adds the time since the call before to what was the case since then.
+void OwnershipWatch::Advance(core::TimePoint now, bool has_lease) {
+  const core::Duration passed =
+      advanced_to_ ? now - *advanced_to_ : core::Duration::zero();
+  advanced_to_ = now;
+  for (const auto& [service, units] : without_owner_) {
+    if (units != 0) {
+      hooks_.without_owner(service, passed * static_cast<int>(units));
+    }
+  }
+  if (!has_lease) {
+    hooks_.without_lease(passed);
+  }
+}
+
+}  // namespace toucandock::observe
--- /dev/null
+++ b/src/observe/ownership_watch.h
@@ -0,0 +1,64 @@
+#ifndef TOUCANDOCK_OBSERVE_OWNERSHIP_WATCH_H_
+#define TOUCANDOCK_OBSERVE_OWNERSHIP_WATCH_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/control/replica.h"
+#include "core/time.h"
+
+namespace toucandock::observe {
+
+// Where what was observed goes to.
+struct OwnershipHooks {
+  // A decision of another host, which is the decider.
+  std::function<void(const std::string& what, const std::string& cause)>
+      decided;
+  // Called on the decider only, so that the fleet counts each change once.
+  std::function<void(const std::string& service)> owner_changed;
+  // Time in which units of the service had no owner, summed over the units.
+  std::function<void(const std::string& service, core::Duration)> without_owner;
+  std::function<void(core::Duration)> without_lease;
+};
+
+// Derives decisions and unavailable time from this host's copy of the control
+// state, so that hosts that do not decide can explain them as well.
+class OwnershipWatch {
+ public:
+  explicit OwnershipWatch(OwnershipHooks hooks);
+
+  void Observe(const core::control::Replica& replica, bool is_decider);
+  void Advance(core::TimePoint now, bool has_lease);
+
+ private:
+  struct UnitView {
+    core::TargetId owner;
+    core::Fence fence = 0;
+    // Between two owners.
+    bool moving = false;
+
+    bool operator==(const UnitView&) const = default;
+  };
+
+  void ObserveUnit(const core::control::Replica& replica,
+                   const core::Unit& unit,
+                   bool is_decider);
+  void ObserveTargets(const core::control::Directive& directive);
+  void CountWithoutOwner(const core::control::Replica& replica);
+
+  const OwnershipHooks hooks_;
+  std::map<core::Unit, UnitView> units_;
+  std::set<core::TargetId> lost_;
+  std::set<core::TargetId> draining_;
+  core::control::Ballot ballot_;
+  std::map<std::string, size_t> without_owner_;
+  std::optional<core::TimePoint> advanced_to_;
+};
+
+}  // namespace toucandock::observe
+
+#endif  // TOUCANDOCK_OBSERVE_OWNERSHIP_WATCH_H_
--- a/src/replay/replay.cc
+++ b/src/replay/replay.cc
@@ -43,9 +43,9 @@
   for (const UnitMove& move : replica.directive().moves) {
     units.insert(move.unit);
   }
-  return std::count_if(
-      units.begin(), units.end(),
-      [&](const core::Unit& unit) { return !OwnerOf(replica, unit).empty(); });
+  return std::count_if(units.begin(), units.end(), [&](const core::Unit& unit) {
+    return !OwnerOf(replica, unit).empty();
+  });
 }
 
 std::string Shown(bool value) {
@@ -126,9 +126,9 @@
     }
     ++result_.expectations;
     if (*expected != seen) {
-      result_.failures.push_back(
-          absl::StrCat(name_, ":", line, ": ", what, " is ", Shown(seen),
-                       ", expected ", Shown(*expected)));
+      result_.failures.push_back(absl::StrCat(name_, ":", line, ": ", what,
+                                              " is ", Shown(seen),
+                                              ", expected ", Shown(*expected)));
     }
   }
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -116,8 +116,8 @@
                    PortRule::kGiven);
     }
     for (size_t n = 0; n < settings_.seed_peers.size(); ++n) {
-      CheckAddress(absl::StrCat("seed_peers[", n, "]"),
-                   settings_.seed_peers[n], PortRule::kGiven);
+      CheckAddress(absl::StrCat("seed_peers[", n, "]"), settings_.seed_peers[n],
+                   PortRule::kGiven);
     }
   }
 
