--- a/src/cli/config_commands.cc
+++ b/src/cli/config_commands.cc
@@ -118,14 +118,18 @@
     answer.text = absl::StrCat("accepted as version ", verdict.version, "\n");
     return answer;
   }
-  answer.value["reason"] = verdict.reason;
-  if (!absl::StartsWith(verdict.reason, "config-conflict")) {
+  // The reason starts with the name of its kind.
+  absl::string_view reason = verdict.reason;
+  const bool conflict = absl::ConsumePrefix(&reason, "config-conflict: ");
+  absl::ConsumePrefix(&reason, "config-invalid: ");
+  answer.value["reason"] = std::string(reason);
+  if (!conflict) {
     answer.error = ErrorKind::kConfigInvalid;
-    answer.text = absl::StrCat("refused: ", verdict.reason);
+    answer.text = absl::StrCat("refused: ", reason);
     return answer;
   }
   answer.error = ErrorKind::kConfigConflict;
-  answer.text = absl::StrCat("refused: ", verdict.reason, "\n");
+  answer.text = absl::StrCat("refused: ", reason, "\n");
   if (const auto state = log.ReadState(); state.ok()) {
     const std::vector<std::string> lines = DiffLines(*state, config);
     answer.value["version"] = static_cast<Json::UInt64>(state->config_version);
--- a/src/cli/host_commands.cc
+++ b/src/cli/host_commands.cc
@@ -1,5 +1,6 @@
 #include "cli/host_commands.h"
 
+#include <functional>
 #include <utility>
 
 #include "absl/status/statusor.h"
@@ -39,9 +40,11 @@
                 absl::StrCat("the entry host answered with status ", status));
 }
 
+// `is_answer` tells an entry host's answer from that of another server.
 Answer AskHost(const Options& options,
                const std::string& path,
-               const std::string& query = "") {
+               const std::string& query,
+               const std::function<bool(const Json::Value&)>& is_answer) {
   http::Client client;
   const http::ExchangeResult result =
       client.Exchange(options.host_address, {.path = path, .query = query},
@@ -53,14 +56,15 @@
                      "'; name another with --host=IP:PORT"));
   }
   const auto value = codec::ParseJson(result.response.body);
-  if (!value.ok()) {
+  const bool refused = result.response.status != 200;
+  if (value.ok() && refused) {
+    return Refused(*value, result.response.status);
+  }
+  if (!value.ok() || !is_answer(*value)) {
     return Failed(ErrorKind::kInternal,
                   absl::StrCat("what answers at '", options.host_address,
                                "' is no operator port of an entry host"));
   }
-  if (result.response.status != 200) {
-    return Refused(*value, result.response.status);
-  }
   return {.text = ToText(*value, ""), .value = *value};
 }
 
@@ -97,18 +101,24 @@
 }
 
 Answer ShowStatus(const std::vector<std::string>&, const Options& options) {
-  return AskHost(options, "/status");
+  return AskHost(options, "/status", "", [](const Json::Value& it) {
+    return it.isObject() && it.isMember("config_version");
+  });
 }
 
 Answer ShowDecisions(const std::vector<std::string>&, const Options& options) {
-  return AskHost(options, "/decisions");
+  return AskHost(options, "/decisions", "",
+                 [](const Json::Value& it) { return it.isArray(); });
 }
 
 Answer Explain(const std::vector<std::string>& arguments,
                const Options& options) {
   return AskHost(options, "/explain",
                  absl::StrCat("service=", EscapeQuery(arguments[0]),
-                              "&key=", EscapeQuery(arguments[1])));
+                              "&key=", EscapeQuery(arguments[1])),
+                 [](const Json::Value& it) {
+                   return it.isObject() && it.isMember("unit");
+                 });
 }
 
 }  // namespace toucandock::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -9,7 +9,7 @@
 #include "absl/flags/usage.h"
 #include "absl/strings/numbers.h"
 #include "cli/commands.h"
-#include "cli/flag_check.h"
+#include "util/command_flags.h"
 #include "util/duration.h"
 
 // Values are checked below, so that all faults have exit codes from the error
@@ -71,7 +71,7 @@
 
 int main(int argc, char** argv) {
   using toucandock::cli::HelpText;
-  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  std::vector<std::string> arguments(argv + 1, argv + argc);
   const auto is_help = [](const std::string& it) {
     return it == "--help" || it == "-h";
   };
@@ -83,14 +83,21 @@
     std::cout << HelpText(arguments[0]);
     return 0;
   }
+  using toucandock::util::FlagKind;
   std::string fault =
-      toucandock::cli::FindFlagFault(arguments, [](absl::string_view name) {
-        return absl::FindCommandLineFlag(name) != nullptr;
+      toucandock::util::CheckFlags(arguments, [](absl::string_view name) {
+        return absl::FindCommandLineFlag(name) == nullptr ? FlagKind::kUnknown
+                                                          : FlagKind::kValue;
       });
   if (!fault.empty()) {
     return FailUsage(fault);
   }
-  const std::vector<char*> positional = absl::ParseCommandLine(argc, argv);
+  std::vector<char*> checked = {argv[0]};
+  for (std::string& it : arguments) {
+    checked.push_back(it.data());
+  }
+  const std::vector<char*> positional =
+      absl::ParseCommandLine(static_cast<int>(checked.size()), checked.data());
   const std::vector<std::string> words(positional.begin() + 1,
                                        positional.end());
   Options options;
--- a/src/codec/json.cc
+++ b/src/codec/json.cc
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
 namespace toucandock::codec {
@@ -31,6 +32,8 @@
   } catch (const Json::Exception& e) {
     errors = e.what();
   }
+  // The library writes a line for each error and a break after each.
+  absl::RemoveExtraAsciiWhitespace(&errors);
   return absl::InvalidArgumentError(absl::StrCat("not JSON: ", errors));
 }
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -4,13 +4,16 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
+#include "absl/flags/reflection.h"
 #include "absl/flags/usage.h"
 #include "core/error_kind.h"
 #include "daemon/daemon.h"
 #include "settings/settings.h"
+#include "util/command_flags.h"
 
 ABSL_FLAG(std::string, settings, "", "YAML file with this host's settings");
 ABSL_FLAG(bool,
@@ -24,6 +27,15 @@
   return toucandock::core::AnswerFor(kind).exit_code;
 }
 
+toucandock::util::FlagKind KindOf(absl::string_view name) {
+  using toucandock::util::FlagKind;
+  const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+  if (flag == nullptr) {
+    return FlagKind::kUnknown;
+  }
+  return flag->IsOfType<bool>() ? FlagKind::kSwitch : FlagKind::kValue;
+}
+
 // Signals are taken by one thread that waits for them, so that no code runs in
 // a signal handler.
 sigset_t StopSignals() {
@@ -41,7 +53,22 @@
   absl::SetProgramUsageMessage(
       "Routes requests to the targets that own their keys.\n"
       "toucandockd --settings=FILE");
-  absl::ParseCommandLine(argc, argv);
+  std::vector<std::string> arguments(argv + 1, argv + argc);
+  const std::string fault = toucandock::util::CheckFlags(arguments, KindOf);
+  if (!fault.empty()) {
+    std::cerr << "toucandockd: " << fault << "\n";
+    return ExitCode(ErrorKind::kUsage);
+  }
+  std::vector<char*> checked = {argv[0]};
+  for (std::string& it : arguments) {
+    checked.push_back(it.data());
+  }
+  if (absl::ParseCommandLine(static_cast<int>(checked.size()), checked.data())
+          .size() > 1) {
+    std::cerr << "toucandockd: extra argument; usage: toucandockd "
+                 "--settings=FILE [--check-settings]\n";
+    return ExitCode(ErrorKind::kUsage);
+  }
   const std::string file = absl::GetFlag(FLAGS_settings);
   std::ifstream stream(file);
   if (!stream) {
--- a/src/observe/ownership_watch.cc
+++ b/src/observe/ownership_watch.cc
@@ -55,6 +55,7 @@
     ObserveUnit(replica, move.unit, is_decider);
   }
   CountWithoutOwner(replica);
+  started_ = replica.config() != nullptr;
 }
 
 void OwnershipWatch::ObserveUnit(const Replica& replica,
@@ -77,8 +78,7 @@
     }
     return;
   }
-  // Without a move, the unit was settled before this host looked.
-  if (move == nullptr && last.owner.empty()) {
+  if (!started_) {
     return;
   }
   const std::string cause = CauseOf(move, replica.directive());
--- a/src/observe/ownership_watch.h
+++ b/src/observe/ownership_watch.h
@@ -51,6 +51,8 @@
   void CountWithoutOwner(const core::control::Replica& replica);
 
   const OwnershipHooks hooks_;
+  // A configuration was in force at the call before.
+  bool started_ = false;
   std::map<core::Unit, UnitView> units_;
   std::set<core::TargetId> lost_;
   std::set<core::TargetId> draining_;
