--- a/src/codec/json.cc
+++ b/src/codec/json.cc
@@ -3,6 +3,7 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <algorithm>
 #include <memory>
 
 #include "absl/strings/ascii.h"
@@ -33,6 +34,7 @@
     errors = e.what();
   }
   // The library writes a line for each error and a break after each.
+  std::replace(errors.begin(), errors.end(), '\n', ' ');
   absl::RemoveExtraAsciiWhitespace(&errors);
   return absl::InvalidArgumentError(absl::StrCat("not JSON: ", errors));
 }
