--- a/src/codec/yaml_reader.cc
+++ b/src/codec/yaml_reader.cc
@@ -13,7 +13,8 @@
 namespace {
 
 int LineOfNode(const YAML::Node& node) {
-  return node.Mark().line + 1;
+  // An empty text has no position.
+  return std::max(node.Mark().line, 0) + 1;
 }
 
 }  // namespace
@@ -73,6 +74,7 @@
     faults_.Add(LineOfNode(node), field_.empty() ? "text" : field_,
                 "expected a map of names and values");
     node_ = YAML::Node(YAML::NodeType::Map);
+    is_map_ = false;
   }
 }
 
@@ -173,7 +175,8 @@
     return;
   }
   if (!list.IsSequence()) {
-    faults_.Add(LineOfNode(list), FieldOf(name), "expected a list");
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
+                "expected a list");
     return;
   }
   for (size_t n = 0; n < list.size(); ++n) {
@@ -194,7 +197,7 @@
 
 // Adds a fault when the member is absent.
 void YamlMap::Require(const char* name) {
-  if (!Get(name).IsDefined()) {
+  if (is_map_ && !Get(name).IsDefined()) {
     faults_.Add(faults_.LineOf(field_), FieldOf(name), "is missing");
   }
 }
@@ -203,8 +206,13 @@
   known_.insert(name);
   const YAML::Node& node = node_;
   YAML::Node found = node[name];
-  if (found.IsDefined()) {
-    faults_.NoteLine(FieldOf(name), LineOfNode(found));
+  // The position of an empty value is that of whatever follows it, so faults
+  // are reported at the name.
+  for (const auto& it : node_) {
+    if (it.first.IsScalar() && it.first.Scalar() == name) {
+      faults_.NoteLine(FieldOf(name), LineOfNode(it.first));
+      break;
+    }
   }
   return found;
 }
@@ -221,7 +229,7 @@
     return false;
   }
   if (!found.IsScalar()) {
-    faults_.Add(LineOfNode(found), FieldOf(name),
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
                 absl::StrCat("expected ", expected));
     return false;
   }
--- a/src/codec/yaml_reader.h
+++ b/src/codec/yaml_reader.h
@@ -74,6 +74,7 @@
   YAML::Node node_;
   std::string field_;
   YamlFaults& faults_;
+  bool is_map_ = true;
   std::set<std::string> known_;
 };
 
