Test the tool and the derived decisions

Cause: the tool's commands and exit codes had no tests. Conclusion: each error names what is wrong and has the exit code of its kind.

--- /dev/null
+++ b/tests/cli/commands_test.cc
@@ -0,0 +1,333 @@
+#include "cli/commands.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "codec/json.h"
+#include "codec/record_json.h"
+#include "core/control/control_state.h"
+#include "http/server.h"
+#include "support/fake_server.h"
+#include "support/files.h"
+#include "util/command_flags.h"
+
+namespace toucandock::cli {
+namespace {
+
+using namespace core::control;  // NOLINT(google-build-using-namespace)
+
+std::string Text(int slots) {
+  return absl::StrCat(
+      "services:\n  - name: druk\n    slots: ", slots,
+      "\n    targets:\n"
+      "      - {address: \"10.0.0.1:80\", failure_domain: a}\n");
+}
+
+// A log with a decider that accepts what was edited from the current version.
+class FakeLog {
+ public:
+  FakeLog() {
+    Add({}, JoinRecord{{.id = "a"}});
+    Add({state_.ballot.number + 1, "a"}, TermRecord{});
+    auto server = http::Server::Start(
+        {}, [this](const http::Request& request) { return Serve(request); });
+    REQUIRE(server.ok());
+    server_ = *std::move(server);
+  }
+
+  const std::string& address() const { return server_->address(); }
+
+  // Writes a checkpoint and forgets everything before it.
+  void PassRetention() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Add(state_.ballot,
+        CheckpointRecord{std::make_shared<const ControlState>(state_)});
+    first_ = entries_.back().offset;
+  }
+
+ private:
+  void Add(Ballot ballot, RecordBody body, std::string id = "") {
+    const core::Offset offset = state_.next;
+    entries_.push_back(
+        {offset,
+         {id.empty() ? absl::StrCat("r", offset) : id, "a", std::move(ballot),
+          state_.last_decider, std::move(body)}});
+    REQUIRE(Fold(state_, entries_.back()) == FoldResult::kApplied);
+  }
+
+  void Decide(const Record& record) {
+    const auto& publish = std::get<PublishRecord>(record.body);
+    Add({}, publish, record.id);
+    if (publish.edited_from == state_.config_version) {
+      Add(state_.ballot, AcceptRecord{record.id, state_.config_version + 1});
+    } else {
+      Add(state_.ballot, RefuseRecord{record.id, "config-conflict: too late"});
+    }
+  }
+
+  http::Response Serve(const http::Request& request) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (request.method == "POST") {
+      const auto record = codec::ParseRecord(request.body);
+      REQUIRE(record.ok());
+      Decide(*record);
+      return http::JsonResponse(200, "{\"offset\":0}");
+    }
+    std::uint64_t from = 0;
+    REQUIRE(absl::SimpleAtoi(http::QueryParameter(request, "from"), &from));
+    Json::Value value;
+    value["first"] = static_cast<Json::UInt64>(first_);
+    value["next"] = static_cast<Json::UInt64>(state_.next);
+    value["records"] = Json::Value(Json::arrayValue);
+    for (const LogEntry& it : entries_) {
+      if (it.offset >= std::max(from, first_)) {
+        Json::Value entry;
+        entry["offset"] = static_cast<Json::UInt64>(it.offset);
+        entry["data"] = codec::EncodeRecord(it.record);
+        value["records"].append(entry);
+      }
+    }
+    return http::JsonResponse(200, codec::WriteJson(value));
+  }
+
+  std::mutex mutex_;
+  ControlState state_;
+  std::vector<LogEntry> entries_;
+  core::Offset first_ = 0;
+  std::unique_ptr<http::Server> server_;
+};
+
+struct Result {
+  int exit_code = 0;
+  std::string out;
+  std::string err;
+};
+
+Result Run(const std::vector<std::string>& words, const Options& options) {
+  std::ostringstream out;
+  std::ostringstream err;
+  const int exit_code = RunCommand(words, options, out, err);
+  return {exit_code, out.str(), err.str()};
+}
+
+constexpr const char* kNobody = "127.0.0.1:1";
+
+}  // namespace
+
+TEST_CASE("publishing must never undo another operator's change unnoticed") {
+  FakeLog log;
+  Options options = {.log_address = log.address(),
+                     .log_stream = "s",
+                     .author = "ada",
+                     .wait = std::chrono::seconds(5)};
+  const support::TemporaryFile first(Text(1));
+  REQUIRE(Run({"publish", first.path()}, options).out ==
+          "accepted as version 1\n");
+
+  SUBCASE("a text without a version is not published, and says what to do") {
+    const support::TemporaryFile file(Text(2));
+    const Result result = Run({"publish", file.path()}, options);
+    CHECK(result.exit_code == 6);
+    CHECK(absl::StrContains(result.err, "nothing was published"));
+    CHECK(absl::StrContains(result.err, "toucandock config > new.yaml"));
+    CHECK(absl::StrContains(result.err, "--edited_from=1"));
+    options.edited_from = 1;
+    CHECK(Run({"publish", file.path()}, options).exit_code == 0);
+  }
+  SUBCASE("the text that 'config' prints can be edited and published") {
+    const Result shown = Run({"config"}, options);
+    CHECK(shown.out == "# version: 1\n" + Text(1));
+    const support::TemporaryFile edited("# version: 1\n" + Text(2));
+    CHECK(absl::StrContains(Run({"diff", edited.path()}, options).out,
+                            "against version 1:\n"));
+    CHECK(Run({"publish", edited.path()}, options).out ==
+          "accepted as version 2\n");
+
+    SUBCASE("the same text again is refused with the version in force") {
+      const Result late = Run({"publish", edited.path()}, options);
+      CHECK(late.exit_code == 6);
+      CHECK(absl::StartsWith(late.err, "config-conflict: refused: too late\n"));
+      CHECK(absl::StrContains(late.err, "against version 2:"));
+      options.json = true;
+      const auto value =
+          codec::ParseJson(Run({"publish", edited.path()}, options).err);
+      REQUIRE(value.ok());
+      CHECK((*value)["error"] == "config-conflict");
+      CHECK((*value)["exit_code"] == 6);
+      CHECK((*value)["version"] == 2);
+    }
+    SUBCASE("a rollback is a new version with the older text") {
+      CHECK(Run({"rollback", "1"}, options).out == "accepted as version 3\n");
+      CHECK(Run({"config"}, options).out == "# version: 3\n" + Text(1));
+    }
+    SUBCASE("a rollback to a text that retention passed names what is left") {
+      log.PassRetention();
+      const Result result = Run({"rollback", "1"}, options);
+      CHECK(result.exit_code == 3);
+      CHECK(absl::StrContains(result.err,
+                              "retention passed the text of "
+                              "version 1; it holds the versions 2"));
+      CHECK(Run({"config"}, options).out == "# version: 2\n" + Text(2));
+      CHECK(Run({"rollback", "2"}, options).exit_code == 0);
+    }
+    SUBCASE("a rollback to a version that never was") {
+      const Result result = Run({"rollback", "7"}, options);
+      CHECK(result.exit_code == 3);
+      CHECK(absl::StrContains(result.err, "version 7 was never accepted"));
+    }
+  }
+}
+
+TEST_CASE(
+    "wrong use must have the exit code of its kind and say what is right") {
+  const support::TemporaryFile bad_yaml("services: [");
+  const support::TemporaryFile bad_key("services: []\ncolour: red\n");
+  const support::TemporaryFile good(Text(1));
+  support::FakeServer other;
+  other.Answer(200, "{\"first\":0}");
+  support::FakeServer refusing;
+  refusing.Answer(404,
+                  R"({"kind":"unknown-service","detail":"no such service"})");
+  struct Case {
+    std::vector<std::string> words;
+    std::string host;
+    int exit_code;
+    std::string error;
+  };
+  const std::vector<Case> cases = {
+      {{}, kNobody, 64, "usage: name a command"},
+      {{"statsu"}, kNobody, 64, "usage: unknown command 'statsu'; known: "},
+      {{"publish"}, kNobody, 64, "usage: FILE is missing; usage: toucandock"},
+      {{"explain", "s"}, kNobody, 64, "usage: KEY is missing"},
+      {{"status", "x"}, kNobody, 64, "usage: extra argument 'x'"},
+      {{"rollback", "one"}, kNobody, 64, "usage: 'one' is not a version"},
+      {{"rollback", "0"}, kNobody, 64, "usage: '0' is not a version"},
+      {{"rollback", "1"}, kNobody, 5, "log-unavailable: "},
+      {{"validate", "/nonexistent"},
+       kNobody,
+       3,
+       "not-found: cannot read '/nonexistent': No such file"},
+      {{"validate", "/tmp"}, kNobody, 3, "not-found: '/tmp' is a directory"},
+      {{"validate", bad_yaml.path()},
+       kNobody,
+       2,
+       absl::StrCat("config-invalid: ", bad_yaml.path(), ":1: not YAML")},
+      {{"publish", bad_key.path()},
+       kNobody,
+       2,
+       absl::StrCat("config-invalid: ", bad_key.path(),
+                    ":1: services: the list is empty; name at least one\n",
+                    bad_key.path(), ":2: colour: unknown name")},
+      {{"publish", good.path()}, kNobody, 5, "log-unavailable: "},
+      {{"diff", good.path()}, kNobody, 5, "log-unavailable: "},
+      {{"config"}, kNobody, 5, "log-unavailable: "},
+      {{"status"}, kNobody, 5, "host-unavailable: no answer from the entry"},
+      {{"status"}, "nonsense", 5, "host-unavailable: "},
+      {{"status"}, other.address(), 70, "internal: what answers at "},
+      {{"decisions"}, other.address(), 70, "internal: what answers at "},
+      {{"explain", "s", "k"},
+       refusing.address(),
+       3,
+       "unknown-service: no such service"},
+      {{"replay", good.path()},
+       kNobody,
+       3,
+       absl::StrCat("malformed-request: ", good.path(), ":1: not JSON")},
+  };
+  for (const Case& it : cases) {
+    const std::string command =
+        it.words.empty() ? "" : absl::StrCat(it.words[0], " ...");
+    CAPTURE(command);
+    Options options = {.log_address = kNobody,
+                       .log_stream = "s",
+                       .host_address = it.host,
+                       .wait = std::chrono::milliseconds(300)};
+    const Result text = Run(it.words, options);
+    CHECK(text.exit_code == it.exit_code);
+    CHECK(text.out.empty());
+    CHECK_MESSAGE(absl::StartsWith(text.err, it.error), text.err);
+    options.json = true;
+    const Result json = Run(it.words, options);
+    CHECK(json.exit_code == it.exit_code);
+    const auto value = codec::ParseJson(json.err);
+    REQUIRE(value.ok());
+    CHECK((*value)["exit_code"] == it.exit_code);
+    CHECK(absl::StartsWith(it.error, (*value)["error"].asString()));
+  }
+}
+
+TEST_CASE("each command must have help and an answer in JSON") {
+  for (const Command& it : AllCommands()) {
+    CAPTURE(it.name);
+    CHECK(absl::StartsWith(HelpText(it.name),
+                           absl::StrCat("usage: toucandock ", it.name)));
+    CHECK(absl::StrContains(HelpText(""), it.summary));
+  }
+  FakeLog log;
+  support::FakeServer host;
+  Options options = {.log_address = log.address(),
+                     .log_stream = "s",
+                     .host_address = host.address(),
+                     .author = "ada",
+                     .wait = std::chrono::seconds(5),
+                     .json = true};
+  const support::TemporaryFile file(Text(1));
+  const std::string trace = absl::StrCat(
+      TOUCANDOCK_SOURCE_DIR, "/tests/traces/member-with-delayed-replies.jsonl");
+  const std::vector<std::pair<std::vector<std::string>, const char*>> cases = {
+      {{"validate", file.path()}, "services"},
+      {{"publish", file.path()}, "version"},
+      {{"diff", file.path()}, "diff"},
+      {{"rollback", "1"}, "version"},
+      {{"config"}, "text"},
+      {{"status"}, "config_version"},
+      {{"explain", "s", "k"}, "unit"},
+      {{"replay", trace}, "decisions"}};
+  host.Answer(200, R"({"config_version":1,"unit":"s/shard-1"})");
+  for (const auto& [words, member] : cases) {
+    CAPTURE(words[0]);
+    const Result result = Run(words, options);
+    CHECK(result.exit_code == 0);
+    const auto value = codec::ParseJson(result.out);
+    REQUIRE(value.ok());
+    CHECK(value->isMember(member));
+  }
+  host.Answer(200, R"([{"at":"t","what":"w","cause":"c"}])");
+  CHECK(Run({"decisions"}, options).out ==
+        "[{\"at\":\"t\",\"cause\":\"c\",\"what\":\"w\"}]\n");
+  options.json = false;
+  CHECK(Run({"decisions"}, options).out == "t  w  (c)\n");
+}
+
+TEST_CASE("a wrong flag must be named instead of ending in the library") {
+  const auto kind_of = [](absl::string_view name) {
+    return name == "log"              ? util::FlagKind::kValue
+           : name == "check_settings" ? util::FlagKind::kSwitch
+                                      : util::FlagKind::kUnknown;
+  };
+  const std::vector<std::pair<std::vector<std::string>, std::string>> cases = {
+      {{"--log=x", "status"}, ""},
+      {{"status", "-log", "x"}, ""},
+      {{"--check-settings"}, ""},
+      {{"--", "--nonsense"}, ""},
+      {{"--lgo=x"}, "unknown option '--lgo=x'; try --help"},
+      {{"status", "--log"}, "option --log needs a value, --log=VALUE"}};
+  for (const auto& [words, error] : cases) {
+    std::vector<std::string> arguments = words;
+    CHECK(util::CheckFlags(arguments, kind_of) == error);
+  }
+  std::vector<std::string> arguments = {"--check-settings"};
+  util::CheckFlags(arguments, kind_of);
+  CHECK(arguments[0] == "--check_settings");
+}
+
+}  // namespace toucandock::cli
