--- a/src/codec/json.cc
+++ b/src/codec/json.cc
@@ -3,8 +3,10 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <algorithm>
 #include <memory>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
 namespace toucandock::codec {
@@ -31,6 +33,9 @@
   } catch (const Json::Exception& e) {
     errors = e.what();
   }
+  // The library writes a line for each error and a break after each.
+  std::replace(errors.begin(), errors.end(), '\n', ' ');
+  absl::RemoveExtraAsciiWhitespace(&errors);
   return absl::InvalidArgumentError(absl::StrCat("not JSON: ", errors));
 }
 
--- a/src/codec/yaml_reader.cc
+++ b/src/codec/yaml_reader.cc
@@ -1,7 +1,9 @@
 #include "codec/yaml_reader.h"
 
 #include <algorithm>
+#include <limits>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -11,7 +13,8 @@
 namespace {
 
 int LineOfNode(const YAML::Node& node) {
-  return node.Mark().line + 1;
+  // An empty text has no position.
+  return std::max(node.Mark().line, 0) + 1;
 }
 
 }  // namespace
@@ -20,7 +23,18 @@
                      const std::string& field,
                      const std::string& message) {
   faults_.push_back(
-      {line, absl::StrCat(file_, ":", line, ": ", field, ": ", message)});
+      {line, field,
+       absl::StrCat(file_, ":", line, ": ", field, ": ", message)});
+}
+
+// Whether the field or something that contains it was reported already.
+bool YamlFaults::HasFaultAt(const std::string& field) const {
+  return std::any_of(faults_.begin(), faults_.end(), [&](const Fault& it) {
+    const std::string& at = it.field;
+    return absl::StartsWith(field, at) &&
+           (field.size() == at.size() || field[at.size()] == '.' ||
+            field[at.size()] == '[');
+  });
 }
 
 // Returns the line of the field or, when it is absent, of what contains it.
@@ -60,6 +74,7 @@
     faults_.Add(LineOfNode(node), field_.empty() ? "text" : field_,
                 "expected a map of names and values");
     node_ = YAML::Node(YAML::NodeType::Map);
+    is_map_ = false;
   }
 }
 
@@ -100,22 +115,32 @@
   value = text == "true";
 }
 
+void YamlMap::Read(const char* name, int& value) {
+  ReadNumber(name, value);
+}
+
 void YamlMap::Read(const char* name, std::uint32_t& value) {
-  std::string text;
-  if (ReadScalar(name, "a whole number", text) &&
-      !absl::SimpleAtoi(text, &value)) {
-    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
-                absl::StrCat("'", text, "' is not a whole number"));
-  }
+  ReadNumber(name, value);
 }
 
 void YamlMap::Read(const char* name, std::uint64_t& value) {
+  ReadNumber(name, value);
+}
+
+template <typename Number>
+void YamlMap::ReadNumber(const char* name, Number& value) {
   std::string text;
-  if (ReadScalar(name, "a whole number", text) &&
-      !absl::SimpleAtoi(text, &value)) {
+  Number parsed = 0;
+  if (!ReadScalar(name, "a whole number", text)) {
+    return;
+  }
+  if (!absl::SimpleAtoi(text, &parsed) || parsed < Number{0}) {
     faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
-                absl::StrCat("'", text, "' is not a whole number"));
+                absl::StrCat("'", text, "' is not a whole number from 0 to ",
+                             std::numeric_limits<Number>::max()));
+    return;
   }
+  value = parsed;
 }
 
 void YamlMap::Read(const char* name, core::Duration& value) {
@@ -150,7 +175,8 @@
     return;
   }
   if (!list.IsSequence()) {
-    faults_.Add(LineOfNode(list), FieldOf(name), "expected a list");
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
+                "expected a list");
     return;
   }
   for (size_t n = 0; n < list.size(); ++n) {
@@ -171,7 +197,7 @@
 
 // Adds a fault when the member is absent.
 void YamlMap::Require(const char* name) {
-  if (!Get(name).IsDefined()) {
+  if (is_map_ && !Get(name).IsDefined()) {
     faults_.Add(faults_.LineOf(field_), FieldOf(name), "is missing");
   }
 }
@@ -180,8 +206,13 @@
   known_.insert(name);
   const YAML::Node& node = node_;
   YAML::Node found = node[name];
-  if (found.IsDefined()) {
-    faults_.NoteLine(FieldOf(name), LineOfNode(found));
+  // The position of an empty value is that of whatever follows it, so faults
+  // are reported at the name.
+  for (const auto& it : node_) {
+    if (it.first.IsScalar() && it.first.Scalar() == name) {
+      faults_.NoteLine(FieldOf(name), LineOfNode(it.first));
+      break;
+    }
   }
   return found;
 }
@@ -198,7 +229,7 @@
     return false;
   }
   if (!found.IsScalar()) {
-    faults_.Add(LineOfNode(found), FieldOf(name),
+    faults_.Add(faults_.LineOf(FieldOf(name)), FieldOf(name),
                 absl::StrCat("expected ", expected));
     return false;
   }
@@ -210,7 +241,13 @@
                       const std::string& text,
                       YAML::Node& root) {
   try {
-    root = YAML::Load(text);
+    const std::vector<YAML::Node> documents = YAML::LoadAll(text);
+    if (documents.size() > 1) {
+      return absl::InvalidArgumentError(absl::StrCat(
+          file, ":", LineOfNode(documents[1]),
+          ": a second document starts here; remove the line with ---"));
+    }
+    root = documents.empty() ? YAML::Node() : documents[0];
   } catch (const YAML::Exception& e) {
     return absl::InvalidArgumentError(
         absl::StrCat(file, ":", e.mark.line + 1, ": not YAML: ", e.msg));
