Add the registries of attempts and of poison requests

Cause: a resend of a non-idempotent request through another host was not recognised, and a request that crashes targets was sent on without limit.

RequestLife waits for the eviction of a lost registry host within the deadline, and tells a duplicate that ran, a reused id and a poison request. When a caller is gone and no attempt reached a target, the outcome is now not-run instead of unknown.

--- /dev/null
+++ b/src/core/request/attempt_registry.cc
@@ -0,0 +1,108 @@
+#include "core/request/attempt_registry.h"
+
+#include <iterator>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucandock::core::request {
+namespace {
+
+// Names of services contain no slash.
+std::string IndexOf(const AttemptKey& key) {
+  return absl::StrCat(key.service, "/", key.request_id);
+}
+
+}  // namespace
+
+AttemptRegistry::AttemptRegistry(const RegistryLimits& limits)
+    : limits_(limits) {}
+
+// Records the attempt unless another arrival of the same request is recorded.
+// Repeating the call of one arrival confirms the record and renews its age.
+BeginResult AttemptRegistry::Begin(const AttemptKey& key, TimePoint now) {
+  Expire(now);
+  const auto it = index_.find(IndexOf(key));
+  if (it == index_.end()) {
+    if (entries_.size() >= limits_.entries) {
+      return BeginResult::kRefused;
+    }
+    Add({.key = key}, now);
+    return BeginResult::kBegun;
+  }
+  const Entry& entry = *it->second;
+  if (entry.key.fingerprint != key.fingerprint) {
+    return BeginResult::kReused;
+  }
+  if (entry.state == AttemptState::kRan) {
+    return BeginResult::kRan;
+  }
+  if (entry.key.token != key.token) {
+    return BeginResult::kStarted;
+  }
+  Touch(it->second, now);
+  return BeginResult::kBegun;
+}
+
+// Ignores a call for another arrival, which may come late.
+void AttemptRegistry::Finish(const AttemptKey& key,
+                             FinishResult result,
+                             TimePoint now) {
+  Expire(now);
+  const auto it = index_.find(IndexOf(key));
+  if (it == index_.end() || it->second->key != key) {
+    return;
+  }
+  if (result == FinishResult::kRan) {
+    it->second->state = AttemptState::kRan;
+    Touch(it->second, now);
+  } else if (it->second->state == AttemptState::kStarted) {
+    entries_.erase(it->second);
+    index_.erase(it);
+  }
+}
+
+// Takes over a record from a host that kept it before a change of membership.
+// It is kept for a whole retention again: too long is safe, too short is not.
+void AttemptRegistry::Adopt(const AttemptRecord& record, TimePoint now) {
+  Expire(now);
+  const auto it = index_.find(IndexOf(record.key));
+  if (it != index_.end()) {
+    if (it->second->key == record.key && record.state == AttemptState::kRan) {
+      it->second->state = AttemptState::kRan;
+    }
+    return;
+  }
+  if (entries_.size() < limits_.entries) {
+    Add(record, now);
+  }
+}
+
+std::vector<AttemptRecord> AttemptRegistry::Records(TimePoint now) {
+  Expire(now);
+  std::vector<AttemptRecord> records;
+  records.reserve(entries_.size());
+  for (const Entry& it : entries_) {
+    records.push_back({it.key, it.state});
+  }
+  return records;
+}
+
+void AttemptRegistry::Add(const AttemptRecord& record, TimePoint now) {
+  entries_.push_back({record.key, record.state, now});
+  index_[IndexOf(record.key)] = std::prev(entries_.end());
+}
+
+void AttemptRegistry::Touch(Position position, TimePoint now) {
+  position->touched = now;
+  entries_.splice(entries_.end(), entries_, position);
+}
+
+void AttemptRegistry::Expire(TimePoint now) {
+  while (!entries_.empty() &&
+         entries_.front().touched + limits_.retention <= now) {
+    index_.erase(IndexOf(entries_.front().key));
+    entries_.pop_front();
+  }
+}
+
+}  // namespace toucandock::core::request
--- /dev/null
+++ b/src/core/request/fingerprint.cc
@@ -0,0 +1,31 @@
+#include "core/request/fingerprint.h"
+
+#include "absl/strings/str_cat.h"
+#include "util/hash.h"
+
+namespace toucandock::core::request {
+namespace {
+
+// Any two different seeds give independent halves.
+constexpr std::uint64_t kFirstSeed = 1;
+constexpr std::uint64_t kSecondSeed = 2;
+
+std::string Hash128(absl::string_view text) {
+  return absl::StrCat(
+      absl::Hex(util::Hash64(text, kFirstSeed), absl::kZeroPad16),
+      absl::Hex(util::Hash64(text, kSecondSeed), absl::kZeroPad16));
+}
+
+}  // namespace
+
+// Returns 32 hexadecimal digits. The hash is not cryptographic: it recognises
+// a mistaken reuse of an id, not a forged one. Parts are separated by their
+// lengths, so that moving a byte from one to the next changes the result.
+std::string Fingerprint(const RequestContent& content) {
+  return Hash128(absl::StrCat(
+      content.method.size(), ":", content.path.size(), ":",
+      content.query.size(), ":", content.key.size(), ":", content.method,
+      content.path, content.query, content.key, Hash128(content.body)));
+}
+
+}  // namespace toucandock::core::request
--- a/src/core/request/request_life.cc
+++ b/src/core/request/request_life.cc
@@ -56,8 +56,9 @@
 }
 
 // A non-idempotent request is sent only after its attempt was recorded, so
-// that a resend through another host finds it.
-Decision RequestLife::OnRecord(RecordResult result) const {
+// that a resend through another host finds it. When a registry host is lost,
+// the request waits for its eviction.
+Decision RequestLife::OnRecord(RecordResult result, TimePoint now) const {
   switch (result) {
     case RecordResult::kRecorded:
       return {.step = NextStep::kSend};
@@ -65,12 +66,32 @@
       return {.step = NextStep::kRefuse,
               .error = ErrorKind::kDuplicateRequest,
               .outcome = Outcome::kUnknown};
+    case RecordResult::kDuplicateRan:
+      return {.step = NextStep::kRefuse,
+              .error = ErrorKind::kDuplicateRequest,
+              .outcome = Outcome::kRan};
+    case RecordResult::kReusedId:
+      return Refuse(ErrorKind::kMalformedRequest);
     case RecordResult::kFailed:
-      return Refuse(ErrorKind::kAttemptNotRecorded);
+      if (now >= facts_.deadline) {
+        return Refuse(ErrorKind::kAttemptNotRecorded);
+      }
+      return {.step = NextStep::kWait,
+              .until = std::min(now + terms_.record_backoff, facts_.deadline)};
   }
   return Refuse(ErrorKind::kInternal);
 }
 
+// The request crashed as many targets as it may. If it was recognised by its
+// id, one of its earlier arrivals was run in part at least.
+Decision RequestLife::OnPoison(bool same_request) const {
+  Decision decision = Refuse(ErrorKind::kPoisonRequest);
+  if (same_request) {
+    decision.outcome = Outcome::kUnknown;
+  }
+  return decision;
+}
+
 Decision RequestLife::OnAttempt(const AttemptResult& result,
                                 bool retry_allowed,
                                 TimePoint now) {
@@ -84,7 +105,9 @@
   }
   if (result.caller_gone) {
     may_have_run_ = may_have_run_ || result.stage >= AttemptStage::kSending;
-    return Refuse(ErrorKind::kCallerGone);
+    return {.step = NextStep::kRefuse,
+            .error = ErrorKind::kCallerGone,
+            .outcome = may_have_run_ ? Outcome::kUnknown : Outcome::kNotRun};
   }
   const bool surely_not_run =
       result.refused_by_target || result.stage < AttemptStage::kSending;
--- a/src/core/request/request_life.h
+++ b/src/core/request/request_life.h
@@ -21,7 +21,15 @@
 
 enum class RouteResult { kReady, kNoOwner, kNoAuthority, kNotConfigured };
 
-enum class RecordResult { kRecorded, kDuplicate, kFailed };
+enum class RecordResult {
+  kRecorded,
+  // Another arrival of the request was recorded and may have run.
+  kDuplicate,
+  kDuplicateRan,
+  // The request's id belongs to another request.
+  kReusedId,
+  kFailed,
+};
 
 struct AttemptResult {
   AttemptStage stage = AttemptStage::kNotConnected;
@@ -57,6 +65,8 @@
   Duration first_backoff = std::chrono::milliseconds(5);
   Duration longest_backoff = std::chrono::milliseconds(200);
   int max_attempts = 5;
+  // Before an attempt that could not be recorded is recorded again.
+  Duration record_backoff = std::chrono::milliseconds(50);
 };
 
 // The life of one request as a state machine: what is known at each point, and
@@ -71,7 +81,8 @@
 
   Decision Start(TimePoint now) const;
   Decision OnRoute(RouteResult result, TimePoint now);
-  Decision OnRecord(RecordResult result) const;
+  Decision OnRecord(RecordResult result, TimePoint now) const;
+  Decision OnPoison(bool same_request) const;
   Decision OnAttempt(const AttemptResult& result,
                      bool retry_allowed,
                      TimePoint now);
--- /dev/null
+++ b/tests/core/request/poison_registry_test.cc
@@ -0,0 +1,126 @@
+#include "core/request/poison_registry.h"
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucandock::core::request {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr PoisonLimits kLimits;
+
+const PoisonKey kPoison = {"callboard", "call-1", "f"};
+const PoisonKey kOther = {"callboard", "call-2", "g"};
+
+CrashReport Crash(const PoisonKey& key, const std::string& target) {
+  return {.key = key, .target = target, .crash_limit = 2};
+}
+
+}  // namespace
+
+TEST_CASE("a request that crashes targets must be stopped at the limit") {
+  PoisonRegistry registry(kLimits);
+  registry.Report(Crash(kPoison, "callboard/a"), kStart);
+  REQUIRE(registry.VerdictOn(kPoison, kStart) == PoisonVerdict::kNone);
+
+  SUBCASE("it crashes a second target") {
+    registry.Report(Crash(kPoison, "callboard/b"), kStart);
+    CHECK(registry.VerdictOn(kPoison, kStart) == PoisonVerdict::kSameRequest);
+
+    SUBCASE("its content is refused under another id") {
+      CHECK(registry.VerdictOn({"callboard", "call-9", "f"}, kStart) ==
+            PoisonVerdict::kSameContent);
+      CHECK(registry.VerdictOn({"callboard", "", "f"}, kStart) ==
+            PoisonVerdict::kSameContent);
+    }
+
+    SUBCASE("its id is refused with another content") {
+      CHECK(registry.VerdictOn({"callboard", "call-1", "h"}, kStart) ==
+            PoisonVerdict::kSameRequest);
+    }
+
+    SUBCASE("other requests and services are served") {
+      CHECK(registry.VerdictOn(kOther, kStart) == PoisonVerdict::kNone);
+      CHECK(registry.VerdictOn({"arkusz", "call-1", "f"}, kStart) ==
+            PoisonVerdict::kNone);
+    }
+
+    SUBCASE("the refusal ends after the retention") {
+      CHECK(registry.VerdictOn(kPoison, kStart + kLimits.retention -
+                                            std::chrono::seconds(1)) ==
+            PoisonVerdict::kSameRequest);
+      CHECK(registry.VerdictOn(kPoison, kStart + kLimits.retention) ==
+            PoisonVerdict::kNone);
+    }
+
+    SUBCASE("a joined host gets the verdict") {
+      PoisonRegistry joined(kLimits);
+      for (const CrashReport& it :
+           registry.Reports(kStart + std::chrono::minutes(4))) {
+        joined.Report(it, kStart + std::chrono::minutes(4));
+      }
+      CHECK(joined.VerdictOn(kPoison, kStart + std::chrono::minutes(4)) ==
+            PoisonVerdict::kSameRequest);
+      CHECK(joined.VerdictOn(kPoison, kStart + kLimits.retention) ==
+            PoisonVerdict::kNone);
+    }
+  }
+
+  SUBCASE("it crashes the same target again after its restart") {
+    const TimePoint later = kStart + std::chrono::seconds(5);
+    registry.Report(Crash(kPoison, "callboard/a"), later);
+    CHECK(registry.VerdictOn(kPoison, later) == PoisonVerdict::kSameRequest);
+  }
+}
+
+TEST_CASE("a request must not be refused for the crashes of another one") {
+  PoisonRegistry registry(kLimits);
+
+  SUBCASE("several copies were in flight at one crash") {
+    for (int n = 0; n < 5; ++n) {
+      registry.Report(Crash(kOther, "callboard/a"), kStart);
+    }
+    CHECK(registry.VerdictOn(kOther, kStart) == PoisonVerdict::kNone);
+  }
+
+  SUBCASE("it was answered in whole a moment ago") {
+    registry.Prove(kOther, kStart);
+    for (const char* target : {"callboard/a", "callboard/b", "callboard/c"}) {
+      CHECK_FALSE(registry.Report(Crash(kOther, target),
+                                  kStart + std::chrono::seconds(30)));
+    }
+    CHECK(registry.VerdictOn(kOther, kStart) == PoisonVerdict::kNone);
+
+    SUBCASE("but begins to crash targets later") {
+      const TimePoint later = kStart + 2 * kLimits.proof;
+      CHECK(registry.Report(Crash(kOther, "callboard/a"), later));
+      CHECK(registry.Report(Crash(kOther, "callboard/b"), later));
+      CHECK(registry.VerdictOn(kOther, later) == PoisonVerdict::kSameRequest);
+    }
+  }
+
+  SUBCASE("it is answered in whole after the first crash") {
+    registry.Report(Crash(kOther, "callboard/a"), kStart);
+    registry.Prove(kOther, kStart);
+    const TimePoint later = kStart + 2 * kLimits.proof;
+    registry.Report(Crash(kOther, "callboard/b"), later);
+    CHECK(registry.VerdictOn(kOther, later) == PoisonVerdict::kNone);
+  }
+}
+
+TEST_CASE("the registry of suspects must not grow without bound") {
+  PoisonRegistry registry({.requests = 4});
+  for (int n = 0; n < 100; ++n) {
+    registry.Report(
+        Crash({"callboard", "", absl::StrCat("f", n)}, "callboard/a"),
+        kStart + std::chrono::seconds(n));
+  }
+  const auto reports = registry.Reports(kStart + std::chrono::seconds(100));
+  CHECK(reports.size() == 8);
+  CHECK(std::any_of(reports.begin(), reports.end(), [](const auto& it) {
+    return it.key.fingerprint == "f99";
+  }));
+}
+
+}  // namespace toucandock::core::request
--- a/tests/core/request/request_life_test.cc
+++ b/tests/core/request/request_life_test.cc
@@ -19,7 +19,8 @@
     "a non-idempotent request must not be sent again if it may have run") {
   RequestLife life = MakeLife(false);
   REQUIRE(life.OnRoute(RouteResult::kReady, kStart).step == NextStep::kRecord);
-  REQUIRE(life.OnRecord(RecordResult::kRecorded).step == NextStep::kSend);
+  REQUIRE(life.OnRecord(RecordResult::kRecorded, kStart).step ==
+          NextStep::kSend);
 
   struct Row {
     const char* what;
@@ -78,7 +79,7 @@
 TEST_CASE("a request must not be given up while its lost owner is replaced") {
   RequestLife life = MakeLife(false);
   life.OnRoute(RouteResult::kReady, kStart);
-  life.OnRecord(RecordResult::kRecorded);
+  life.OnRecord(RecordResult::kRecorded, kStart);
 
   SUBCASE("the owner refuses connects more often than attempts are allowed") {
     for (int n = 0; n < 2 * RetryTerms{}.max_attempts; ++n) {
