Run non-idempotent requests at most once and stop poison requests

Cause: FrontHooks::record_attempt always answered kRecorded.

Change: daemon/attempt_service registers an attempt on both registry hosts before it is sent, withdraws it when it surely did not run and hands records over when the membership changes; daemon/poison_service finds out by a probe whether a broken connection was a crash and tells the peers. New peer methods: attempt_begin, attempt_finish, attempt_handover, poison_report. The deadline of a non-idempotent request is at most 5 minutes, half the retention.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "codec/config_yaml.h"
 #include "codec/message_json.h"
+#include "codec/target_json.h"
 #include "core/routing/routing_snapshot.h"
 #include "observe/logging.h"
 #include "platform/host_list_client.h"
@@ -86,6 +87,7 @@
 // The peer port is bound first, since its address is part of this host's
 // identity towards its peers.
 absl::Status Daemon::StartServers() {
+  StartRequestServices();
   rpc_ = std::make_unique<peer::JsonRpcServer>(PeerMethods());
   front_ = std::make_unique<proxy::CallerFront>(
       settings_.limits, view_, in_flight_, client_, metrics_, MakeFrontHooks());
@@ -215,6 +217,8 @@
     view_.Publish(core::routing::BuildSnapshot(controller.replica()));
     metrics_.SetConfigVersion(controller.replica().config_version());
     client_.WakeAll();
+    attempts_->OnMembersChanged();
+    poison_->OnMembersChanged();
   } else if (const auto* append = std::get_if<AppendAction>(&action)) {
     Send(*append);
   } else if (const auto* renew = std::get_if<SendRenewAction>(&action)) {
@@ -294,8 +298,9 @@
 
 void Daemon::Send(const SendProbeAction& action) {
   pool_->Run([this, action] {
-    control_->Post(
-        ProbeAnswerEvent{action.target, targets_.Probe(action.address)});
+    TargetAnswer answer = targets_.Probe(action.address);
+    poison_->OnInstance(action.target, answer.instance);
+    control_->Post(ProbeAnswerEvent{action.target, std::move(answer)});
   });
 }
 
@@ -323,7 +328,7 @@
 }
 
 std::vector<peer::Method> Daemon::PeerMethods() {
-  return {
+  std::vector<peer::Method> methods = {
       {"renew",
        [this](const std::string& params) -> std::string {
          auto request = codec::ParseRenewRequest(params);
@@ -353,6 +358,46 @@
          return "{}";
        }},
   };
+  for (auto& more : {attempts_->PeerMethods(), poison_->PeerMethods()}) {
+    methods.insert(methods.end(), more.begin(), more.end());
+  }
+  return methods;
+}
+
+ProbeResult Daemon::ProbeForCrash(const std::string& address) {
+  const milliseconds timeout =
+      duration_cast<milliseconds>(settings_.probe_timeout);
+  const http::ExchangeResult result =
+      client_.Exchange(address, {.path = "/health"},
+                       {.connect_timeout = timeout,
+                        .timeout = timeout,
+                        .fresh_connection = true});
+  const auto answer = codec::ParseTargetAnswer(result.response.body);
+  return {.refused = result.failure == http::Failure::kRefused,
+          .instance = answer.ok() ? answer->instance : ""};
+}
+
+void Daemon::StartRequestServices() {
+  const auto members = [this] { return view_.snapshot()->hosts; };
+  const auto call_peer = [this](const std::string& address,
+                                const std::string& method,
+                                const std::string& params) {
+    return CallPeer(address, method, params);
+  };
+  attempts_ = std::make_unique<AttemptService>(
+      host_id_, core::request::RegistryLimits{},
+      AttemptHooks{.now = Now,
+                   .has_lease = [this] { return view_.HasLease(Now()); },
+                   .members = members,
+                   .call_peer = call_peer});
+  poison_ = std::make_unique<PoisonService>(
+      host_id_, core::request::PoisonLimits{},
+      PoisonHooks{.now = Now,
+                  .members = members,
+                  .call_peer = call_peer,
+                  .probe = [this](const std::string& address) {
+                    return ProbeForCrash(address);
+                  }});
 }
 
 http::Response Daemon::ServePeer(const http::Request& request) {
@@ -417,8 +462,26 @@
                 control_->Post(TrafficSignalEvent{target, kind});
               },
           .record_attempt =
-              [](const proxy::AttemptKey&) {
-                return core::request::RecordResult::kRecorded;
+              [this](const core::request::AttemptKey& key) {
+                return attempts_->Begin(key);
+              },
+          .finish_attempt =
+              [this](const core::request::AttemptKey& key,
+                     core::request::FinishResult result) {
+                attempts_->Finish(key, result);
+              },
+          .poison_verdict =
+              [this](const core::request::PoisonKey& key) {
+                return poison_->VerdictOn(key);
+              },
+          .on_broken =
+              [this](const core::request::CrashReport& report,
+                     const std::string& address) {
+                poison_->OnBroken(report, address);
+              },
+          .on_answer =
+              [this](const core::request::PoisonKey& key) {
+                poison_->OnAnswer(key);
               },
           .is_stopping = [this] { return stopping_.load(); },
           .new_request_id = RandomId};
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,8 +9,10 @@
 #include <thread>
 
 #include "absl/status/status.h"
+#include "daemon/attempt_service.h"
 #include "daemon/control_loop.h"
 #include "daemon/operator_front.h"
+#include "daemon/poison_service.h"
 #include "daemon/work_pool.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -67,6 +69,8 @@
   http::Response ServePeer(const http::Request& request);
   OperatorHooks MakeOperatorHooks();
   proxy::FrontHooks MakeFrontHooks();
+  void StartRequestServices();
+  ProbeResult ProbeForCrash(const std::string& address);
   void ReadLog();
   void ReadHostList();
   bool SleepUnlessStopping(std::chrono::nanoseconds duration);
@@ -80,6 +84,8 @@
   proxy::InFlightTable in_flight_;
   proxy::TargetClient targets_;
   platform::LogClient log_;
+  std::unique_ptr<AttemptService> attempts_;
+  std::unique_ptr<PoisonService> poison_;
   std::unique_ptr<ControlLoop> control_;
   std::unique_ptr<proxy::CallerFront> front_;
   std::unique_ptr<OperatorFront> operators_;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -24,6 +25,20 @@
   Response response;
 };
 
+// The library repeats a request by itself when a kept connection breaks before
+// an answer, which hides that the request was sent and may run it twice. The
+// repetition needs another socket.
+curl_socket_t OnOpenSocket(void* user, curlsocktype, curl_sockaddr* address) {
+  long sent_bytes = 0;
+  curl_easy_getinfo(static_cast<CURL*>(user), CURLINFO_REQUEST_SIZE,
+                    &sent_bytes);
+  if (sent_bytes > 0) {
+    return CURL_SOCKET_BAD;
+  }
+  return socket(address->family, address->socktype | SOCK_CLOEXEC,
+                address->protocol);
+}
+
 size_t OnHeader(char* data, size_t size, size_t n, void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   const absl::string_view line =
@@ -62,7 +77,7 @@
          FindHeader(response.headers, "Transfer-Encoding") != nullptr;
 }
 
-Failure FailureOf(CURLcode code, const Transfer& transfer) {
+Failure FailureOf(CURLcode code, Progress progress, const Transfer& transfer) {
   if (transfer.too_large) {
     return Failure::kTooLarge;
   }
@@ -70,7 +85,8 @@
     case CURLE_OK:
       return Failure::kNone;
     case CURLE_COULDNT_CONNECT:
-      return Failure::kRefused;
+      return progress < Progress::kSending ? Failure::kRefused
+                                           : Failure::kBroken;
     case CURLE_OPERATION_TIMEDOUT:
       return Failure::kTimeout;
     default:
@@ -107,8 +123,8 @@
     const CURLcode code = Drive(request, options, transfer, cancelled);
     ExchangeResult result;
     result.progress = ProgressOf(request, transfer);
-    result.failure =
-        cancelled ? Failure::kCancelled : FailureOf(code, transfer);
+    result.failure = cancelled ? Failure::kCancelled
+                               : FailureOf(code, result.progress, transfer);
     long status = 0;
     curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
     transfer.response.status = static_cast<int>(status);
@@ -147,6 +163,8 @@
     curl_easy_setopt(
         easy_, CURLOPT_TIMEOUT_MS,
         static_cast<long>(std::max<std::int64_t>(1, options.timeout.count())));
+    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
+    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, easy_);
     if (options.fresh_connection) {
       curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -46,8 +46,8 @@
   std::chrono::milliseconds connect_timeout{250};
   std::chrono::milliseconds timeout{10'000};
   size_t max_body = 8 << 20;
-  // Uses a connection of its own. The library repeats a request by itself when
-  // a kept connection turns out to be closed, which may run it twice.
+  // Uses a connection of its own: a kept one may turn out to be closed only
+  // when the request was sent, so that nobody knows whether it ran.
   bool fresh_connection = false;
   // Asked whenever the exchange wakes up; true ends it.
   std::function<bool()> is_cancelled;
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "codec/target_json.h"
+#include "core/request/fingerprint.h"
 #include "core/routing/target_choice.h"
 #include "proxy/problem.h"
 
@@ -20,12 +21,17 @@
 using core::request::AttemptResult;
 using core::request::AttemptStage;
 using core::request::Decision;
+using core::request::FinishResult;
 using core::request::NextStep;
+using core::request::PoisonVerdict;
 using core::request::RouteResult;
 
 constexpr absl::string_view kControlPrefix = "toucandock-";
 constexpr absl::string_view kNotRun = "not-run";
 constexpr core::Duration kLongestDeadline = std::chrono::hours(1);
+// Half the time for which attempts are remembered, so that no attempt is
+// forgotten while its request may still be sent or run.
+constexpr core::Duration kLongestAttempt = std::chrono::minutes(5);
 
 // Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
 // libraries write themselves.
@@ -93,7 +99,8 @@
   std::string key;
   std::string request_id;
   std::string tenant;
-  const core::config::ClassConfig* request_class = nullptr;
+  // A copy, since the snapshot that it comes from may be replaced.
+  core::config::ClassConfig request_class;
   core::TimePoint deadline;
 
   PublishedView::Snapshot snapshot;
@@ -103,6 +110,10 @@
   core::Fence fence = 0;
   std::vector<core::TargetId> tried;
   http::Response answer;
+
+  core::request::AttemptKey attempt;
+  bool recorded = false;
+  core::request::PoisonKey poison_key;
 };
 
 CallerFront::CallerFront(const settings::Limits& limits,
@@ -176,8 +187,8 @@
   }
   job.tenant = HeaderOr(request.headers, "Toucandock-Tenant", "");
   job.request_class =
-      &core::config::FindClass(job.service->config, request.method, job.path);
-  core::Duration remaining = job.request_class->deadline;
+      core::config::FindClass(job.service->config, request.method, job.path);
+  core::Duration remaining = job.request_class.deadline;
   if (const std::string* text =
           http::FindHeader(request.headers, "Toucandock-Deadline")) {
     std::int64_t milliseconds = 0;
@@ -188,26 +199,43 @@
     }
     remaining = std::chrono::milliseconds(milliseconds);
   }
+  if (!job.request_class.idempotent) {
+    remaining = std::min(remaining, kLongestAttempt);
+  }
   job.deadline = job.received + remaining;
+  const std::string fingerprint =
+      core::request::Fingerprint({.method = request.method,
+                                  .path = job.path,
+                                  .query = request.query,
+                                  .key = job.key,
+                                  .body = request.body});
+  job.poison_key = {job.service_name, job.request_id, fingerprint};
   if (job.request_id.empty()) {
     job.request_id = hooks_.new_request_id();
   }
+  job.attempt = {job.service_name, job.request_id, fingerprint,
+                 hooks_.new_request_id()};
   return true;
 }
 
 http::Response CallerFront::ServeChecked(Job& job) {
   core::request::RequestLife life(
-      {.idempotent = job.request_class->idempotent, .deadline = job.deadline},
+      {.idempotent = job.request_class.idempotent, .deadline = job.deadline},
       core::request::RetryTerms{}, Random());
   Decision decision = life.Start(hooks_.now());
   while (true) {
     switch (decision.step) {
-      case NextStep::kRoute:
-        decision = life.OnRoute(Route(job), hooks_.now());
+      case NextStep::kRoute: {
+        const PoisonVerdict verdict = hooks_.poison_verdict(job.poison_key);
+        decision = verdict == PoisonVerdict::kNone
+                       ? life.OnRoute(Route(job), hooks_.now())
+                       : life.OnPoison(verdict == PoisonVerdict::kSameRequest);
         break;
+      }
       case NextStep::kRecord:
-        decision = life.OnRecord(
-            hooks_.record_attempt({job.request_id, job.service_name}));
+        job.recorded = true;
+        decision =
+            life.OnRecord(hooks_.record_attempt(job.attempt), hooks_.now());
         break;
       case NextStep::kSend: {
         if (life.attempts() > 0) {
@@ -224,8 +252,9 @@
         break;
       case NextStep::kPassOn:
       case NextStep::kRefuse:
+        EndAttempt(job, decision);
         metrics_.CountRequest(
-            {job.service_name, job.request_class->name, job.tenant},
+            {job.service_name, job.request_class.name, job.tenant},
             decision.error, decision.outcome, hooks_.now() - job.received);
         return Finish(job, decision);
     }
@@ -299,13 +328,14 @@
   const http::ExchangeOptions options = {
       .timeout = duration_cast<milliseconds>(job.deadline - now),
       .max_body = limits_.answer_bytes,
-      .fresh_connection = !job.request_class->idempotent,
+      .fresh_connection = !job.request_class.idempotent,
       .is_cancelled =
           [&] { return keyed && !ticket.sent() && !IsStillOwner(job); },
       .on_sent = [&] { ticket.MarkSent(); }};
   http::ExchangeResult result =
       client_.Exchange(job.target->address, TargetRequest(job), options);
   ReportSignal(job, result);
+  NoteRun(job, result);
   job.answer = std::move(result.response);
   const std::string* outcome =
       http::FindHeader(job.answer.headers, "Toucandock-Outcome");
@@ -350,6 +380,30 @@
   }
 }
 
+// Feeds the search for requests that crash their targets.
+void CallerFront::NoteRun(const Job& job,
+                          const http::ExchangeResult& result) const {
+  if (result.progress == http::Progress::kComplete) {
+    hooks_.on_answer(job.poison_key);
+  } else if (result.failure == http::Failure::kBroken &&
+             result.progress >= http::Progress::kSending) {
+    hooks_.on_broken({.key = job.poison_key,
+                      .target = job.target->id,
+                      .crash_limit = job.service->config.crash_limit},
+                     job.target->address);
+  }
+}
+
+// An attempt with an unknown outcome stays recorded as started.
+void CallerFront::EndAttempt(const Job& job, const Decision& decision) const {
+  if (!job.recorded || decision.outcome == Outcome::kUnknown) {
+    return;
+  }
+  hooks_.finish_attempt(job.attempt, decision.outcome == Outcome::kRan
+                                         ? FinishResult::kRan
+                                         : FinishResult::kWithdrawn);
+}
+
 http::Response CallerFront::Finish(const Job& job,
                                    const Decision& decision) const {
   if (decision.step == NextStep::kRefuse) {
--- a/src/proxy/caller_front.h
+++ b/src/proxy/caller_front.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "core/detection/loss_detector.h"
+#include "core/request/attempt_registry.h"
+#include "core/request/poison_registry.h"
 #include "core/request/request_life.h"
 #include "core/routing/routing_snapshot.h"
 #include "http/client.h"
@@ -18,12 +20,6 @@
 
 namespace toucandock::proxy {
 
-// What a non-idempotent request is recognised by when it is sent again.
-struct AttemptKey {
-  std::string request_id;
-  std::string service;
-};
-
 // Where behaviour of the front varies.
 struct FrontHooks {
   std::function<core::TimePoint()> now;
@@ -31,7 +27,21 @@
   std::function<void(const core::TargetId&, core::detection::SignalKind)>
       report_signal;
   // Records that a non-idempotent request is about to be sent.
-  std::function<core::request::RecordResult(const AttemptKey&)> record_attempt;
+  std::function<core::request::RecordResult(const core::request::AttemptKey&)>
+      record_attempt;
+  // The recorded attempt has ended with a known outcome.
+  std::function<void(const core::request::AttemptKey&,
+                     core::request::FinishResult)>
+      finish_attempt;
+  std::function<core::request::PoisonVerdict(const core::request::PoisonKey&)>
+      poison_verdict;
+  // The connection to the target at the address broke after the request was
+  // sent.
+  std::function<void(const core::request::CrashReport&,
+                     const std::string& address)>
+      on_broken;
+  // The request was answered in whole.
+  std::function<void(const core::request::PoisonKey&)> on_answer;
   std::function<bool()> is_stopping;
   std::function<std::string()> new_request_id;
 };
@@ -60,6 +70,9 @@
   core::request::AttemptResult Send(Job& job);
   http::Request TargetRequest(const Job& job) const;
   void ReportSignal(const Job& job, const http::ExchangeResult& result) const;
+  void NoteRun(const Job& job, const http::ExchangeResult& result) const;
+  void EndAttempt(const Job& job,
+                  const core::request::Decision& decision) const;
   http::Response Finish(const Job& job,
                         const core::request::Decision& decision) const;
 
