--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -57,6 +57,21 @@
       [&](absl::string_view it) { return absl::EqualsIgnoreCase(it, name); });
 }
 
+bool IsVisibleAscii(absl::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+// Whether the request can be sent to a target as it was received. The client
+// library would take a '#' for the end of the path.
+bool IsForwardable(const http::Request& request) {
+  return request.method != "CONNECT" && !request.path.empty() &&
+         request.path.front() == '/' && IsVisibleAscii(request.path) &&
+         IsVisibleAscii(request.query) &&
+         request.path.find('#') == std::string::npos &&
+         request.query.find('#') == std::string::npos;
+}
+
 std::string HeaderOr(const http::Headers& headers,
                      absl::string_view name,
                      const std::string& otherwise) {
@@ -155,8 +170,17 @@
         ErrorKind::kRequestTooLarge,
         absl::StrCat("the body may have ", limits_.body_bytes, " bytes"));
   }
-  if (job.request_id.size() > limits_.request_id_bytes) {
-    return refuse(ErrorKind::kMalformedRequest, "Idempotency-Key is too long");
+  if (job.request_id.size() > limits_.request_id_bytes ||
+      !IsVisibleAscii(job.request_id)) {
+    job.request_id.clear();
+    return refuse(
+        ErrorKind::kMalformedRequest,
+        absl::StrCat("Idempotency-Key may have ", limits_.request_id_bytes,
+                     " visible ASCII characters"));
+  }
+  if (!IsForwardable(request)) {
+    return refuse(ErrorKind::kMalformedRequest,
+                  "the method or the path cannot be passed on");
   }
   job.snapshot = view_.snapshot();
   if (job.snapshot->config_version == 0) {
