Pass forms and repeated headers through the server unchanged

Cause: the tests of http::Server showed that the library parses forms before the handler sees them and closes the connection without an answer when it cannot (a multipart body without a boundary or cut), and that of several answer headers with one name only the last survived, such as Set-Cookie.

Change: the library's form parser is off; values of one name are joined, and cookies get spellings of their own, since the library keeps one value for each spelling.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -13,6 +13,8 @@
 #include <mutex>
 #include <utility>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -75,6 +77,38 @@
   return request;
 }
 
+// Returns the n-th way to write a name in lower and upper case.
+std::string Spelling(std::string name, unsigned n) {
+  for (char& it : name) {
+    if (absl::ascii_isalpha(it)) {
+      it = n % 2 == 0 ? it : absl::ascii_toupper(it);
+      n /= 2;
+    }
+  }
+  return name;
+}
+
+// Fills a map that keeps one value for each spelling of a name. Values of one
+// name are joined (RFC 9110, section 5.2), except cookies, which cannot be:
+// each gets a spelling of its own.
+void PutHeaders(const Headers& headers, _u_map& map) {
+  unsigned cookies = 0;
+  for (const auto& [key, value] : headers) {
+    if (absl::EqualsIgnoreCase(key, "Set-Cookie")) {
+      u_map_put(&map, Spelling("set-cookie", cookies++).c_str(), value.c_str());
+      continue;
+    }
+    const char* earlier = u_map_get_case(&map, key.c_str());
+    if (earlier == nullptr) {
+      u_map_put(&map, key.c_str(), value.c_str());
+    } else {
+      const std::string joined = absl::StrCat(earlier, ", ", value);
+      u_map_remove_from_key_case(&map, key.c_str());
+      u_map_put(&map, key.c_str(), joined.c_str());
+    }
+  }
+}
+
 class UlfiusServer : public Server {
  public:
   UlfiusServer(ServerOptions options, Handler handler)
@@ -142,6 +176,9 @@
     // One byte more than allowed, so that a longer body is noticed.
     instance_.max_post_body_size = options_.max_body + 1;
     instance_.check_utf8 = 0;
+    // Bodies are passed on as they are. The library closes the connection
+    // without an answer when it cannot parse a form.
+    instance_.allowed_post_processor = U_POST_PROCESS_NONE;
     ulfius_set_default_endpoint(&instance_, &UlfiusServer::OnRequest, this);
     MHD_OptionItem mhd_options[] = {
         {MHD_OPTION_NOTIFY_COMPLETED,
@@ -183,9 +220,7 @@
       ++active_;
     }
     const Response answer = handler_(Convert(request, options_.max_body));
-    for (const auto& [key, value] : answer.headers) {
-      u_map_put(response.map_header, key.c_str(), value.c_str());
-    }
+    PutHeaders(answer.headers, *response.map_header);
     if (draining_) {
       u_map_put(response.map_header, "Connection", "close");
     }
--- /dev/null
+++ b/tests/http/server_test.cc
@@ -0,0 +1,128 @@
+#include "http/server.h"
+
+#include <doctest/doctest.h>
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+#include "http/client.h"
+
+namespace toucandock::http {
+namespace {
+
+std::vector<std::string> ValuesOf(const Headers& headers,
+                                  absl::string_view name) {
+  std::vector<std::string> values;
+  for (const auto& [key, value] : headers) {
+    if (absl::EqualsIgnoreCase(key, name)) {
+      values.push_back(value);
+    }
+  }
+  return values;
+}
+
+}  // namespace
+
+TEST_CASE("the server must neither cut nor change what passes through it") {
+  std::mutex mutex;
+  Request seen;
+  Response answer = {.body = "good"};
+  auto server = Server::Start({}, [&](const Request& request) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    seen = request;
+    return answer;
+  });
+  REQUIRE(server.ok());
+  Client client;
+  const auto exchange = [&](const Request& request) {
+    return client.Exchange((*server)->address(), request, {});
+  };
+
+  SUBCASE("a body with all bytes") {
+    std::string body;
+    for (int n = 0; n < 1'024; ++n) {
+      body += static_cast<char>(n);
+    }
+    answer.body = body;
+    const ExchangeResult result =
+        exchange({.method = "POST", .path = "/x", .body = body});
+    CHECK(result.response.body == body);
+    CHECK(seen.body == body);
+  }
+
+  SUBCASE("a form whose body the library parses") {
+    for (const char* type :
+         {"application/x-www-form-urlencoded", "multipart/form-data",
+          "multipart/form-data; boundary=b", "application/json"}) {
+      for (const char* body : {"a=1&b=%zz&&=", "--b\r\nbroken", "{"}) {
+        const ExchangeResult result =
+            exchange({.method = "POST",
+                      .path = "/x",
+                      .headers = {{"Content-Type", type}},
+                      .body = body});
+        CHECK(result.response.status == 200);
+        CHECK(seen.body == body);
+      }
+    }
+  }
+
+  SUBCASE("a path and a query in their encoded form") {
+    exchange({.path = "/a%2Fb/..//c%20d/", .query = "x=%41+1&x=2&&y"});
+    CHECK(seen.path == "/a%2Fb/..//c%20d/");
+    CHECK(seen.query == "x=%41+1&x=2&&y");
+  }
+
+  SUBCASE("several request headers of one name") {
+    exchange({.headers = {{"X-List", "a"}, {"X-List", "b"}}});
+    const auto values = ValuesOf(seen.headers, "X-List");
+    std::string all;
+    for (const std::string& it : values) {
+      absl::StrAppend(&all, all.empty() ? "" : ", ", it);
+    }
+    CHECK(absl::StrReplaceAll(all, {{", ", ","}}) == "a,b");
+  }
+
+  SUBCASE("several answer headers of one name") {
+    answer.headers = {{"Set-Cookie", "a=1"}, {"Set-Cookie", "b=2"},
+                      {"set-cookie", "c=3"}, {"Vary", "a"},
+                      {"vary", "b"},         {"X-One", "x"}};
+    const ExchangeResult result = exchange({.path = "/x"});
+    CHECK(ValuesOf(result.response.headers, "Set-Cookie").size() == 3);
+    CHECK(ValuesOf(result.response.headers, "X-One").size() == 1);
+    const auto vary = ValuesOf(result.response.headers, "Vary");
+    REQUIRE(vary.size() == 1);
+    CHECK(vary[0] == "a, b");
+  }
+
+  SUBCASE("answers without a body") {
+    answer = {.status = 204};
+    CHECK(exchange({.path = "/x"}).progress == Progress::kComplete);
+    answer = {.status = 200};
+    CHECK(exchange({.path = "/x"}).progress == Progress::kComplete);
+    answer = {.status = 200, .body = "good"};
+    const ExchangeResult result = exchange({.method = "HEAD", .path = "/x"});
+    CHECK(result.progress == Progress::kComplete);
+    CHECK(result.response.body.empty());
+  }
+}
+
+TEST_CASE("headers above the limit must not reach the handler") {
+  bool called = false;
+  auto server = Server::Start({.max_headers = 16 << 10}, [&](const Request&) {
+    called = true;
+    return Response{};
+  });
+  REQUIRE(server.ok());
+  Client client;
+  const ExchangeResult result = client.Exchange(
+      (*server)->address(),
+      {.headers = {{"X-Huge", std::string(64 << 10, 'x')}}}, {});
+  CHECK(result.response.status >= 400);
+  CHECK_FALSE(called);
+}
+
+}  // namespace toucandock::http
