--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,10 +9,12 @@
 #include <thread>
 
 #include "absl/status/status.h"
+#include "daemon/attempt_service.h"
 #include "daemon/control_clients.h"
 #include "daemon/control_loop.h"
 #include "daemon/control_trace.h"
 #include "daemon/operator_front.h"
+#include "daemon/poison_service.h"
 #include "daemon/work_pool.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -73,6 +75,8 @@
   OperatorHooks MakeOperatorHooks();
   observe::OwnershipHooks MakeOwnershipHooks();
   proxy::FrontHooks MakeFrontHooks();
+  void StartRequestServices();
+  ProbeResult ProbeForCrash(const std::string& address);
   void ReadLog();
   void ReadHostList();
   bool SleepUnlessStopping(std::chrono::nanoseconds duration);
@@ -90,6 +94,8 @@
   proxy::KeyMeter key_meter_;
   proxy::TargetClient targets_;
   platform::LogClient log_;
+  std::unique_ptr<AttemptService> attempts_;
+  std::unique_ptr<PoisonService> poison_;
   std::unique_ptr<ControlLoop> control_;
   std::unique_ptr<proxy::CallerFront> front_;
   std::unique_ptr<OperatorFront> operators_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -32,6 +32,7 @@
   kRefused,
   kTimeout,
   kCancelled,
+  kCallerGone,
   kBroken,
   kTooLarge
 };
@@ -47,11 +48,14 @@
   std::chrono::milliseconds connect_timeout{250};
   std::chrono::milliseconds timeout{10'000};
   size_t max_body = 8 << 20;
-  // Uses a connection of its own. The library repeats a request by itself when
-  // a kept connection turns out to be closed, which may run it twice.
+  // Uses a connection of its own: a kept one may turn out to be closed only
+  // when the request was sent, so that nobody knows whether it ran.
   bool fresh_connection = false;
   // Asked whenever the exchange wakes up; true ends it.
   std::function<bool()> is_cancelled;
+  // Connection of the caller for whom the exchange is made, or negative. The
+  // exchange ends when the caller closes it (also its sending half).
+  int caller_socket = -1;
   // Called once when the whole request was written.
   std::function<void()> on_sent;
 };
@@ -80,7 +84,7 @@
  private:
   class Connection;
 
-  std::unique_ptr<Connection> Acquire(const std::string& address);
+  std::unique_ptr<Connection> Acquire(const std::string& address, bool fresh);
   void Release(const std::string& address, std::unique_ptr<Connection> it);
 
   const ByteCounter count_bytes_;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -13,6 +13,8 @@
 #include <mutex>
 #include <utility>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -42,9 +44,22 @@
       absl::StrCat("cannot ", what, " ", address, ": ", std::strerror(errno)));
 }
 
+// Connection that the current thread serves.
+thread_local int connection_socket = -1;
+
+// The library shows the connection to this callback only; it runs on the
+// connection's thread before the request is handled.
+void* OnUri(void* options, const char* uri, MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  connection_socket = info == nullptr ? -1 : info->connect_fd;
+  return ulfius_uri_logger(options, uri);
+}
+
 Request Convert(const _u_request& from, size_t max_body) {
   Request request;
   request.method = from.http_verb;
+  request.socket = connection_socket;
   const std::string url = from.http_url == nullptr ? "/" : from.http_url;
   const size_t n = url.find('?');
   request.path = url.substr(0, n);
@@ -62,6 +77,38 @@
   return request;
 }
 
+// Returns the n-th way to write a name in lower and upper case.
+std::string Spelling(std::string name, unsigned n) {
+  for (char& it : name) {
+    if (absl::ascii_isalpha(it)) {
+      it = n % 2 == 0 ? it : absl::ascii_toupper(it);
+      n /= 2;
+    }
+  }
+  return name;
+}
+
+// Fills a map that keeps one value for each spelling of a name. Values of one
+// name are joined (RFC 9110, section 5.2), except cookies, which cannot be:
+// each gets a spelling of its own.
+void PutHeaders(const Headers& headers, _u_map& map) {
+  unsigned cookies = 0;
+  for (const auto& [key, value] : headers) {
+    if (absl::EqualsIgnoreCase(key, "Set-Cookie")) {
+      u_map_put(&map, Spelling("set-cookie", cookies++).c_str(), value.c_str());
+      continue;
+    }
+    const char* earlier = u_map_get_case(&map, key.c_str());
+    if (earlier == nullptr) {
+      u_map_put(&map, key.c_str(), value.c_str());
+    } else {
+      const std::string joined = absl::StrCat(earlier, ", ", value);
+      u_map_remove_from_key_case(&map, key.c_str());
+      u_map_put(&map, key.c_str(), joined.c_str());
+    }
+  }
+}
+
 class UlfiusServer : public Server {
  public:
   UlfiusServer(ServerOptions options, Handler handler)
@@ -129,12 +176,15 @@
     // One byte more than allowed, so that a longer body is noticed.
     instance_.max_post_body_size = options_.max_body + 1;
     instance_.check_utf8 = 0;
+    // Bodies are passed on as they are. The library closes the connection
+    // without an answer when it cannot parse a form.
+    instance_.allowed_post_processor = U_POST_PROCESS_NONE;
     ulfius_set_default_endpoint(&instance_, &UlfiusServer::OnRequest, this);
     MHD_OptionItem mhd_options[] = {
         {MHD_OPTION_NOTIFY_COMPLETED,
          reinterpret_cast<intptr_t>(mhd_request_completed), nullptr},
-        {MHD_OPTION_URI_LOG_CALLBACK,
-         reinterpret_cast<intptr_t>(ulfius_uri_logger), nullptr},
+        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(OnUri),
+         nullptr},
         {MHD_OPTION_LISTEN_SOCKET, fd, nullptr},
         {MHD_OPTION_CONNECTION_LIMIT,
          static_cast<intptr_t>(options_.max_connections), nullptr},
@@ -170,9 +220,7 @@
       ++active_;
     }
     const Response answer = handler_(Convert(request, options_.max_body));
-    for (const auto& [key, value] : answer.headers) {
-      u_map_put(response.map_header, key.c_str(), value.c_str());
-    }
+    PutHeaders(answer.headers, *response.map_header);
     if (draining_) {
       u_map_put(response.map_header, "Connection", "close");
     }
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "codec/target_json.h"
+#include "core/request/fingerprint.h"
 #include "core/routing/target_choice.h"
 #include "proxy/problem.h"
 
@@ -20,12 +21,17 @@
 using core::request::AttemptResult;
 using core::request::AttemptStage;
 using core::request::Decision;
+using core::request::FinishResult;
 using core::request::NextStep;
+using core::request::PoisonVerdict;
 using core::request::RouteResult;
 
 constexpr absl::string_view kControlPrefix = "toucandock-";
 constexpr absl::string_view kNotRun = "not-run";
 constexpr core::Duration kLongestDeadline = std::chrono::hours(1);
+// Half the time for which attempts are remembered, so that no attempt is
+// forgotten while its request may still be sent or run.
+constexpr core::Duration kLongestAttempt = std::chrono::minutes(5);
 
 // Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
 // libraries write themselves.
@@ -51,6 +57,21 @@
       [&](absl::string_view it) { return absl::EqualsIgnoreCase(it, name); });
 }
 
+bool IsVisibleAscii(absl::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+// Whether the request can be sent to a target as it was received. The client
+// library would take a '#' for the end of the path.
+bool IsForwardable(const http::Request& request) {
+  return request.method != "CONNECT" && !request.path.empty() &&
+         request.path.front() == '/' && IsVisibleAscii(request.path) &&
+         IsVisibleAscii(request.query) &&
+         request.path.find('#') == std::string::npos &&
+         request.query.find('#') == std::string::npos;
+}
+
 std::string HeaderOr(const http::Headers& headers,
                      absl::string_view name,
                      const std::string& otherwise) {
@@ -93,7 +114,8 @@
   std::string key;
   std::string request_id;
   std::string tenant;
-  const core::config::ClassConfig* request_class = nullptr;
+  // A copy, since the snapshot that it comes from may be replaced.
+  core::config::ClassConfig request_class;
   core::TimePoint deadline;
 
   PublishedView::Snapshot snapshot;
@@ -103,6 +125,10 @@
   core::Fence fence = 0;
   std::vector<core::TargetId> tried;
   http::Response answer;
+
+  core::request::AttemptKey attempt;
+  bool recorded = false;
+  core::request::PoisonKey poison_key;
 };
 
 CallerFront::CallerFront(const settings::Limits& limits,
@@ -144,8 +170,17 @@
         ErrorKind::kRequestTooLarge,
         absl::StrCat("the body may have ", limits_.body_bytes, " bytes"));
   }
-  if (job.request_id.size() > limits_.request_id_bytes) {
-    return refuse(ErrorKind::kMalformedRequest, "Idempotency-Key is too long");
+  if (job.request_id.size() > limits_.request_id_bytes ||
+      !IsVisibleAscii(job.request_id)) {
+    job.request_id.clear();
+    return refuse(
+        ErrorKind::kMalformedRequest,
+        absl::StrCat("Idempotency-Key may have ", limits_.request_id_bytes,
+                     " visible ASCII characters"));
+  }
+  if (!IsForwardable(request)) {
+    return refuse(ErrorKind::kMalformedRequest,
+                  "the method or the path cannot be passed on");
   }
   job.snapshot = view_.snapshot();
   if (job.snapshot->config_version == 0) {
@@ -176,8 +211,8 @@
   }
   job.tenant = HeaderOr(request.headers, "Toucandock-Tenant", "");
   job.request_class =
-      &core::config::FindClass(job.service->config, request.method, job.path);
-  core::Duration remaining = job.request_class->deadline;
+      core::config::FindClass(job.service->config, request.method, job.path);
+  core::Duration remaining = job.request_class.deadline;
   if (const std::string* text =
           http::FindHeader(request.headers, "Toucandock-Deadline")) {
     std::int64_t milliseconds = 0;
@@ -188,29 +223,46 @@
     }
     remaining = std::chrono::milliseconds(milliseconds);
   }
+  if (!job.request_class.idempotent) {
+    remaining = std::min(remaining, kLongestAttempt);
+  }
   job.deadline = job.received + remaining;
+  const std::string fingerprint =
+      core::request::Fingerprint({.method = request.method,
+                                  .path = job.path,
+                                  .query = request.query,
+                                  .key = job.key,
+                                  .body = request.body});
+  job.poison_key = {job.service_name, job.request_id, fingerprint};
   if (job.request_id.empty()) {
     job.request_id = hooks_.new_request_id();
   }
+  job.attempt = {job.service_name, job.request_id, fingerprint,
+                 hooks_.new_request_id()};
   return true;
 }
 
 http::Response CallerFront::ServeChecked(Job& job) {
-  if (job.service->config.keyed) {
+  if (job.service->config.keyed && hooks_.count_key) {
     hooks_.count_key(*job.service, job.key);
   }
   core::request::RequestLife life(
-      {.idempotent = job.request_class->idempotent, .deadline = job.deadline},
+      {.idempotent = job.request_class.idempotent, .deadline = job.deadline},
       core::request::RetryTerms{}, Random());
   Decision decision = life.Start(hooks_.now());
   while (true) {
     switch (decision.step) {
-      case NextStep::kRoute:
-        decision = life.OnRoute(Route(job), hooks_.now());
+      case NextStep::kRoute: {
+        const PoisonVerdict verdict = hooks_.poison_verdict(job.poison_key);
+        decision = verdict == PoisonVerdict::kNone
+                       ? life.OnRoute(Route(job), hooks_.now())
+                       : life.OnPoison(verdict == PoisonVerdict::kSameRequest);
         break;
+      }
       case NextStep::kRecord:
-        decision = life.OnRecord(
-            hooks_.record_attempt({job.request_id, job.service_name}));
+        job.recorded = true;
+        decision =
+            life.OnRecord(hooks_.record_attempt(job.attempt), hooks_.now());
         break;
       case NextStep::kSend: {
         if (life.attempts() > 0) {
@@ -227,8 +279,9 @@
         break;
       case NextStep::kPassOn:
       case NextStep::kRefuse:
+        EndAttempt(job, decision);
         metrics_.CountRequest(
-            {job.service_name, job.request_class->name, job.tenant},
+            {job.service_name, job.request_class.name, job.tenant},
             decision.error, decision.outcome, hooks_.now() - job.received);
         return Finish(job, decision);
     }
@@ -302,20 +355,23 @@
   const http::ExchangeOptions options = {
       .timeout = duration_cast<milliseconds>(job.deadline - now),
       .max_body = limits_.answer_bytes,
-      .fresh_connection = !job.request_class->idempotent,
+      .fresh_connection = !job.request_class.idempotent,
       .is_cancelled =
           [&] { return keyed && !ticket.sent() && !IsStillOwner(job); },
+      .caller_socket = job.request.socket,
       .on_sent = [&] { ticket.MarkSent(); }};
   http::ExchangeResult result =
       client_.Exchange(job.target->address, TargetRequest(job), options);
   ReportSignal(job, result);
+  NoteRun(job, result);
   job.answer = std::move(result.response);
   const std::string* outcome =
       http::FindHeader(job.answer.headers, "Toucandock-Outcome");
   return {.stage = StageOf(result.progress),
           .refused_by_target = job.answer.status >= 400 && outcome != nullptr &&
                                *outcome == kNotRun,
-          .too_large = result.failure == http::Failure::kTooLarge};
+          .too_large = result.failure == http::Failure::kTooLarge,
+          .caller_gone = result.failure == http::Failure::kCallerGone};
 }
 
 http::Request CallerFront::TargetRequest(const Job& job) const {
@@ -353,6 +409,30 @@
   }
 }
 
+// Feeds the search for requests that crash their targets.
+void CallerFront::NoteRun(const Job& job,
+                          const http::ExchangeResult& result) const {
+  if (result.progress == http::Progress::kComplete) {
+    hooks_.on_answer(job.poison_key);
+  } else if (result.failure == http::Failure::kBroken &&
+             result.progress >= http::Progress::kSending) {
+    hooks_.on_broken({.key = job.poison_key,
+                      .target = job.target->id,
+                      .crash_limit = job.service->config.crash_limit},
+                     job.target->address);
+  }
+}
+
+// An attempt with an unknown outcome stays recorded as started.
+void CallerFront::EndAttempt(const Job& job, const Decision& decision) const {
+  if (!job.recorded || decision.outcome == Outcome::kUnknown) {
+    return;
+  }
+  hooks_.finish_attempt(job.attempt, decision.outcome == Outcome::kRan
+                                         ? FinishResult::kRan
+                                         : FinishResult::kWithdrawn);
+}
+
 http::Response CallerFront::Finish(const Job& job,
                                    const Decision& decision) const {
   if (decision.step == NextStep::kRefuse) {
