Add admission control and its measurement

Cause: a target runs 3 or 4 requests at a time; a crest of demand and long work must not take it from short work that can still be served in time. Change: core/admission: TargetQueue (slots, bounded queues for short and long work, earliest deadline first among callers within their share, slots kept for short work, shedding by observed service times), ServiceTimes (a class with 8 times the shortest class's mean counts as long), SlotLimit (additive increase, multiplicative decrease, half for a cold target), RetryBudget. bench/admission_bench.cc runs them event by event in virtual time.

--- /dev/null
+++ b/src/core/admission/slot_limit.h
@@ -0,0 +1,41 @@
+#ifndef TOUCANDOCK_CORE_ADMISSION_SLOT_LIMIT_H_
+#define TOUCANDOCK_CORE_ADMISSION_SLOT_LIMIT_H_
+
+#include <cstdint>
+
+#include "core/time.h"
+
+namespace toucandock::core::admission {
+
+struct SlotLimitTerms {
+  // Time without a refusal after which one more slot is used.
+  Duration increase_interval = std::chrono::milliseconds(500);
+  // Refusals within this time after a decrease belong to the same overload.
+  Duration decrease_interval = std::chrono::milliseconds(100);
+};
+
+// Number of requests that a target is given at a time. It is halved when the
+// target sheds work and grows again by one slot at a time (additive increase,
+// multiplicative decrease); a cold target gets half.
+class SlotLimit {
+ public:
+  SlotLimit(const SlotLimitTerms& terms, std::uint32_t slots);
+
+  void SetSlots(std::uint32_t slots);
+  void SetCold(bool cold);
+  void OnRefused(TimePoint now);
+  std::uint32_t Get(TimePoint now);
+
+ private:
+  std::uint32_t Ceiling() const;
+
+  const SlotLimitTerms terms_;
+  std::uint32_t slots_;
+  bool cold_ = false;
+  std::uint32_t limit_;
+  TimePoint changed_;
+};
+
+}  // namespace toucandock::core::admission
+
+#endif  // TOUCANDOCK_CORE_ADMISSION_SLOT_LIMIT_H_
--- /dev/null
+++ b/src/core/admission/target_queue.cc
@@ -0,0 +1,232 @@
+#include "core/admission/target_queue.h"
+
+#include <algorithm>
+
+namespace toucandock::core::admission {
+namespace {
+
+using config::WorkLength;
+
+// Long work that waits gets a first slot after so many short requests, so that
+// a crest of short work delays it but does not starve it.
+constexpr std::uint32_t kMaxPassedOver = 16;
+// Service times by which a caller may be ahead of the others before its
+// requests wait for theirs. Below that, only deadlines count.
+constexpr double kFairnessSlack = 4;
+// The shares of all callers are forgotten when there are more than this.
+constexpr size_t kMaxCallers = 1'024;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+TargetQueue::TargetQueue(const QueueTerms& terms)
+    : terms_(terms), limit_(terms.limit, terms.slots) {}
+
+// Adds a request. The outcome is in the changes of this or a later event.
+Ticket TargetQueue::Offer(const Work& work, TimePoint now, Changes& changes) {
+  const Ticket ticket = ++last_ticket_;
+  Work added = work;
+  added.length = times_.LengthOf(work.request_class, work.length);
+  const Duration wait = ExpectedWait(added, now);
+  if (now + wait + times_.Likely(added.request_class) > added.deadline) {
+    changes.shed.push_back({ticket, wait});
+    return ticket;
+  }
+  Insert(ticket, added);
+  Dispatch(now, changes);
+  MakeRoom(LaneOf(added), now, changes);
+  return ticket;
+}
+
+// Takes a request out that nobody waits for any more; it must not be running.
+void TargetQueue::Withdraw(Ticket ticket, TimePoint now, Changes& changes) {
+  if (waiting_.contains(ticket)) {
+    Remove(ticket);
+    Dispatch(now, changes);
+  }
+}
+
+// Gives the slot of an admitted request back.
+void TargetQueue::Finish(Ticket ticket,
+                         WorkEnd end,
+                         TimePoint now,
+                         Changes& changes) {
+  const auto it = running_.find(ticket);
+  if (it == running_.end()) {
+    return;
+  }
+  const Work& work = it->second.work;
+  if (end == WorkEnd::kRan) {
+    times_.Add(work.request_class, now - it->second.started);
+  } else if (end == WorkEnd::kRefused) {
+    limit_.OnRefused(now);
+  }
+  if (work.length == WorkLength::kLong) {
+    --long_running_;
+  }
+  running_.erase(it);
+  Dispatch(now, changes);
+}
+
+void TargetQueue::SetSlots(std::uint32_t slots, std::uint32_t queue) {
+  terms_.slots = slots;
+  terms_.queue = queue;
+  limit_.SetSlots(slots);
+}
+
+void TargetQueue::SetCold(bool cold) {
+  limit_.SetCold(cold);
+}
+
+TargetQueue::Lane& TargetQueue::LaneOf(const Work& work) {
+  return work.length == WorkLength::kLong ? long_ : short_;
+}
+
+void TargetQueue::Insert(Ticket ticket, const Work& work) {
+  Lane& lane = LaneOf(work);
+  if (!lane.callers.contains(work.caller)) {
+    // A caller that was idle starts level with the others.
+    double& share = share_used_[work.caller];
+    share = std::max(share, virtual_time_);
+  }
+  lane.callers[work.caller].emplace(work.deadline, ticket);
+  ++lane.size;
+  waiting_.emplace(ticket, work);
+}
+
+void TargetQueue::Remove(Ticket ticket) {
+  const auto it = waiting_.find(ticket);
+  Lane& lane = LaneOf(it->second);
+  const auto caller = lane.callers.find(it->second.caller);
+  caller->second.erase({it->second.deadline, ticket});
+  if (caller->second.empty()) {
+    lane.callers.erase(caller);
+  }
+  --lane.size;
+  waiting_.erase(it);
+}
+
+// Sheds the latest deadline of the caller with most requests in a queue that
+// is too long, so that one caller cannot fill it.
+void TargetQueue::MakeRoom(Lane& lane, TimePoint now, Changes& changes) {
+  while (lane.size > terms_.queue) {
+    const auto longest =
+        std::max_element(lane.callers.begin(), lane.callers.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second.size() < b.second.size();
+                         });
+    const Ticket ticket = longest->second.rbegin()->second;
+    const Work work = waiting_.at(ticket);
+    Remove(ticket);
+    changes.shed.push_back({ticket, ExpectedWait(work, now)});
+  }
+}
+
+void TargetQueue::Dispatch(TimePoint now, Changes& changes) {
+  while (running_.size() < limit_.Get(now)) {
+    const bool may_start_long =
+        long_.size > 0 && long_running_ < LongLimit(now);
+    if (short_.size == 0 && !may_start_long) {
+      return;
+    }
+    const bool long_is_due =
+        long_running_ == 0 && passed_over_ >= kMaxPassedOver;
+    const bool starts_long =
+        may_start_long && (short_.size == 0 || long_is_due);
+    const Ticket ticket = Next(starts_long ? long_ : short_);
+    const Work& work = waiting_.at(ticket);
+    if (now + times_.Likely(work.request_class) > work.deadline) {
+      changes.shed.push_back({ticket, ExpectedWait(work, now)});
+      Remove(ticket);
+      continue;
+    }
+    const bool passes_over = may_start_long && !starts_long;
+    passed_over_ = passes_over ? passed_over_ + 1 : 0;
+    Start(ticket, now);
+    changes.admitted.push_back(ticket);
+  }
+}
+
+// Returns the request with the earliest deadline among the callers that are
+// not ahead of the one that has had least.
+Ticket TargetQueue::Next(const Lane& lane) {
+  double least = ShareUsed(lane.callers.begin()->first);
+  for (const auto& [caller, requests] : lane.callers) {
+    least = std::min(least, ShareUsed(caller));
+  }
+  virtual_time_ = std::max(virtual_time_, least);
+  std::pair<TimePoint, Ticket> next = {TimePoint::max(), 0};
+  for (const auto& [caller, requests] : lane.callers) {
+    const std::pair<TimePoint, Ticket>& first = *requests.begin();
+    const double slack =
+        kFairnessSlack *
+        Seconds(times_.Mean(waiting_.at(first.second).request_class));
+    if (ShareUsed(caller) <= least + slack) {
+      next = std::min(next, first);
+    }
+  }
+  return next.second;
+}
+
+void TargetQueue::Start(Ticket ticket, TimePoint now) {
+  const Work work = waiting_.at(ticket);
+  const double share = ShareUsed(work.caller);
+  Remove(ticket);
+  if (work.length == WorkLength::kLong) {
+    ++long_running_;
+  }
+  running_.emplace(ticket, Item{work, now});
+  share_used_[work.caller] = share + Seconds(times_.Mean(work.request_class));
+  if (waiting_.empty() || share_used_.size() > kMaxCallers) {
+    share_used_.clear();
+    virtual_time_ = 0;
+  }
+}
+
+double TargetQueue::ShareUsed(const std::string& caller) const {
+  const auto it = share_used_.find(caller);
+  return it == share_used_.end() ? virtual_time_ : it->second;
+}
+
+// Time until a request with this deadline would be started.
+Duration TargetQueue::ExpectedWait(const Work& work, TimePoint now) {
+  const bool is_long = work.length == WorkLength::kLong;
+  const std::uint32_t limit = limit_.Get(now);
+  const std::uint32_t usable =
+      is_long ? LongLimit(now) : limit - std::min(limit, long_running_);
+  const std::uint32_t used =
+      is_long ? long_running_
+              : static_cast<std::uint32_t>(running_.size()) - long_running_;
+  const Lane& lane = LaneOf(work);
+  if (lane.size == 0 && used < usable && running_.size() < limit) {
+    return {};
+  }
+  Duration ahead{};
+  for (const auto& [caller, requests] : lane.callers) {
+    for (const auto& [deadline, ticket] : requests) {
+      if (deadline > work.deadline) {
+        break;
+      }
+      ahead += times_.Mean(waiting_.at(ticket).request_class);
+    }
+  }
+  for (const auto& [ticket, it] : running_) {
+    if (it.work.length == work.length) {
+      // Half is left on average.
+      ahead += times_.Mean(it.work.request_class) / 2;
+    }
+  }
+  return ahead / std::max(1U, usable);
+}
+
+std::uint32_t TargetQueue::LongLimit(TimePoint now) {
+  const std::uint32_t limit = limit_.Get(now);
+  const std::uint32_t kept =
+      terms_.short_slots == 0 ? (limit + 1) / 2 : terms_.short_slots;
+  return limit > kept ? limit - kept : 1;
+}
+
+}  // namespace toucandock::core::admission
