Send requests through the queue on their target's home host

Cause: entry hosts sent to targets without any limit; nothing kept slots free or shed work, and retries were not limited. Change: core/routing HomeHost (rendezvous hash over the members); proxy SlotGate (a blocking wait for a slot, woken by new views); proxy forward (the messages of POST /forward on the peer port) and CallerFront::ServeForward, which checks lease, owner and fence again and never forwards on. RequestLife answers `overloaded` for shed work; retries that reach a target come out of a budget for each service. Queue time and shed work are counted by service and class. A stopping host drains its peer port as well. Conclusion: one queue for each target is in the traffic path; home_path_test shows it over real sockets.

--- a/src/core/request/request_life.cc
+++ b/src/core/request/request_life.cc
@@ -88,8 +88,14 @@
   }
   const bool surely_not_run =
       result.refused_by_target || result.stage < AttemptStage::kSending;
+  if (result.overloaded && !result.refused_by_target) {
+    // Another attempt would join the same queue.
+    return Refuse(ErrorKind::kOverloaded);
+  }
   if (surely_not_run) {
-    return Retry(ErrorKind::kOwnerUnavailable, retry_allowed, now);
+    return Retry(result.overloaded ? ErrorKind::kOverloaded
+                                   : ErrorKind::kOwnerUnavailable,
+                 retry_allowed, now);
   }
   may_have_run_ = true;
   if (result.stage >= AttemptStage::kHeadersReceived) {
--- a/src/core/request/request_life.h
+++ b/src/core/request/request_life.h
@@ -29,6 +29,8 @@
   bool refused_by_target = false;
   bool too_large = false;
   bool caller_gone = false;
+  // Not run for lack of room, in the queue or at the target.
+  bool overloaded = false;
 };
 
 struct RequestFacts {
--- /dev/null
+++ b/src/core/routing/home_host.h
@@ -0,0 +1,19 @@
+#ifndef TOUCANDOCK_CORE_ROUTING_HOME_HOST_H_
+#define TOUCANDOCK_CORE_ROUTING_HOME_HOST_H_
+
+#include <functional>
+
+#include "core/control/records.h"
+#include "core/routing/routing_snapshot.h"
+#include "core/unit.h"
+
+namespace toucandock::core::routing {
+
+const control::HostInfo* HomeHost(
+    const RoutingSnapshot& snapshot,
+    const TargetId& target,
+    const std::function<bool(const HostId&)>& is_failing);
+
+}  // namespace toucandock::core::routing
+
+#endif  // TOUCANDOCK_CORE_ROUTING_HOME_HOST_H_
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -43,6 +43,7 @@
     : settings_(std::move(settings)),
       host_id_(absl::StrCat(settings_.host_name, "-", RandomId().substr(0, 8))),
       history_(kHistorySize),
+      gate_(Now),
       targets_(client_, duration_cast<milliseconds>(settings_.probe_timeout)),
       log_(client_,
            {.address = settings_.log_address, .stream = settings_.log_stream}) {
@@ -113,6 +114,8 @@
       peer_server_,
       {.address = settings_.peer_address,
        .max_body = kPeerBodyBytes,
+       // Forwarded requests carry the caller's headers and more.
+       .max_headers = 2 * settings_.limits.header_bytes,
        .max_connections = settings_.limits.peer_connections},
       [this](const http::Request& request) { return ServePeer(request); }));
   if (!status.ok()) {
@@ -198,6 +201,8 @@
   control_->Post(StopEvent{});
   // Time for the leave record and for the peers to elect another decider.
   std::this_thread::sleep_for(settings_.lease.election);
+  // Requests of other entry hosts that were accepted before the stop.
+  peer_server_->Drain(duration_cast<milliseconds>(settings_.stop_limit));
   ended_ = true;
 }
 
@@ -215,6 +220,7 @@
     view_.Publish(core::routing::BuildSnapshot(controller.replica()));
     metrics_.SetConfigVersion(controller.replica().config_version());
     client_.WakeAll();
+    gate_.WakeAll();
   } else if (const auto* append = std::get_if<AppendAction>(&action)) {
     Send(*append);
   } else if (const auto* renew = std::get_if<SendRenewAction>(&action)) {
@@ -356,6 +362,9 @@
 }
 
 http::Response Daemon::ServePeer(const http::Request& request) {
+  if (request.method == "POST" && request.path == proxy::kForwardPath) {
+    return front_->ServeForward(request);
+  }
   if (control_ == nullptr) {
     return proxy::ProblemResponse(core::ErrorKind::kStopping,
                                   core::Outcome::kNotRun, "starting", "");
@@ -420,6 +429,11 @@
               [](const proxy::AttemptKey&) {
                 return core::request::RecordResult::kRecorded;
               },
+          .wait_for_slot =
+              [this](const proxy::SlotRequest& request) {
+                return gate_.Wait(request);
+              },
+          .is_self = [this](const core::HostId& id) { return id == host_id_; },
           .is_stopping = [this] { return stopping_.load(); },
           .new_request_id = RandomId};
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -21,6 +21,7 @@
 #include "proxy/caller_front.h"
 #include "proxy/in_flight_table.h"
 #include "proxy/published_view.h"
+#include "proxy/slot_gate.h"
 #include "proxy/target_client.h"
 #include "settings/settings.h"
 
@@ -78,6 +79,7 @@
   observe::DecisionHistory history_;
   proxy::PublishedView view_;
   proxy::InFlightTable in_flight_;
+  proxy::SlotGate gate_;
   proxy::TargetClient targets_;
   platform::LogClient log_;
   std::unique_ptr<ControlLoop> control_;
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -48,6 +48,14 @@
                      prometheus::BuildCounter(),
                      "toucandock_retries_total",
                      "Attempts after the first")),
+      queue_time_(Build(*registry_,
+                        prometheus::BuildHistogram(),
+                        "toucandock_queue_seconds",
+                        "Time that requests waited for a slot of a target")),
+      shed_(Build(*registry_,
+                  prometheus::BuildCounter(),
+                  "toucandock_shed_total",
+                  "Requests that were shed before they were sent")),
       control_bytes_(Build(*registry_,
                            prometheus::BuildCounter(),
                            "toucandock_control_bytes_total",
@@ -92,6 +100,19 @@
   retries_.Add({{"service", service}}).Increment();
 }
 
+void Metrics::CountQueueTime(const RequestLabels& labels,
+                             std::chrono::nanoseconds waited) {
+  queue_time_
+      .Add({{"service", labels.service}, {"class", labels.request_class}},
+           LatencyBuckets())
+      .Observe(std::chrono::duration<double>(waited).count());
+}
+
+void Metrics::CountShed(const RequestLabels& labels) {
+  shed_.Add({{"service", labels.service}, {"class", labels.request_class}})
+      .Increment();
+}
+
 void Metrics::CountControlBytes(const std::string& peer_kind,
                                 std::uint64_t bytes) {
   control_bytes_.Add({{"with", peer_kind}})
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -39,6 +39,9 @@
                     core::Outcome outcome,
                     std::chrono::nanoseconds latency);
   void CountRetry(const std::string& service);
+  void CountQueueTime(const RequestLabels& labels,
+                      std::chrono::nanoseconds waited);
+  void CountShed(const RequestLabels& labels);
   void CountControlBytes(const std::string& peer_kind, std::uint64_t bytes);
   void CountOwnerChange(const std::string& service);
   void SetConfigVersion(std::uint64_t version);
@@ -54,6 +57,8 @@
   prometheus::Family<prometheus::Histogram>& tenant_latency_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Histogram>& queue_time_;
+  prometheus::Family<prometheus::Counter>& shed_;
   prometheus::Family<prometheus::Counter>& control_bytes_;
   prometheus::Family<prometheus::Counter>& owner_changes_;
   prometheus::Gauge& config_version_;
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "codec/target_json.h"
+#include "core/routing/home_host.h"
 #include "core/routing/target_choice.h"
 #include "proxy/problem.h"
 
@@ -26,6 +27,10 @@
 constexpr absl::string_view kControlPrefix = "toucandock-";
 constexpr absl::string_view kNotRun = "not-run";
 constexpr core::Duration kLongestDeadline = std::chrono::hours(1);
+// Time after the deadline in which a home host's own report of a timeout
+// arrives.
+constexpr std::chrono::milliseconds kHopAllowance{20};
+constexpr int kServiceUnavailable = 503;
 
 // Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
 // libraries write themselves.
@@ -51,6 +56,16 @@
       [&](absl::string_view it) { return absl::EqualsIgnoreCase(it, name); });
 }
 
+http::Headers PassedOnHeaders(const http::Headers& headers) {
+  http::Headers result;
+  for (const auto& it : headers) {
+    if (IsPassedOn(it.first)) {
+      result.push_back(it);
+    }
+  }
+  return result;
+}
+
 std::string HeaderOr(const http::Headers& headers,
                      absl::string_view name,
                      const std::string& otherwise) {
@@ -58,24 +73,6 @@
   return value == nullptr ? otherwise : *value;
 }
 
-AttemptStage StageOf(http::Progress progress) {
-  switch (progress) {
-    case http::Progress::kNotConnected:
-      return AttemptStage::kNotConnected;
-    case http::Progress::kConnected:
-      return AttemptStage::kConnected;
-    case http::Progress::kSending:
-      return AttemptStage::kSending;
-    case http::Progress::kSent:
-      return AttemptStage::kSent;
-    case http::Progress::kHeadersReceived:
-      return AttemptStage::kHeadersReceived;
-    case http::Progress::kComplete:
-      return AttemptStage::kComplete;
-  }
-  return AttemptStage::kSent;
-}
-
 std::uint64_t Random() {
   thread_local std::mt19937_64 generator{std::random_device{}()};
   return generator();
@@ -96,6 +93,8 @@
   const core::config::ClassConfig* request_class = nullptr;
   core::TimePoint deadline;
 
+  // Keeps request_class valid when `snapshot` changes.
+  PublishedView::Snapshot first_snapshot;
   PublishedView::Snapshot snapshot;
   const core::routing::ServiceRoute* service = nullptr;
   const core::routing::TargetRoute* target = nullptr;
@@ -148,6 +147,7 @@
     return refuse(ErrorKind::kMalformedRequest, "Idempotency-Key is too long");
   }
   job.snapshot = view_.snapshot();
+  job.first_snapshot = job.snapshot;
   if (job.snapshot->config_version == 0) {
     return refuse(ErrorKind::kNotConfigured, "");
   }
@@ -195,7 +195,63 @@
   return true;
 }
 
+// The checks that concern the moment of sending are repeated here. The request
+// is never forwarded again, so that hosts with different views cannot pass it
+// round in a circle.
+http::Response CallerFront::ServeForward(const http::Request& request) {
+  const absl::StatusOr<Forward> forward = ParseForward(request);
+  ForwardResult result;
+  if (!forward.ok() || hooks_.is_stopping()) {
+    result.unavailable = true;
+    return EncodeForwardResult(result);
+  }
+  Job job = {.request = forward->request, .received = hooks_.now()};
+  if (TakeForward(forward->facts, job)) {
+    result.attempt = SendInTurn(job);
+    result.answer = std::move(job.answer);
+    result.answer.headers = PassedOnHeaders(result.answer.headers);
+  }
+  return EncodeForwardResult(result);
+}
+
+// Returns false when this host's view does not allow to send the request.
+bool CallerFront::TakeForward(const ForwardFacts& facts, Job& job) const {
+  job.service_name = facts.service;
+  job.path = job.request.path;
+  job.key = facts.key;
+  job.request_id = facts.request_id;
+  job.tenant = facts.tenant;
+  job.deadline = job.received + facts.remaining;
+  job.snapshot = view_.snapshot();
+  job.service = core::routing::FindService(*job.snapshot, facts.service);
+  if (job.service == nullptr) {
+    return false;
+  }
+  job.request_class = &core::config::FindClass(job.service->config,
+                                               job.request.method, job.path);
+  if (job.service->config.keyed) {
+    const core::routing::KeyRoute route =
+        core::routing::RouteKey(*job.service, job.key);
+    job.target = route.target;
+    job.unit = route.unit;
+    job.fence = route.fence;
+    return view_.HasLease(job.received) && job.target != nullptr &&
+           job.target->id == facts.target && job.fence == facts.fence;
+  }
+  const auto& targets = job.service->targets;
+  const auto it = std::find_if(
+      targets.begin(), targets.end(),
+      [&](const auto& target) { return target.id == facts.target; });
+  job.target = it == targets.end() ? nullptr : &*it;
+  return job.target != nullptr;
+}
+
 http::Response CallerFront::ServeChecked(Job& job) {
+  {
+    const std::lock_guard<std::mutex> lock(budgets_mutex_);
+    budgets_.try_emplace(job.service_name, core::admission::RetryBudgetTerms{})
+        .first->second.OnRequest();
+  }
   core::request::RequestLife life(
       {.idempotent = job.request_class->idempotent, .deadline = job.deadline},
       core::request::RetryTerms{}, Random());
@@ -213,8 +269,8 @@
         if (life.attempts() > 0) {
           metrics_.CountRetry(job.service_name);
         }
-        const AttemptResult result = Send(job);
-        decision = life.OnAttempt(result, true, hooks_.now());
+        const AttemptResult result = Attempt(job);
+        decision = life.OnAttempt(result, MayRetry(job, result), hooks_.now());
         break;
       }
       case NextStep::kWait:
@@ -246,7 +302,10 @@
              [this](const core::TargetId& id) {
                return in_flight_.CountFor(id);
              },
-         .is_failing = [](const core::TargetId&) { return false; },
+         .is_failing =
+             [this, now = hooks_.now()](const core::TargetId& id) {
+               return failing_targets_.Contains(id, now);
+             },
          .random = Random});
     return job.target == nullptr ? RouteResult::kNoOwner : RouteResult::kReady;
   }
@@ -281,9 +340,129 @@
          route.fence == job.fence;
 }
 
+// Returns whether the target of a request that has not been sent may get no
+// more work.
+bool CallerFront::IsTargetGone(const Job& job) const {
+  if (job.service->config.keyed) {
+    return !IsStillOwner(job);
+  }
+  const PublishedView::Snapshot latest = view_.snapshot();
+  const core::routing::ServiceRoute* service =
+      core::routing::FindService(*latest, job.service_name);
+  return service == nullptr ||
+         std::none_of(service->targets.begin(), service->targets.end(),
+                      [&](const core::routing::TargetRoute& it) {
+                        return it.id == job.target->id && !it.lost &&
+                               !it.draining;
+                      });
+}
+
+// Attempts that did not reach a target cost it nothing and are not limited by
+// the budget; without them, requests would be refused while a lost owner is
+// replaced.
+bool CallerFront::MayRetry(const Job& job, const AttemptResult& result) {
+  if (result.stage == AttemptStage::kNotConnected) {
+    return true;
+  }
+  if (result.stage == AttemptStage::kComplete && !result.refused_by_target) {
+    return false;
+  }
+  const std::lock_guard<std::mutex> lock(budgets_mutex_);
+  return budgets_.at(job.service_name).TryRetry();
+}
+
+AttemptResult CallerFront::Attempt(Job& job) {
+  job.tried.push_back(job.target->id);
+  const core::TimePoint now = hooks_.now();
+  const core::control::HostInfo* home = core::routing::HomeHost(
+      *job.snapshot, job.target->id,
+      [&](const core::HostId& id) { return failing_hosts_.Contains(id, now); });
+  return home == nullptr || hooks_.is_self(home->id) ? SendInTurn(job)
+                                                     : SendThrough(*home, job);
+}
+
+// Leaves the request to the home host of its target.
+AttemptResult CallerFront::SendThrough(const core::control::HostInfo& home,
+                                       Job& job) {
+  // Only counted, for the choice of targets: the home host has the ticket that
+  // moves of ownership wait for.
+  InFlightTable::Ticket ticket(in_flight_, job.snapshot->sequence,
+                               job.target->id, std::nullopt);
+  ticket.MarkSent();
+  const core::Duration remaining = job.deadline - hooks_.now();
+  const http::Request request =
+      EncodeForward({.facts = {.service = job.service_name,
+                               .target = job.target->id,
+                               .key = job.key,
+                               .fence = job.fence,
+                               .request_id = job.request_id,
+                               .tenant = job.tenant,
+                               .remaining = remaining},
+                     .request = TargetRequest(job)});
+  const http::ExchangeOptions options = {
+      .timeout = std::chrono::ceil<std::chrono::milliseconds>(
+          std::max(remaining, core::Duration::zero()) + kHopAllowance),
+      .max_body = limits_.answer_bytes,
+      .fresh_connection = !job.request_class->idempotent};
+  ForwardResult result =
+      ParseForwardResult(client_.Exchange(home.peer_address, request, options));
+  if (result.unavailable) {
+    failing_hosts_.Add(home.id, hooks_.now());
+  } else if (result.attempt.stage == AttemptStage::kNotConnected &&
+             !result.attempt.overloaded) {
+    failing_targets_.Add(job.target->id, hooks_.now());
+  }
+  job.answer = std::move(result.answer);
+  return result.attempt;
+}
+
+// Sends the request when the target has a slot for it.
+AttemptResult CallerFront::SendInTurn(Job& job) {
+  const core::TimePoint start = hooks_.now();
+  const observe::RequestLabels labels = {job.service_name,
+                                         job.request_class->name, job.tenant};
+  std::unique_ptr<SlotGate::Slot> slot;
+  {
+    // Only counted, for the choice of targets: nothing is being sent yet.
+    InFlightTable::Ticket waiting(in_flight_, job.snapshot->sequence,
+                                  job.target->id, std::nullopt);
+    waiting.MarkSent();
+    slot = hooks_.wait_for_slot(
+        {.target = job.target->id,
+         .slots = job.service->config.slots,
+         .queue = job.service->config.queue,
+         .cold = job.target->cold,
+         .work = {.request_class = job.request_class->name,
+                  .caller = job.tenant,
+                  .length = job.request_class->length,
+                  .deadline = job.deadline},
+         .is_cancelled = [&] { return IsTargetGone(job); }});
+  }
+  const core::TimePoint now = hooks_.now();
+  metrics_.CountQueueTime(labels, now - start);
+  if (slot->result() != SlotResult::kAdmitted) {
+    const bool shed = slot->result() == SlotResult::kShed;
+    if (shed) {
+      metrics_.CountShed(labels);
+    }
+    return {.overloaded = shed};
+  }
+  if (now >= job.deadline) {
+    return {};
+  }
+  const AttemptResult result = Send(job);
+  using core::admission::WorkEnd;
+  if (result.overloaded) {
+    slot->SetEnd(WorkEnd::kRefused);
+  } else if (result.stage == AttemptStage::kComplete &&
+             !result.refused_by_target) {
+    slot->SetEnd(WorkEnd::kRan);
+  }
+  return result;
+}
+
 AttemptResult CallerFront::Send(Job& job) {
   const bool keyed = job.service->config.keyed;
-  job.tried.push_back(job.target->id);
   InFlightTable::Ticket ticket(
       in_flight_, job.snapshot->sequence, job.target->id,
       keyed ? std::optional<core::Unit>(job.unit) : std::nullopt);
@@ -294,10 +473,9 @@
   if (keyed && (!IsStillOwner(job) || !view_.HasLease(now))) {
     return {};
   }
-  using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   const http::ExchangeOptions options = {
-      .timeout = duration_cast<milliseconds>(job.deadline - now),
+      .timeout = std::chrono::ceil<milliseconds>(job.deadline - now),
       .max_body = limits_.answer_bytes,
       .fresh_connection = !job.request_class->idempotent,
       .is_cancelled =
@@ -306,13 +484,19 @@
   http::ExchangeResult result =
       client_.Exchange(job.target->address, TargetRequest(job), options);
   ReportSignal(job, result);
+  if (result.failure == http::Failure::kRefused) {
+    failing_targets_.Add(job.target->id, hooks_.now());
+  }
   job.answer = std::move(result.response);
   const std::string* outcome =
       http::FindHeader(job.answer.headers, "Toucandock-Outcome");
+  const bool refused =
+      job.answer.status >= 400 && outcome != nullptr && *outcome == kNotRun;
   return {.stage = StageOf(result.progress),
-          .refused_by_target = job.answer.status >= 400 && outcome != nullptr &&
-                               *outcome == kNotRun,
-          .too_large = result.failure == http::Failure::kTooLarge};
+          .refused_by_target = refused,
+          .too_large = result.failure == http::Failure::kTooLarge,
+          .overloaded = refused && job.answer.status == kServiceUnavailable &&
+                        result.progress == http::Progress::kComplete};
 }
 
 http::Request CallerFront::TargetRequest(const Job& job) const {
@@ -356,14 +540,9 @@
     return ProblemResponse(decision.error, decision.outcome, "",
                            job.request_id);
   }
-  http::Response response = {.status = job.answer.status,
-                             .body = job.answer.body};
-  for (const auto& [name, value] : job.answer.headers) {
-    if (IsPassedOn(name)) {
-      response.headers.emplace_back(name, value);
-    }
-  }
-  return response;
+  return {.status = job.answer.status,
+          .headers = PassedOnHeaders(job.answer.headers),
+          .body = job.answer.body};
 }
 
 }  // namespace toucandock::proxy
--- a/src/proxy/caller_front.h
+++ b/src/proxy/caller_front.h
@@ -2,18 +2,26 @@
 #define TOUCANDOCK_PROXY_CALLER_FRONT_H_
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "core/admission/retry_budget.h"
+#include "core/control/records.h"
 #include "core/detection/loss_detector.h"
 #include "core/request/request_life.h"
 #include "core/routing/routing_snapshot.h"
 #include "http/client.h"
 #include "http/message.h"
 #include "observe/metrics.h"
+#include "proxy/forward.h"
 #include "proxy/in_flight_table.h"
 #include "proxy/published_view.h"
+#include "proxy/recent_failures.h"
+#include "proxy/slot_gate.h"
 #include "settings/settings.h"
 
 namespace toucandock::proxy {
@@ -32,6 +40,11 @@
       report_signal;
   // Records that a non-idempotent request is about to be sent.
   std::function<core::request::RecordResult(const AttemptKey&)> record_attempt;
+  // Blocks until the target has a slot for the request.
+  std::function<std::unique_ptr<SlotGate::Slot>(const SlotRequest&)>
+      wait_for_slot;
+  // Whether a member of the fleet is this host.
+  std::function<bool(const core::HostId&)> is_self;
   std::function<bool()> is_stopping;
   std::function<std::string()> new_request_id;
 };
@@ -49,6 +62,8 @@
 
   // Blocks the calling thread until the request is answered.
   http::Response Serve(const http::Request& request);
+  // Sends another entry host's request to a target whose home host this is.
+  http::Response ServeForward(const http::Request& request);
 
  private:
   struct Job;
@@ -57,6 +72,13 @@
   bool Prepare(Job& job, http::Response& refusal) const;
   core::request::RouteResult Route(Job& job) const;
   bool IsStillOwner(const Job& job) const;
+  bool IsTargetGone(const Job& job) const;
+  bool TakeForward(const ForwardFacts& facts, Job& job) const;
+  bool MayRetry(const Job& job, const core::request::AttemptResult& result);
+  core::request::AttemptResult Attempt(Job& job);
+  core::request::AttemptResult SendThrough(const core::control::HostInfo& home,
+                                           Job& job);
+  core::request::AttemptResult SendInTurn(Job& job);
   core::request::AttemptResult Send(Job& job);
   http::Request TargetRequest(const Job& job) const;
   void ReportSignal(const Job& job, const http::ExchangeResult& result) const;
@@ -69,6 +91,11 @@
   http::Client& client_;
   observe::Metrics& metrics_;
   const FrontHooks hooks_;
+  RecentFailures failing_hosts_;
+  RecentFailures failing_targets_;
+  std::mutex budgets_mutex_;
+  // By service.
+  std::map<std::string, core::admission::RetryBudget> budgets_;
 };
 
 }  // namespace toucandock::proxy
--- /dev/null
+++ b/src/proxy/slot_gate.cc
@@ -0,0 +1,105 @@
+#include "proxy/slot_gate.h"
+
+#include <utility>
+
+namespace toucandock::proxy {
+
+using core::admission::Changes;
+using core::admission::Ticket;
+using core::admission::WorkEnd;
+
+SlotGate::Slot::Slot(SlotGate& gate, const SlotRequest& request)
+    : gate_(gate), target_(request.target) {
+  result_ = gate_.WaitFor(request, ticket_);
+}
+
+SlotGate::Slot::~Slot() {
+  if (result_ == SlotResult::kAdmitted) {
+    gate_.GiveBack(target_, ticket_, end_);
+  }
+}
+
+SlotGate::SlotGate(std::function<core::TimePoint()> now)
+    : now_(std::move(now)) {}
+
+// Blocks until the request has a slot, is shed, or is cancelled, at most until
+// its deadline.
+std::unique_ptr<SlotGate::Slot> SlotGate::Wait(const SlotRequest& request) {
+  return std::make_unique<Slot>(*this, request);
+}
+
+void SlotGate::WakeAll() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto& [target, gate] : gates_) {
+    for (auto& [ticket, waiter] : gate.waiters) {
+      waiter->asks = true;
+      waiter->woken.notify_one();
+    }
+  }
+}
+
+SlotResult SlotGate::WaitFor(const SlotRequest& request, Ticket& ticket) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  Gate& gate =
+      gates_
+          .try_emplace(request.target,
+                       core::admission::QueueTerms{.slots = request.slots,
+                                                   .queue = request.queue})
+          .first->second;
+  gate.queue.SetSlots(request.slots, request.queue);
+  gate.queue.SetCold(request.cold);
+  Waiter waiter;
+  Changes changes;
+  ticket = gate.queue.Offer(request.work, now_(), changes);
+  gate.waiters[ticket] = &waiter;
+  Apply(gate, changes);
+  while (!waiter.decided) {
+    const bool in_time =
+        waiter.woken.wait_until(lock, request.work.deadline,
+                                [&] { return waiter.decided || waiter.asks; });
+    bool cancelled = false;
+    if (!waiter.decided && waiter.asks) {
+      waiter.asks = false;
+      lock.unlock();
+      cancelled = request.is_cancelled && request.is_cancelled();
+      lock.lock();
+    }
+    if (!waiter.decided && (cancelled || !in_time)) {
+      waiter.decided = true;
+      waiter.result = cancelled ? SlotResult::kCancelled : SlotResult::kShed;
+      Changes after;
+      gate.queue.Withdraw(ticket, now_(), after);
+      Apply(gate, after);
+    }
+  }
+  gate.waiters.erase(ticket);
+  return waiter.result;
+}
+
+void SlotGate::GiveBack(const core::TargetId& target,
+                        Ticket ticket,
+                        WorkEnd end) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Gate& gate = gates_.at(target);
+  Changes changes;
+  gate.queue.Finish(ticket, end, now_(), changes);
+  Apply(gate, changes);
+}
+
+void SlotGate::Apply(Gate& gate, const Changes& changes) {
+  for (const Ticket ticket : changes.admitted) {
+    Decide(gate, ticket, SlotResult::kAdmitted);
+  }
+  for (const core::admission::Shed& it : changes.shed) {
+    Decide(gate, it.ticket, SlotResult::kShed);
+  }
+}
+
+void SlotGate::Decide(Gate& gate, Ticket ticket, SlotResult result) {
+  Waiter& waiter = *gate.waiters.at(ticket);
+  waiter.decided = true;
+  waiter.result = result;
+  waiter.woken.notify_one();
+}
+
+}  // namespace toucandock::proxy
--- /dev/null
+++ b/src/proxy/slot_gate.h
@@ -0,0 +1,98 @@
+#ifndef TOUCANDOCK_PROXY_SLOT_GATE_H_
+#define TOUCANDOCK_PROXY_SLOT_GATE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "core/admission/target_queue.h"
+#include "core/time.h"
+#include "core/unit.h"
+
+namespace toucandock::proxy {
+
+// A request that needs a slot of a target.
+struct SlotRequest {
+  core::TargetId target;
+  // Limits of the target that are in force.
+  std::uint32_t slots = 4;
+  std::uint32_t queue = 64;
+  bool cold = false;
+  core::admission::Work work;
+  // Asked by SlotGate::WakeAll(); true ends the wait. Optional.
+  std::function<bool()> is_cancelled;
+};
+
+enum class SlotResult {
+  kAdmitted,
+  kShed,
+  kCancelled,
+};
+
+// Blocks traffic threads until their target has a slot for them.
+class SlotGate {
+ public:
+  // One request's place: waits in its constructor and gives the slot back with
+  // its destruction.
+  class Slot {
+   public:
+    Slot(SlotGate& gate, const SlotRequest& request);
+    ~Slot();
+
+    Slot(const Slot&) = delete;
+    Slot& operator=(const Slot&) = delete;
+
+    SlotResult result() const { return result_; }
+    // Says how the request ended; without it, the end counts as failed.
+    void SetEnd(core::admission::WorkEnd end) { end_ = end; }
+
+   private:
+    SlotGate& gate_;
+    const core::TargetId target_;
+    core::admission::Ticket ticket_ = 0;
+    SlotResult result_ = SlotResult::kShed;
+    core::admission::WorkEnd end_ = core::admission::WorkEnd::kFailed;
+  };
+
+  explicit SlotGate(std::function<core::TimePoint()> now);
+
+  std::unique_ptr<Slot> Wait(const SlotRequest& request);
+  // Makes all waiting requests ask is_cancelled.
+  void WakeAll();
+
+ private:
+  struct Waiter {
+    std::condition_variable woken;
+    bool decided = false;
+    bool asks = false;
+    SlotResult result = SlotResult::kShed;
+  };
+  struct Gate {
+    explicit Gate(const core::admission::QueueTerms& terms) : queue(terms) {}
+
+    core::admission::TargetQueue queue;
+    std::map<core::admission::Ticket, Waiter*> waiters;
+  };
+
+  SlotResult WaitFor(const SlotRequest& request,
+                     core::admission::Ticket& ticket);
+  void GiveBack(const core::TargetId& target,
+                core::admission::Ticket ticket,
+                core::admission::WorkEnd end);
+  static void Apply(Gate& gate, const core::admission::Changes& changes);
+  static void Decide(Gate& gate,
+                     core::admission::Ticket ticket,
+                     SlotResult result);
+
+  const std::function<core::TimePoint()> now_;
+  std::mutex mutex_;
+  // Never shrinks: bounded by the targets that were ever configured.
+  std::map<core::TargetId, Gate> gates_;
+};
+
+}  // namespace toucandock::proxy
+
+#endif  // TOUCANDOCK_PROXY_SLOT_GATE_H_
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -19,7 +19,8 @@
   std::uint32_t key_bytes = 512;
   std::uint32_t request_id_bytes = 128;
   std::uint32_t caller_connections = 1'024;
-  std::uint32_t peer_connections = 256;
+  // Peers' control calls and forwarded requests; the latter wait for a slot.
+  std::uint32_t peer_connections = 1'024;
 };
 
 // Settings of one daemon.
--- a/tests/core/request/request_life_test.cc
+++ b/tests/core/request/request_life_test.cc
@@ -127,4 +127,38 @@
   }
 }
 
+TEST_CASE("work that was shed must not be sent again into the same overload") {
+  RequestLife life = MakeLife(true);
+  REQUIRE(life.OnRoute(RouteResult::kReady, kStart).step == NextStep::kSend);
+
+  SUBCASE("the queue before the target shed it") {
+    const Decision decision =
+        life.OnAttempt({.overloaded = true}, true, kStart);
+    CHECK(decision.step == NextStep::kRefuse);
+    CHECK(decision.error == ErrorKind::kOverloaded);
+    CHECK(decision.outcome == Outcome::kNotRun);
+  }
+
+  SUBCASE("the target shed it") {
+    const AttemptResult shed = {.stage = AttemptStage::kComplete,
+                                .refused_by_target = true,
+                                .overloaded = true};
+    CHECK(life.OnAttempt(shed, true, kStart).step == NextStep::kWait);
+
+    SUBCASE("and the retry budget is used up") {
+      const Decision decision = life.OnAttempt(shed, false, kStart);
+      CHECK(decision.error == ErrorKind::kOverloaded);
+      CHECK(decision.outcome == Outcome::kNotRun);
+    }
+  }
+
+  SUBCASE("an earlier attempt may have run, and the queue shed the next") {
+    life.OnAttempt({AttemptStage::kSent}, true, kStart);
+    const Decision decision =
+        life.OnAttempt({.overloaded = true}, true, kStart);
+    CHECK(decision.error == ErrorKind::kOverloaded);
+    CHECK(decision.outcome == Outcome::kUnknown);
+  }
+}
+
 }  // namespace toucandock::core::request
--- /dev/null
+++ b/tests/proxy/home_path_test.cc
@@ -0,0 +1,245 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "core/routing/home_host.h"
+#include "http/server.h"
+#include "proxy/caller_front.h"
+
+namespace toucandock::proxy {
+namespace {
+
+using core::routing::RoutingSnapshot;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr core::Fence kFence = 7;
+constexpr milliseconds kWork{30};
+
+core::TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+// Counts how many requests it runs at a time.
+class FakeTarget {
+ public:
+  FakeTarget()
+      : server_(*http::Server::Start({}, [this](const http::Request& request) {
+          return Run(request);
+        })) {}
+
+  const std::string& address() const { return server_->address(); }
+  int ran() const { return ran_; }
+  int most() const { return most_; }
+
+ private:
+  http::Response Run(const http::Request& request) {
+    const int now = ++running_;
+    int seen = most_;
+    while (now > seen && !most_.compare_exchange_weak(seen, now)) {
+    }
+    if (request.path == "/slow") {
+      std::this_thread::sleep_for(kWork);
+    }
+    --running_;
+    ++ran_;
+    return http::JsonResponse(200, request.method + " " + request.body);
+  }
+
+  std::atomic<int> running_ = 0;
+  std::atomic<int> most_ = 0;
+  std::atomic<int> ran_ = 0;
+  std::unique_ptr<http::Server> server_;
+};
+
+// The traffic part of an entry host, with its peer port.
+class FakeHost {
+ public:
+  explicit FakeHost(core::HostId id)
+      : id_(std::move(id)),
+        gate_(Now),
+        front_({},
+               view_,
+               in_flight_,
+               client_,
+               metrics_,
+               {.now = Now,
+                .report_signal = [](const core::TargetId&,
+                                    core::detection::SignalKind) {},
+                .record_attempt =
+                    [](const AttemptKey&) {
+                      return core::request::RecordResult::kRecorded;
+                    },
+                .wait_for_slot =
+                    [this](const SlotRequest& it) { return gate_.Wait(it); },
+                .is_self = [this](const core::HostId& it) { return it == id_; },
+                .is_stopping = [this] { return stopping_.load(); },
+                .new_request_id = [] { return "r"; }}),
+        peer_server_(
+            *http::Server::Start({}, [this](const http::Request& request) {
+              return front_.ServeForward(request);
+            })) {}
+
+  core::control::HostInfo info() const {
+    return {.id = id_, .peer_address = peer_address_};
+  }
+  void Publish(const RoutingSnapshot& snapshot) {
+    view_.Publish(std::make_shared<RoutingSnapshot>(snapshot));
+    view_.SetLease(Now() + seconds(60), Now());
+  }
+  void LoseLease() { view_.SetLease(Now() - seconds(1), Now()); }
+  void Stop() { stopping_ = true; }
+  void Kill() { peer_server_.reset(); }
+  http::Response Serve(const http::Request& request) {
+    return front_.Serve(request);
+  }
+  std::string metrics() const { return metrics_.Text(); }
+
+ private:
+  const core::HostId id_;
+  std::atomic<bool> stopping_ = false;
+  http::Client client_;
+  observe::Metrics metrics_;
+  PublishedView view_;
+  InFlightTable in_flight_;
+  SlotGate gate_;
+  CallerFront front_;
+  std::unique_ptr<http::Server> peer_server_;
+  const std::string peer_address_ = peer_server_->address();
+};
+
+// One target with one slot, in a keyed service and in one that is not.
+RoutingSnapshot MakeSnapshot(
+    const FakeTarget& target,
+    const std::vector<core::control::HostInfo>& hosts) {
+  RoutingSnapshot snapshot = {
+      .sequence = 1, .config_version = 1, .hosts = hosts};
+  for (const char* name : {"keyed", "desk"}) {
+    core::routing::ServiceRoute route;
+    route.config.name = name;
+    route.config.keyed = std::string(name) == "keyed";
+    route.config.shards = 1;
+    route.config.slots = 1;
+    route.config.queue = 4;
+    route.config.classes = {
+        {.name = "read", .methods = {"GET"}, .idempotent = true},
+        {.name = "write"}};
+    route.targets = {{.id = std::string(name) + "/" + target.address(),
+                      .address = target.address()}};
+    route.shards = {{0, kFence}};
+    snapshot.services[name] = route;
+  }
+  return snapshot;
+}
+
+http::Request RequestTo(const std::string& path, const std::string& method) {
+  return {.method = method,
+          .path = path,
+          .headers = {{"Toucandock-Key", "k"}, {"Toucandock-Deadline", "2000"}},
+          .body = "text"};
+}
+
+}  // namespace
+
+TEST_CASE(
+    "the queue of a target must be one, and its home host no single "
+    "point of failure") {
+  FakeTarget target;
+  FakeHost one("one");
+  FakeHost two("two");
+  RoutingSnapshot snapshot = MakeSnapshot(target, {one.info(), two.info()});
+  one.Publish(snapshot);
+  two.Publish(snapshot);
+  const bool one_is_home =
+      core::routing::HomeHost(snapshot, "keyed/" + target.address(),
+                              [](const core::HostId&) { return false; })
+          ->id == "one";
+  FakeHost& home = one_is_home ? one : two;
+  FakeHost& entry = one_is_home ? two : one;
+
+  SUBCASE("a request passes through the home host and its answer is whole") {
+    for (const char* path : {"/keyed/a", "/desk/a"}) {
+      for (const char* method : {"GET", "POST", "GET", "POST"}) {
+        const http::Response answer = entry.Serve(RequestTo(path, method));
+        CHECK(answer.status == 200);
+        CHECK(answer.body == std::string(method) + " text");
+      }
+    }
+    const char* waited =
+        "toucandock_queue_seconds_count{class=\"write\",service=\"keyed\"}";
+    CHECK(absl::StrContains(home.metrics(), waited));
+    CHECK(!absl::StrContains(entry.metrics(), waited));
+  }
+
+  SUBCASE("both hosts get more requests at a time than the target has slots") {
+    constexpr int kRequests = 12;
+    std::vector<std::future<http::Response>> answers;
+    for (int n = 0; n < kRequests; ++n) {
+      FakeHost& host = n % 2 == 0 ? home : entry;
+      answers.push_back(std::async(std::launch::async, [&host] {
+        return host.Serve(RequestTo("/keyed/slow", "POST"));
+      }));
+    }
+    int served = 0;
+    for (auto& it : answers) {
+      const http::Response answer = it.get();
+      if (answer.status == 200) {
+        ++served;
+        continue;
+      }
+      CHECK(answer.status == 503);
+      CHECK(absl::StrContains(answer.body, "\"kind\":\"overloaded\""));
+      CHECK(absl::StrContains(answer.body, "\"outcome\":\"not-run\""));
+      CHECK(http::FindHeader(answer.headers, "Retry-After") != nullptr);
+    }
+    CHECK(target.most() == 1);
+    CHECK(target.ran() == served);
+    CHECK(served >= 5);
+    CHECK(served < kRequests);
+    CHECK(absl::StrContains(home.metrics(), "toucandock_shed_total"));
+  }
+
+  SUBCASE("the home host is killed: another path is used") {
+    home.Kill();
+    CHECK(entry.Serve(RequestTo("/keyed/a", "POST")).status == 200);
+    CHECK(target.ran() == 1);
+  }
+
+  SUBCASE("the home host is stopping: another path is used") {
+    home.Stop();
+    CHECK(entry.Serve(RequestTo("/keyed/a", "POST")).status == 200);
+    CHECK(target.ran() == 1);
+  }
+
+  SUBCASE("the home host may not send to owners of keys: it does not") {
+    home.LoseLease();
+    http::Request request = RequestTo("/keyed/a", "POST");
+    request.headers.back().second = "100";
+    const http::Response answer = entry.Serve(request);
+    CHECK(absl::StrContains(answer.body, "\"outcome\":\"not-run\""));
+    CHECK(target.ran() == 0);
+  }
+
+  SUBCASE("the home host knows a later fence: it does not send under the old") {
+    RoutingSnapshot later = snapshot;
+    later.services["keyed"].shards = {{0, kFence + 1}};
+    home.Publish(later);
+    http::Request request = RequestTo("/keyed/a", "POST");
+    request.headers.back().second = "100";
+    const http::Response answer = entry.Serve(request);
+    CHECK(absl::StrContains(answer.body, "\"outcome\":\"not-run\""));
+    CHECK(target.ran() == 0);
+
+    SUBCASE("until the entry host knows it too") {
+      entry.Publish(later);
+      CHECK(entry.Serve(RequestTo("/keyed/a", "POST")).status == 200);
+    }
+  }
+}
+
+}  // namespace toucandock::proxy
