Choose targets by own requests and the home host's count

Cause: own requests in flight are mostly 0 on a host with a tenth of the traffic, so two random choices by them alone see little; loads that targets report may be stale or wrong.

--- a/src/core/routing/target_choice.cc
+++ b/src/core/routing/target_choice.cc
@@ -5,14 +5,20 @@
 namespace toucandock::core::routing {
 namespace {
 
+// Own requests are counted exactly and are known at once, so they weigh more
+// than the home host's count, which is older.
+constexpr std::uint32_t kOwnWeight = 4;
+
 bool Contains(const std::vector<TargetId>& ids, const TargetId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
 }  // namespace
 
-// Chooses a target for a request that any target may serve: the one with fewer
-// own requests in flight of two random candidates (power of two choices).
+// Chooses a target for a request that any target may serve: the less loaded of
+// two random candidates (power of two choices), by own requests in flight and
+// the home host's count. Loads that targets report are not used, since they may
+// be wrong (docs/decisions/0004-admission.md).
 // Targets that failed, were tried, or are cold come only after the others.
 // Returns nullptr when all are lost or draining.
 const TargetRoute* ChooseTarget(const ServiceRoute& service,
@@ -35,7 +41,10 @@
   }
   const TargetRoute* a = from[hooks.random() % from.size()];
   const TargetRoute* b = from[hooks.random() % from.size()];
-  return hooks.in_flight(b->id) < hooks.in_flight(a->id) ? b : a;
+  const auto load = [&](const TargetRoute* it) {
+    return kOwnWeight * hooks.in_flight(it->id) + hooks.home_count(it->id);
+  };
+  return load(b) < load(a) ? b : a;
 }
 
 }  // namespace toucandock::core::routing
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -433,6 +433,8 @@
               [this](const proxy::SlotRequest& request) {
                 return gate_.Wait(request);
               },
+          .queue_count =
+              [this](const core::TargetId& id) { return gate_.CountFor(id); },
           .is_self = [this](const core::HostId& id) { return id == host_id_; },
           .is_stopping = [this] { return stopping_.load(); },
           .new_request_id = RandomId};
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -101,7 +102,14 @@
   core::Unit unit;
   core::Fence fence = 0;
   std::vector<core::TargetId> tried;
+  // Another entry host chose the target.
+  bool is_forwarded = false;
   http::Response answer;
+
+  // Only this host's own requests count when it chooses a target.
+  std::optional<core::TargetId> counted_target() const {
+    return is_forwarded ? std::nullopt : std::optional(target->id);
+  }
 };
 
 CallerFront::CallerFront(const settings::Limits& limits,
@@ -208,6 +216,7 @@
   Job job = {.request = forward->request, .received = hooks_.now()};
   if (TakeForward(forward->facts, job)) {
     result.attempt = SendInTurn(job);
+    result.home_count = hooks_.queue_count(job.target->id);
     result.answer = std::move(job.answer);
     result.answer.headers = PassedOnHeaders(result.answer.headers);
   }
@@ -216,6 +225,7 @@
 
 // Returns false when this host's view does not allow to send the request.
 bool CallerFront::TakeForward(const ForwardFacts& facts, Job& job) const {
+  job.is_forwarded = true;
   job.service_name = facts.service;
   job.path = job.request.path;
   job.key = facts.key;
@@ -302,6 +312,10 @@
              [this](const core::TargetId& id) {
                return in_flight_.CountFor(id);
              },
+         .home_count =
+             [this, now = hooks_.now()](const core::TargetId& id) {
+               return home_counts_.Get(id, now);
+             },
          .is_failing =
              [this, now = hooks_.now()](const core::TargetId& id) {
                return failing_targets_.Contains(id, now);
@@ -406,6 +420,7 @@
       .fresh_connection = !job.request_class->idempotent};
   ForwardResult result =
       ParseForwardResult(client_.Exchange(home.peer_address, request, options));
+  home_counts_.Set(job.target->id, result.home_count, hooks_.now());
   if (result.unavailable) {
     failing_hosts_.Add(home.id, hooks_.now());
   } else if (result.attempt.stage == AttemptStage::kNotConnected &&
@@ -425,7 +440,7 @@
   {
     // Only counted, for the choice of targets: nothing is being sent yet.
     InFlightTable::Ticket waiting(in_flight_, job.snapshot->sequence,
-                                  job.target->id, std::nullopt);
+                                  job.counted_target(), std::nullopt);
     waiting.MarkSent();
     slot = hooks_.wait_for_slot(
         {.target = job.target->id,
@@ -451,6 +466,8 @@
     return {};
   }
   const AttemptResult result = Send(job);
+  home_counts_.Set(job.target->id, hooks_.queue_count(job.target->id),
+                   hooks_.now());
   using core::admission::WorkEnd;
   if (result.overloaded) {
     slot->SetEnd(WorkEnd::kRefused);
@@ -464,7 +481,7 @@
 AttemptResult CallerFront::Send(Job& job) {
   const bool keyed = job.service->config.keyed;
   InFlightTable::Ticket ticket(
-      in_flight_, job.snapshot->sequence, job.target->id,
+      in_flight_, job.snapshot->sequence, job.counted_target(),
       keyed ? std::optional<core::Unit>(job.unit) : std::nullopt);
   // The ticket is visible to the control thread now. A view that was published
   // before is seen here; a later one is not acknowledged before the request
--- a/src/proxy/caller_front.h
+++ b/src/proxy/caller_front.h
@@ -18,6 +18,7 @@
 #include "http/message.h"
 #include "observe/metrics.h"
 #include "proxy/forward.h"
+#include "proxy/home_counts.h"
 #include "proxy/in_flight_table.h"
 #include "proxy/published_view.h"
 #include "proxy/recent_failures.h"
@@ -43,6 +44,8 @@
   // Blocks until the target has a slot for the request.
   std::function<std::unique_ptr<SlotGate::Slot>(const SlotRequest&)>
       wait_for_slot;
+  // Requests in this host's queue for the target.
+  std::function<std::uint32_t(const core::TargetId&)> queue_count;
   // Whether a member of the fleet is this host.
   std::function<bool(const core::HostId&)> is_self;
   std::function<bool()> is_stopping;
@@ -93,6 +96,7 @@
   const FrontHooks hooks_;
   RecentFailures failing_hosts_;
   RecentFailures failing_targets_;
+  HomeCounts home_counts_;
   std::mutex budgets_mutex_;
   // By service.
   std::map<std::string, core::admission::RetryBudget> budgets_;
--- a/src/proxy/forward.cc
+++ b/src/proxy/forward.cc
@@ -33,6 +33,7 @@
 constexpr absl::string_view kRefused = "Toucandock-Forward-Refused";
 constexpr absl::string_view kOverloaded = "Toucandock-Forward-Overloaded";
 constexpr absl::string_view kTooLarge = "Toucandock-Forward-Too-Large";
+constexpr absl::string_view kCount = "Toucandock-Forward-Count";
 constexpr absl::string_view kUnavailable = "Toucandock-Forward-Unavailable";
 
 // Indexed by AttemptStage.
@@ -155,6 +156,7 @@
   flag(kOverloaded, attempt.overloaded);
   flag(kTooLarge, attempt.too_large);
   flag(kUnavailable, result.unavailable);
+  response.headers.emplace_back(kCount, absl::StrCat(result.home_count));
   return response;
 }
 
@@ -179,6 +181,9 @@
       .too_large = http::FindHeader(headers, kTooLarge) != nullptr,
       .overloaded = http::FindHeader(headers, kOverloaded) != nullptr};
   result.unavailable = http::FindHeader(headers, kUnavailable) != nullptr;
+  if (!absl::SimpleAtoi(ValueOf(headers, kCount), &result.home_count)) {
+    result.home_count = 0;
+  }
   result.answer = std::move(exchange.response);
   result.answer.headers = WithoutForwardHeaders(result.answer.headers);
   return result;
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANDOCK_PROXY_FORWARD_H_
 #define TOUCANDOCK_PROXY_FORWARD_H_
 
+#include <cstdint>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -39,6 +40,8 @@
   http::Response answer;
   // The home host takes no requests; another path must be used.
   bool unavailable = false;
+  // Requests that wait or run in the home host's queue for the target.
+  std::uint32_t home_count = 0;
 };
 
 http::Request EncodeForward(const Forward& forward);
--- /dev/null
+++ b/src/proxy/home_counts.h
@@ -0,0 +1,35 @@
+#ifndef TOUCANDOCK_PROXY_HOME_COUNTS_H_
+#define TOUCANDOCK_PROXY_HOME_COUNTS_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+
+#include "core/time.h"
+#include "core/unit.h"
+
+namespace toucandock::proxy {
+
+// What home hosts last said of the queues of their targets. Safe for use by any
+// thread.
+class HomeCounts {
+ public:
+  void Set(const core::TargetId& target,
+           std::uint32_t count,
+           core::TimePoint now);
+  std::uint32_t Get(const core::TargetId& target, core::TimePoint now) const;
+
+ private:
+  struct Count {
+    std::uint32_t value = 0;
+    core::TimePoint at;
+  };
+
+  mutable std::mutex mutex_;
+  // Never shrinks: bounded by the targets that were ever configured.
+  std::map<core::TargetId, Count> counts_;
+};
+
+}  // namespace toucandock::proxy
+
+#endif  // TOUCANDOCK_PROXY_HOME_COUNTS_H_
--- a/src/proxy/in_flight_table.cc
+++ b/src/proxy/in_flight_table.cc
@@ -17,7 +17,7 @@
 
 InFlightTable::Ticket::Ticket(InFlightTable& table,
                               std::uint64_t sequence,
-                              core::TargetId target,
+                              std::optional<core::TargetId> target,
                               std::optional<core::Unit> unit)
     : table_(table),
       sequence_(sequence),
@@ -25,7 +25,9 @@
       unit_(std::move(unit)) {
   const std::lock_guard<std::mutex> lock(table_.mutex_);
   table_.sending_.insert(sequence_);
-  ++table_.targets_[target_];
+  if (target_) {
+    ++table_.targets_[*target_];
+  }
   if (unit_) {
     ++table_.units_[*unit_];
   }
@@ -34,7 +36,9 @@
 InFlightTable::Ticket::~Ticket() {
   MarkSent();
   const std::lock_guard<std::mutex> lock(table_.mutex_);
-  Decrement(table_.targets_, target_);
+  if (target_) {
+    Decrement(table_.targets_, *target_);
+  }
   if (unit_) {
     Decrement(table_.units_, *unit_);
   }
--- a/src/proxy/in_flight_table.h
+++ b/src/proxy/in_flight_table.h
@@ -20,9 +20,10 @@
   // One request in flight; ends with its destruction.
   class Ticket {
    public:
+    // Without a target the request is not counted by CountFor().
     Ticket(InFlightTable& table,
            std::uint64_t sequence,
-           core::TargetId target,
+           std::optional<core::TargetId> target,
            std::optional<core::Unit> unit);
     ~Ticket();
 
@@ -36,7 +37,7 @@
    private:
     InFlightTable& table_;
     const std::uint64_t sequence_;
-    const core::TargetId target_;
+    const std::optional<core::TargetId> target_;
     const std::optional<core::Unit> unit_;
     bool sent_ = false;
   };
--- a/src/proxy/slot_gate.cc
+++ b/src/proxy/slot_gate.cc
@@ -38,6 +38,15 @@
   }
 }
 
+std::uint32_t SlotGate::CountFor(const core::TargetId& target) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = gates_.find(target);
+  return it == gates_.end()
+             ? 0
+             : static_cast<std::uint32_t>(it->second.queue.waiting() +
+                                          it->second.queue.in_service());
+}
+
 SlotResult SlotGate::WaitFor(const SlotRequest& request, Ticket& ticket) {
   std::unique_lock<std::mutex> lock(mutex_);
   Gate& gate =
--- a/src/proxy/slot_gate.h
+++ b/src/proxy/slot_gate.h
@@ -62,6 +62,8 @@
   std::unique_ptr<Slot> Wait(const SlotRequest& request);
   // Makes all waiting requests ask is_cancelled.
   void WakeAll();
+  // Requests that wait for the target or are in service there.
+  std::uint32_t CountFor(const core::TargetId& target) const;
 
  private:
   struct Waiter {
@@ -88,7 +90,7 @@
                      SlotResult result);
 
   const std::function<core::TimePoint()> now_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   // Never shrinks: bounded by the targets that were ever configured.
   std::map<core::TargetId, Gate> gates_;
 };
--- a/tests/proxy/forward_test.cc
+++ b/tests/proxy/forward_test.cc
@@ -132,6 +132,10 @@
     CHECK(result.attempt.refused_by_target);
   }
 
+  SUBCASE("the count of its queue passes") {
+    CHECK(Pass({.home_count = 5}).home_count == 5);
+  }
+
   SUBCASE("the home host is stopping") {
     CHECK(Pass({.unavailable = true}).unavailable);
   }
--- a/tests/proxy/home_path_test.cc
+++ b/tests/proxy/home_path_test.cc
@@ -77,6 +77,10 @@
                     },
                 .wait_for_slot =
                     [this](const SlotRequest& it) { return gate_.Wait(it); },
+                .queue_count =
+                    [this](const core::TargetId& it) {
+                      return gate_.CountFor(it);
+                    },
                 .is_self = [this](const core::HostId& it) { return it == id_; },
                 .is_stopping = [this] { return stopping_.load(); },
                 .new_request_id = [] { return "r"; }}),
