Drain answers to their last byte and limit kept connections

Cause: Server::Drain returned when the last handler had returned, before its answer was written, so a stopping host could cut it. The client kept up to 64 unused connections to each target from each host; targets take 46 to 130 from all hosts together. Change: a request counts as ended when the HTTP library reports it complete. Client::SetIdleLimits, set from `connections` less twice the slots, divided by the number of hosts (core/routing ConnectionShares). Unused connections of 10 hosts to a target with 46: at most 40 (before: 640). Conclusion: a planned stop does not cut forwarded requests in this test; connections in use are bounded by the slots that the home host gives out.

--- a/src/core/routing/home_host.cc
+++ b/src/core/routing/home_host.cc
@@ -1,5 +1,6 @@
 #include "core/routing/home_host.h"
 
+#include <algorithm>
 #include <cstdint>
 
 #include "util/hash.h"
@@ -27,4 +28,22 @@
   return home;
 }
 
+// Returns the unused connections that one host may keep to each target address,
+// so that all members together stay within the target's limit. Twice
+// the slots are left for requests in service and control calls.
+std::map<std::string, size_t> ConnectionShares(
+    const RoutingSnapshot& snapshot) {
+  const size_t hosts = std::max<size_t>(1, snapshot.hosts.size());
+  std::map<std::string, size_t> shares;
+  for (const auto& [name, service] : snapshot.services) {
+    const config::ServiceConfig& config = service.config;
+    const size_t kept =
+        config.connections - std::min(config.connections, 2 * config.slots);
+    for (const TargetRoute& it : service.targets) {
+      shares[it.address] = std::max<size_t>(1, kept / hosts);
+    }
+  }
+  return shares;
+}
+
 }  // namespace toucandock::core::routing
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "codec/config_yaml.h"
 #include "codec/message_json.h"
+#include "core/routing/home_host.h"
 #include "core/routing/routing_snapshot.h"
 #include "observe/logging.h"
 #include "platform/host_list_client.h"
@@ -217,7 +218,9 @@
         {std::chrono::system_clock::now(), decision->what, decision->cause});
     observe::LogStateChange(decision->what, decision->cause);
   } else if (std::holds_alternative<PublishViewAction>(action)) {
-    view_.Publish(core::routing::BuildSnapshot(controller.replica()));
+    const auto snapshot = core::routing::BuildSnapshot(controller.replica());
+    client_.SetIdleLimits(core::routing::ConnectionShares(*snapshot));
+    view_.Publish(snapshot);
     metrics_.SetConfigVersion(controller.replica().config_version());
     client_.WakeAll();
     gate_.WakeAll();
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,7 +12,7 @@
 namespace toucandock::http {
 namespace {
 
-// Kept for each address; more are closed after use.
+// Kept for each address without a limit of its own; more are closed after use.
 constexpr size_t kMaxIdle = 64;
 // Longest sleep of an exchange between two looks at its state.
 constexpr int kMaxPollMs = 1'000;
@@ -269,9 +269,31 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::erase(active_, it.get());
   std::vector<std::unique_ptr<Connection>>& idle = idle_[address];
-  if (idle.size() < kMaxIdle) {
+  if (idle.size() < IdleLimit(address)) {
     idle.push_back(std::move(it));
   }
 }
 
+// Closes what is above the new limits.
+void Client::SetIdleLimits(std::map<std::string, size_t> limits) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  idle_limits_ = std::move(limits);
+  for (auto& [address, idle] : idle_) {
+    if (const size_t limit = IdleLimit(address); idle.size() > limit) {
+      idle.resize(limit);
+    }
+  }
+}
+
+size_t Client::CountIdle(const std::string& address) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = idle_.find(address);
+  return it == idle_.end() ? 0 : it->second.size();
+}
+
+size_t Client::IdleLimit(const std::string& address) const {
+  const auto it = idle_limits_.find(address);
+  return it == idle_limits_.end() ? kMaxIdle : it->second;
+}
+
 }  // namespace toucandock::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -70,6 +70,9 @@
                           const ExchangeOptions& options);
   // Makes all exchanges under way ask is_cancelled.
   void WakeAll();
+  // Limits the connections that are kept to each address while unused.
+  void SetIdleLimits(std::map<std::string, size_t> limits);
+  size_t CountIdle(const std::string& address) const;
 
  private:
   class Connection;
@@ -77,8 +80,11 @@
   std::unique_ptr<Connection> Acquire(const std::string& address);
   void Release(const std::string& address, std::unique_ptr<Connection> it);
 
-  std::mutex mutex_;
+  size_t IdleLimit(const std::string& address) const;
+
+  mutable std::mutex mutex_;
   std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
+  std::map<std::string, size_t> idle_limits_;
   std::vector<Connection*> active_;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -21,6 +21,9 @@
 
 constexpr int kListenBacklog = 512;
 
+// Whether this connection's thread has a request that has not ended.
+thread_local bool is_serving = false;
+
 absl::StatusOr<sockaddr_in> ParseAddress(const std::string& address) {
   const size_t colon = address.rfind(':');
   sockaddr_in result = {};
@@ -132,7 +135,7 @@
     ulfius_set_default_endpoint(&instance_, &UlfiusServer::OnRequest, this);
     MHD_OptionItem mhd_options[] = {
         {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<intptr_t>(mhd_request_completed), nullptr},
+         reinterpret_cast<intptr_t>(&UlfiusServer::OnCompleted), this},
         {MHD_OPTION_URI_LOG_CALLBACK,
          reinterpret_cast<intptr_t>(ulfius_uri_logger), nullptr},
         {MHD_OPTION_LISTEN_SOCKET, fd, nullptr},
@@ -164,11 +167,33 @@
     return U_CALLBACK_COMPLETE;
   }
 
+  // Called on the connection's thread when the answer was written or the
+  // connection broke. Only here has a request ended: after its handler has
+  // returned, the answer is still to be written.
+  static void OnCompleted(void* self,
+                          MHD_Connection* connection,
+                          void** state,
+                          MHD_RequestTerminationCode code) {
+    mhd_request_completed(nullptr, connection, state, code);
+    if (is_serving) {
+      is_serving = false;
+      static_cast<UlfiusServer*>(self)->End();
+    }
+  }
+
+  void End() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (--active_ == 0) {
+      idle_.notify_all();
+    }
+  }
+
   void Serve(const _u_request& request, _u_response& response) {
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       ++active_;
     }
+    is_serving = true;
     const Response answer = handler_(Convert(request, options_.max_body));
     for (const auto& [key, value] : answer.headers) {
       u_map_put(response.map_header, key.c_str(), value.c_str());
@@ -178,10 +203,6 @@
     }
     ulfius_set_binary_body_response(&response, answer.status,
                                     answer.body.data(), answer.body.size());
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (--active_ == 0) {
-      idle_.notify_all();
-    }
   }
 
   // Memory that the library takes for a connection besides its headers.
--- a/tests/core/routing/home_host_test.cc
+++ b/tests/core/routing/home_host_test.cc
@@ -72,4 +72,23 @@
   }
 }
 
+TEST_CASE("the hosts together must not exhaust a target's connections") {
+  RoutingSnapshot snapshot = MakeSnapshot();
+  ServiceRoute& service = snapshot.services["kwatera"];
+  service.config.slots = 3;
+  service.config.connections = 46;
+  service.targets = {{.id = "kwatera/t", .address = "t"}};
+
+  SUBCASE("ten hosts share 46") {
+    const size_t share = ConnectionShares(snapshot).at("t");
+    CHECK(share == 4);
+    CHECK(kHosts * share + service.config.slots <= 46);
+  }
+
+  SUBCASE("a limit below the number of hosts leaves each one") {
+    service.config.connections = 5;
+    CHECK(ConnectionShares(snapshot).at("t") == 1);
+  }
+}
+
 }  // namespace toucandock::core::routing
--- a/tests/proxy/home_path_test.cc
+++ b/tests/proxy/home_path_test.cc
@@ -35,6 +35,7 @@
 
   const std::string& address() const { return server_->address(); }
   int ran() const { return ran_; }
+  int running() const { return running_; }
   int most() const { return most_; }
 
  private:
@@ -99,6 +100,7 @@
   void LoseLease() { view_.SetLease(Now() - seconds(1), Now()); }
   void Stop() { stopping_ = true; }
   void Kill() { peer_server_.reset(); }
+  bool Drain() { return peer_server_->Drain(seconds(5)); }
   http::Response Serve(const http::Request& request) {
     return front_.Serve(request);
   }
@@ -221,6 +223,21 @@
     CHECK(!absl::StrContains(home.metrics(), "toucandock_queue_seconds_count"));
   }
 
+  SUBCASE("the home host stops while it has a request: that one is not cut") {
+    auto answer = std::async(std::launch::async, [&] {
+      return entry.Serve(RequestTo("/keyed/slow", "POST"));
+    });
+    while (target.running() == 0) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    home.Stop();
+    CHECK(home.Drain());
+    CHECK(target.ran() == 1);
+    home.Kill();
+    CHECK(answer.get().status == 200);
+    CHECK(target.ran() == 1);
+  }
+
   SUBCASE("the home host may not send to owners of keys: it does not") {
     home.LoseLease();
     http::Request request = RequestTo("/keyed/a", "POST");
