--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -9,6 +9,7 @@
 #include "codec/config_yaml.h"
 #include "codec/message_json.h"
 #include "codec/target_json.h"
+#include "core/routing/home_host.h"
 #include "core/routing/routing_snapshot.h"
 #include "observe/logging.h"
 #include "platform/host_list_client.h"
@@ -47,6 +48,7 @@
       history_(kHistorySize),
       trace_(settings_),
       ownership_(MakeOwnershipHooks()),
+      gate_(Now),
       targets_(control_clients_.targets,
                duration_cast<milliseconds>(settings_.probe_timeout)),
       log_(control_clients_.log,
@@ -119,6 +121,8 @@
       peer_server_,
       {.address = settings_.peer_address,
        .max_body = kPeerBodyBytes,
+       // Forwarded requests carry the caller's headers and more.
+       .max_headers = 2 * settings_.limits.header_bytes,
        .max_connections = settings_.limits.peer_connections},
       [this](const http::Request& request) { return ServePeer(request); }));
   if (!status.ok()) {
@@ -205,6 +209,8 @@
   control_->Post(StopEvent{});
   // Time for the leave record and for the peers to elect another decider.
   std::this_thread::sleep_for(settings_.lease.election);
+  // Requests of other entry hosts that were accepted before the stop.
+  peer_server_->Drain(duration_cast<milliseconds>(settings_.stop_limit));
   ended_ = true;
 }
 
@@ -240,13 +246,16 @@
   if (const auto* decision = std::get_if<DecisionAction>(&action)) {
     RecordDecision(decision->what, decision->cause);
   } else if (std::holds_alternative<PublishViewAction>(action)) {
-    view_.Publish(core::routing::BuildSnapshot(controller.replica()));
+    const auto snapshot = core::routing::BuildSnapshot(controller.replica());
+    client_.SetIdleLimits(core::routing::ConnectionShares(*snapshot));
+    view_.Publish(snapshot);
     metrics_.SetConfigVersion(controller.replica().config_version());
     ownership_.Observe(controller.replica(),
                        controller.Status(Now()).is_decider);
     client_.WakeAll();
     attempts_->OnMembersChanged();
     poison_->OnMembersChanged();
+    gate_.WakeAll();
   } else if (const auto* append = std::get_if<AppendAction>(&action)) {
     Send(*append);
   } else if (const auto* renew = std::get_if<SendRenewAction>(&action)) {
@@ -427,6 +436,9 @@
 }
 
 http::Response Daemon::ServePeer(const http::Request& request) {
+  if (request.method == "POST" && request.path == proxy::kForwardPath) {
+    return front_->ServeForward(request);
+  }
   if (control_ == nullptr) {
     return proxy::ProblemResponse(core::ErrorKind::kStopping,
                                   core::Outcome::kNotRun, "starting", "");
@@ -511,6 +523,13 @@
               [this](const core::request::PoisonKey& key) {
                 poison_->OnAnswer(key);
               },
+          .wait_for_slot =
+              [this](const proxy::SlotRequest& request) {
+                return gate_.Wait(request);
+              },
+          .queue_count =
+              [this](const core::TargetId& id) { return gate_.CountFor(id); },
+          .is_self = [this](const core::HostId& id) { return id == host_id_; },
           .is_stopping = [this] { return stopping_.load(); },
           .count_key =
               [this](const core::routing::ServiceRoute& service,
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -27,6 +27,7 @@
 #include "proxy/in_flight_table.h"
 #include "proxy/key_meter.h"
 #include "proxy/published_view.h"
+#include "proxy/slot_gate.h"
 #include "proxy/target_client.h"
 #include "settings/settings.h"
 
@@ -92,6 +93,7 @@
   proxy::PublishedView view_;
   proxy::InFlightTable in_flight_;
   proxy::KeyMeter key_meter_;
+  proxy::SlotGate gate_;
   proxy::TargetClient targets_;
   platform::LogClient log_;
   std::unique_ptr<AttemptService> attempts_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -80,6 +80,9 @@
                           const ExchangeOptions& options);
   // Makes all exchanges under way ask is_cancelled.
   void WakeAll();
+  // Limits the connections that are kept to each address while unused.
+  void SetIdleLimits(std::map<std::string, size_t> limits);
+  size_t CountIdle(const std::string& address) const;
 
  private:
   class Connection;
@@ -87,9 +90,12 @@
   std::unique_ptr<Connection> Acquire(const std::string& address, bool fresh);
   void Release(const std::string& address, std::unique_ptr<Connection> it);
 
+  size_t IdleLimit(const std::string& address) const;
+
   const ByteCounter count_bytes_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_;
+  std::map<std::string, size_t> idle_limits_;
   std::vector<Connection*> active_;
 };
 
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -39,6 +39,9 @@
                     core::Outcome outcome,
                     std::chrono::nanoseconds latency);
   void CountRetry(const std::string& service);
+  void CountQueueTime(const RequestLabels& labels,
+                      std::chrono::nanoseconds waited);
+  void CountShed(const RequestLabels& labels);
   // `with` is one of peer, log, target, host-list.
   void CountControlBytes(const std::string& with,
                          std::uint64_t sent,
@@ -60,6 +63,8 @@
   prometheus::Family<prometheus::Histogram>& tenant_latency_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Histogram>& queue_time_;
+  prometheus::Family<prometheus::Counter>& shed_;
   prometheus::Family<prometheus::Counter>& control_bytes_;
   prometheus::Family<prometheus::Counter>& owner_changes_;
   prometheus::Family<prometheus::Counter>& without_owner_;
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -9,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "codec/target_json.h"
 #include "core/request/fingerprint.h"
+#include "core/routing/home_host.h"
 #include "core/routing/target_choice.h"
 #include "proxy/problem.h"
 
@@ -32,6 +34,10 @@
 // Half the time for which attempts are remembered, so that no attempt is
 // forgotten while its request may still be sent or run.
 constexpr core::Duration kLongestAttempt = std::chrono::minutes(5);
+// Time after the deadline in which a home host's own report of a timeout
+// arrives.
+constexpr std::chrono::milliseconds kHopAllowance{20};
+constexpr int kServiceUnavailable = 503;
 
 // Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
 // libraries write themselves.
@@ -72,6 +78,16 @@
          request.query.find('#') == std::string::npos;
 }
 
+http::Headers PassedOnHeaders(const http::Headers& headers) {
+  http::Headers result;
+  for (const auto& it : headers) {
+    if (IsPassedOn(it.first)) {
+      result.push_back(it);
+    }
+  }
+  return result;
+}
+
 std::string HeaderOr(const http::Headers& headers,
                      absl::string_view name,
                      const std::string& otherwise) {
@@ -79,24 +95,6 @@
   return value == nullptr ? otherwise : *value;
 }
 
-AttemptStage StageOf(http::Progress progress) {
-  switch (progress) {
-    case http::Progress::kNotConnected:
-      return AttemptStage::kNotConnected;
-    case http::Progress::kConnected:
-      return AttemptStage::kConnected;
-    case http::Progress::kSending:
-      return AttemptStage::kSending;
-    case http::Progress::kSent:
-      return AttemptStage::kSent;
-    case http::Progress::kHeadersReceived:
-      return AttemptStage::kHeadersReceived;
-    case http::Progress::kComplete:
-      return AttemptStage::kComplete;
-  }
-  return AttemptStage::kSent;
-}
-
 std::uint64_t Random() {
   thread_local std::mt19937_64 generator{std::random_device{}()};
   return generator();
@@ -124,11 +122,18 @@
   core::Unit unit;
   core::Fence fence = 0;
   std::vector<core::TargetId> tried;
+  // Another entry host chose the target.
+  bool is_forwarded = false;
   http::Response answer;
 
   core::request::AttemptKey attempt;
   bool recorded = false;
   core::request::PoisonKey poison_key;
+
+  // Only this host's own requests count when it chooses a target.
+  std::optional<core::TargetId> counted_target() const {
+    return is_forwarded ? std::nullopt : std::optional(target->id);
+  }
 };
 
 CallerFront::CallerFront(const settings::Limits& limits,
@@ -153,6 +158,14 @@
   return ServeChecked(job);
 }
 
+std::string CallerFront::FingerprintOf(const Job& job) {
+  return core::request::Fingerprint({.method = job.request.method,
+                                     .path = job.path,
+                                     .query = job.request.query,
+                                     .key = job.key,
+                                     .body = job.request.body});
+}
+
 // Finds the service and checks what the caller sent. Fills `refusal` and
 // returns false when the request cannot be served as it is.
 bool CallerFront::Prepare(Job& job, http::Response& refusal) const {
@@ -227,12 +240,7 @@
     remaining = std::min(remaining, kLongestAttempt);
   }
   job.deadline = job.received + remaining;
-  const std::string fingerprint =
-      core::request::Fingerprint({.method = request.method,
-                                  .path = job.path,
-                                  .query = request.query,
-                                  .key = job.key,
-                                  .body = request.body});
+  const std::string fingerprint = FingerprintOf(job);
   job.poison_key = {job.service_name, job.request_id, fingerprint};
   if (job.request_id.empty()) {
     job.request_id = hooks_.new_request_id();
@@ -242,10 +250,72 @@
   return true;
 }
 
+// The checks that concern the moment of sending are repeated here. The request
+// is never forwarded again, so that hosts with different views cannot pass it
+// round in a circle.
+http::Response CallerFront::ServeForward(const http::Request& request) {
+  const absl::StatusOr<Forward> forward = ParseForward(request);
+  ForwardResult result;
+  if (!forward.ok() || hooks_.is_stopping()) {
+    result.unavailable = true;
+    return EncodeForwardResult(result);
+  }
+  http::Request inner = forward->request;
+  // The other host gives up when its caller has gone.
+  inner.socket = request.socket;
+  Job job = {.request = inner, .received = hooks_.now()};
+  if (TakeForward(forward->facts, job)) {
+    result.attempt = SendInTurn(job);
+    result.home_count = hooks_.queue_count(job.target->id);
+    result.answer = std::move(job.answer);
+    result.answer.headers = PassedOnHeaders(result.answer.headers);
+  }
+  return EncodeForwardResult(result);
+}
+
+// Returns false when this host's view does not allow to send the request.
+bool CallerFront::TakeForward(const ForwardFacts& facts, Job& job) const {
+  job.is_forwarded = true;
+  job.service_name = facts.service;
+  job.path = job.request.path;
+  job.key = facts.key;
+  job.request_id = facts.request_id;
+  job.tenant = facts.tenant;
+  job.deadline = job.received + facts.remaining;
+  job.snapshot = view_.snapshot();
+  job.service = core::routing::FindService(*job.snapshot, facts.service);
+  if (job.service == nullptr) {
+    return false;
+  }
+  job.request_class = core::config::FindClass(job.service->config,
+                                              job.request.method, job.path);
+  job.poison_key = {job.service_name, job.request_id, FingerprintOf(job)};
+  if (job.service->config.keyed) {
+    const core::routing::KeyRoute route =
+        core::routing::RouteKey(*job.service, job.key);
+    job.target = route.target;
+    job.unit = route.unit;
+    job.fence = route.fence;
+    return view_.HasLease(job.received) && job.target != nullptr &&
+           job.target->id == facts.target && job.fence == facts.fence;
+  }
+  const auto& targets = job.service->targets;
+  const auto it = std::find_if(
+      targets.begin(), targets.end(),
+      [&](const auto& target) { return target.id == facts.target; });
+  job.target = it == targets.end() ? nullptr : &*it;
+  return job.target != nullptr;
+}
+
 http::Response CallerFront::ServeChecked(Job& job) {
   if (job.service->config.keyed && hooks_.count_key) {
     hooks_.count_key(*job.service, job.key);
   }
+  {
+    const std::lock_guard<std::mutex> lock(budgets_mutex_);
+    budgets_.try_emplace(job.service_name, core::admission::RetryBudgetTerms{})
+        .first->second.OnRequest();
+  }
   core::request::RequestLife life(
       {.idempotent = job.request_class.idempotent, .deadline = job.deadline},
       core::request::RetryTerms{}, Random());
@@ -268,8 +338,8 @@
         if (life.attempts() > 0) {
           metrics_.CountRetry(job.service_name);
         }
-        const AttemptResult result = Send(job);
-        decision = life.OnAttempt(result, true, hooks_.now());
+        const AttemptResult result = Attempt(job);
+        decision = life.OnAttempt(result, MayRetry(job, result), hooks_.now());
         break;
       }
       case NextStep::kWait:
@@ -302,7 +372,14 @@
              [this](const core::TargetId& id) {
                return in_flight_.CountFor(id);
              },
-         .is_failing = [](const core::TargetId&) { return false; },
+         .home_count =
+             [this, now = hooks_.now()](const core::TargetId& id) {
+               return home_counts_.Get(id, now);
+             },
+         .is_failing =
+             [this, now = hooks_.now()](const core::TargetId& id) {
+               return failing_targets_.Contains(id, now);
+             },
          .random = Random});
     return job.target == nullptr ? RouteResult::kNoOwner : RouteResult::kReady;
   }
@@ -337,11 +414,135 @@
          route.fence == job.fence;
 }
 
+// Returns whether the target of a request that has not been sent may get no
+// more work.
+bool CallerFront::IsTargetGone(const Job& job) const {
+  if (job.service->config.keyed) {
+    return !IsStillOwner(job);
+  }
+  const PublishedView::Snapshot latest = view_.snapshot();
+  const core::routing::ServiceRoute* service =
+      core::routing::FindService(*latest, job.service_name);
+  return service == nullptr ||
+         std::none_of(service->targets.begin(), service->targets.end(),
+                      [&](const core::routing::TargetRoute& it) {
+                        return it.id == job.target->id && !it.lost &&
+                               !it.draining;
+                      });
+}
+
+// Attempts that did not reach a target cost it nothing and are not limited by
+// the budget; without them, requests would be refused while a lost owner is
+// replaced.
+bool CallerFront::MayRetry(const Job& job, const AttemptResult& result) {
+  if (result.stage == AttemptStage::kNotConnected) {
+    return true;
+  }
+  if (result.stage == AttemptStage::kComplete && !result.refused_by_target) {
+    return false;
+  }
+  const std::lock_guard<std::mutex> lock(budgets_mutex_);
+  return budgets_.at(job.service_name).TryRetry();
+}
+
+AttemptResult CallerFront::Attempt(Job& job) {
+  job.tried.push_back(job.target->id);
+  const core::TimePoint now = hooks_.now();
+  const core::control::HostInfo* home = core::routing::HomeHost(
+      *job.snapshot, job.target->id,
+      [&](const core::HostId& id) { return failing_hosts_.Contains(id, now); });
+  return home == nullptr || hooks_.is_self(home->id) ? SendInTurn(job)
+                                                     : SendThrough(*home, job);
+}
+
+// Leaves the request to the home host of its target.
+AttemptResult CallerFront::SendThrough(const core::control::HostInfo& home,
+                                       Job& job) {
+  // Only counted, for the choice of targets: the home host has the ticket that
+  // moves of ownership wait for.
+  InFlightTable::Ticket ticket(in_flight_, job.snapshot->sequence,
+                               job.target->id, std::nullopt);
+  ticket.MarkSent();
+  const core::Duration remaining = job.deadline - hooks_.now();
+  const http::Request request =
+      EncodeForward({.facts = {.service = job.service_name,
+                               .target = job.target->id,
+                               .key = job.key,
+                               .fence = job.fence,
+                               .request_id = job.request_id,
+                               .tenant = job.tenant,
+                               .remaining = remaining},
+                     .request = TargetRequest(job)});
+  const http::ExchangeOptions options = {
+      .timeout = std::chrono::ceil<std::chrono::milliseconds>(
+          std::max(remaining, core::Duration::zero()) + kHopAllowance),
+      .max_body = limits_.answer_bytes,
+      .fresh_connection = !job.request_class.idempotent,
+      .caller_socket = job.request.socket};
+  ForwardResult result =
+      ParseForwardResult(client_.Exchange(home.peer_address, request, options));
+  home_counts_.Set(job.target->id, result.home_count, hooks_.now());
+  if (result.unavailable) {
+    failing_hosts_.Add(home.id, hooks_.now());
+  } else if (result.attempt.stage == AttemptStage::kNotConnected &&
+             !result.attempt.overloaded) {
+    failing_targets_.Add(job.target->id, hooks_.now());
+  }
+  job.answer = std::move(result.answer);
+  return result.attempt;
+}
+
+// Sends the request when the target has a slot for it.
+AttemptResult CallerFront::SendInTurn(Job& job) {
+  const core::TimePoint start = hooks_.now();
+  const observe::RequestLabels labels = {job.service_name,
+                                         job.request_class.name, job.tenant};
+  std::unique_ptr<SlotGate::Slot> slot;
+  {
+    // Only counted, for the choice of targets: nothing is being sent yet.
+    InFlightTable::Ticket waiting(in_flight_, job.snapshot->sequence,
+                                  job.counted_target(), std::nullopt);
+    waiting.MarkSent();
+    slot = hooks_.wait_for_slot(
+        {.target = job.target->id,
+         .slots = job.service->config.slots,
+         .queue = job.service->config.queue,
+         .cold = job.target->cold,
+         .work = {.request_class = job.request_class.name,
+                  .caller = job.tenant,
+                  .length = job.request_class.length,
+                  .deadline = job.deadline},
+         .is_cancelled = [&] { return IsTargetGone(job); }});
+  }
+  const core::TimePoint now = hooks_.now();
+  metrics_.CountQueueTime(labels, now - start);
+  if (slot->result() != SlotResult::kAdmitted) {
+    const bool shed = slot->result() == SlotResult::kShed;
+    if (shed) {
+      metrics_.CountShed(labels);
+    }
+    return {.overloaded = shed};
+  }
+  if (now >= job.deadline) {
+    return {};
+  }
+  const AttemptResult result = Send(job);
+  home_counts_.Set(job.target->id, hooks_.queue_count(job.target->id),
+                   hooks_.now());
+  using core::admission::WorkEnd;
+  if (result.overloaded) {
+    slot->SetEnd(WorkEnd::kRefused);
+  } else if (result.stage == AttemptStage::kComplete &&
+             !result.refused_by_target) {
+    slot->SetEnd(WorkEnd::kRan);
+  }
+  return result;
+}
+
 AttemptResult CallerFront::Send(Job& job) {
   const bool keyed = job.service->config.keyed;
-  job.tried.push_back(job.target->id);
   InFlightTable::Ticket ticket(
-      in_flight_, job.snapshot->sequence, job.target->id,
+      in_flight_, job.snapshot->sequence, job.counted_target(),
       keyed ? std::optional<core::Unit>(job.unit) : std::nullopt);
   // The ticket is visible to the control thread now. A view that was published
   // before is seen here; a later one is not acknowledged before the request
@@ -350,10 +551,9 @@
   if (keyed && (!IsStillOwner(job) || !view_.HasLease(now))) {
     return {};
   }
-  using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   const http::ExchangeOptions options = {
-      .timeout = duration_cast<milliseconds>(job.deadline - now),
+      .timeout = std::chrono::ceil<milliseconds>(job.deadline - now),
       .max_body = limits_.answer_bytes,
       .fresh_connection = !job.request_class.idempotent,
       .is_cancelled =
@@ -364,14 +564,20 @@
       client_.Exchange(job.target->address, TargetRequest(job), options);
   ReportSignal(job, result);
   NoteRun(job, result);
+  if (result.failure == http::Failure::kRefused) {
+    failing_targets_.Add(job.target->id, hooks_.now());
+  }
   job.answer = std::move(result.response);
   const std::string* outcome =
       http::FindHeader(job.answer.headers, "Toucandock-Outcome");
+  const bool refused =
+      job.answer.status >= 400 && outcome != nullptr && *outcome == kNotRun;
   return {.stage = StageOf(result.progress),
-          .refused_by_target = job.answer.status >= 400 && outcome != nullptr &&
-                               *outcome == kNotRun,
+          .refused_by_target = refused,
           .too_large = result.failure == http::Failure::kTooLarge,
-          .caller_gone = result.failure == http::Failure::kCallerGone};
+          .caller_gone = result.failure == http::Failure::kCallerGone,
+          .overloaded = refused && job.answer.status == kServiceUnavailable &&
+                        result.progress == http::Progress::kComplete};
 }
 
 http::Request CallerFront::TargetRequest(const Job& job) const {
@@ -439,14 +645,9 @@
     return ProblemResponse(decision.error, decision.outcome, "",
                            job.request_id);
   }
-  http::Response response = {.status = job.answer.status,
-                             .body = job.answer.body};
-  for (const auto& [name, value] : job.answer.headers) {
-    if (IsPassedOn(name)) {
-      response.headers.emplace_back(name, value);
-    }
-  }
-  return response;
+  return {.status = job.answer.status,
+          .headers = PassedOnHeaders(job.answer.headers),
+          .body = job.answer.body};
 }
 
 }  // namespace toucandock::proxy
--- a/src/proxy/caller_front.h
+++ b/src/proxy/caller_front.h
@@ -2,10 +2,15 @@
 #define TOUCANDOCK_PROXY_CALLER_FRONT_H_
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "core/admission/retry_budget.h"
+#include "core/control/records.h"
 #include "core/detection/loss_detector.h"
 #include "core/request/attempt_registry.h"
 #include "core/request/poison_registry.h"
@@ -14,8 +19,12 @@
 #include "http/client.h"
 #include "http/message.h"
 #include "observe/metrics.h"
+#include "proxy/forward.h"
+#include "proxy/home_counts.h"
 #include "proxy/in_flight_table.h"
 #include "proxy/published_view.h"
+#include "proxy/recent_failures.h"
+#include "proxy/slot_gate.h"
 #include "settings/settings.h"
 
 namespace toucandock::proxy {
@@ -42,6 +51,13 @@
       on_broken;
   // The request was answered in whole.
   std::function<void(const core::request::PoisonKey&)> on_answer;
+  // Blocks until the target has a slot for the request.
+  std::function<std::unique_ptr<SlotGate::Slot>(const SlotRequest&)>
+      wait_for_slot;
+  // Requests in this host's queue for the target.
+  std::function<std::uint32_t(const core::TargetId&)> queue_count;
+  // Whether a member of the fleet is this host.
+  std::function<bool(const core::HostId&)> is_self;
   std::function<bool()> is_stopping;
   // Counts a request for a key; may be empty.
   std::function<void(const core::routing::ServiceRoute&, const std::string&)>
@@ -62,14 +78,24 @@
 
   // Blocks the calling thread until the request is answered.
   http::Response Serve(const http::Request& request);
+  // Sends another entry host's request to a target whose home host this is.
+  http::Response ServeForward(const http::Request& request);
 
  private:
   struct Job;
 
   http::Response ServeChecked(Job& job);
+  static std::string FingerprintOf(const Job& job);
   bool Prepare(Job& job, http::Response& refusal) const;
   core::request::RouteResult Route(Job& job) const;
   bool IsStillOwner(const Job& job) const;
+  bool IsTargetGone(const Job& job) const;
+  bool TakeForward(const ForwardFacts& facts, Job& job) const;
+  bool MayRetry(const Job& job, const core::request::AttemptResult& result);
+  core::request::AttemptResult Attempt(Job& job);
+  core::request::AttemptResult SendThrough(const core::control::HostInfo& home,
+                                           Job& job);
+  core::request::AttemptResult SendInTurn(Job& job);
   core::request::AttemptResult Send(Job& job);
   http::Request TargetRequest(const Job& job) const;
   void ReportSignal(const Job& job, const http::ExchangeResult& result) const;
@@ -85,6 +111,12 @@
   http::Client& client_;
   observe::Metrics& metrics_;
   const FrontHooks hooks_;
+  RecentFailures failing_hosts_;
+  RecentFailures failing_targets_;
+  HomeCounts home_counts_;
+  std::mutex budgets_mutex_;
+  // By service.
+  std::map<std::string, core::admission::RetryBudget> budgets_;
 };
 
 }  // namespace toucandock::proxy
--- a/tests/proxy/caller_front_test.cc
+++ b/tests/proxy/caller_front_test.cc
@@ -132,6 +132,11 @@
                   const std::lock_guard<std::mutex> lock(mutex_);
                   poison_.Prove(key, Now());
                 },
+            .wait_for_slot =
+                [this](const SlotRequest& it) { return gate_.Wait(it); },
+            .queue_count =
+                [this](const core::TargetId& it) { return gate_.CountFor(it); },
+            .is_self = [](const core::HostId&) { return true; },
             .is_stopping = [this] { return stopping.load(); },
             .new_request_id =
                 [this] { return absl::StrCat("generated-", ++ids_); }};
@@ -139,6 +144,7 @@
 
   PublishedView view_;
   InFlightTable in_flight_;
+  SlotGate gate_{Now};
   http::Client client_;
   observe::Metrics metrics_;
   std::atomic<int> ids_ = 0;
