Report each signal about a target once; prove moves, membership, reform

Cause: a host that could not reach one target sent a renewal for each failed request, each reply asked for a probe, and each failed probe sent the next renewal. In the fake the case "one bad signal alone must move nothing" did not end within 120 s. A pending bad signal was also repeated in every renewal, so one time-out counted as many.

Change: Member reports an observation once, sends at once only for the first bad one, and probes a suspect at most once per renewal interval. New cases: reform with evidence only, whole fleet restarted, sole voter paused, start from a checkpoint and during a log outage, leaving targets, drain limit, flapping targets, odd voters, eviction and return, campaigns at once.

--- a/src/core/control/member.cc
+++ b/src/core/control/member.cc
@@ -37,13 +37,46 @@
 }
 
 void Member::AddSignal(const detection::Signal& signal) {
-  const auto key = std::make_pair(signal.target, signal.source);
+  const SignalKey key(signal.target, signal.source);
   const bool bad = signal.kind != detection::SignalKind::kAlive;
-  if (!bad && !signals_.contains(key)) {
+  if (!bad && !signals_.contains(key) && !reported_bad_.contains(key)) {
     return;
   }
   signals_[key] = signal;
-  renew_now_ = renew_now_ || bad;
+  // Only the first bad signal is urgent. If each were sent at once, the
+  // suspects in the replies would lead to more probes and more signals.
+  renew_now_ = renew_now_ || (bad && !reported_bad_.contains(key));
+}
+
+// Each observation is reported once: a time-out that is repeated in every
+// renewal would count as many.
+std::vector<detection::Signal> Member::TakeSignals() {
+  std::vector<detection::Signal> taken;
+  for (const auto& [key, signal] : signals_) {
+    taken.push_back(signal);
+    if (signal.kind == detection::SignalKind::kAlive) {
+      reported_bad_.erase(key);
+    } else {
+      reported_bad_.insert(key);
+    }
+  }
+  signals_.clear();
+  return taken;
+}
+
+// Probes each suspect at most once in a renewal interval.
+void Member::Probe(const std::vector<TargetId>& suspects,
+                   TimePoint now,
+                   Actions& out) {
+  for (const TargetId& target : suspects) {
+    const auto [it, added] = probed_at_.try_emplace(target, now);
+    if (!added && now - it->second < terms_.renew_interval) {
+      continue;
+    }
+    it->second = now;
+    // The address is filled in by the controller.
+    out.push_back(SendProbeAction{.target = target, .address = ""});
+  }
 }
 
 void Member::SetLeaving() {
@@ -90,10 +123,7 @@
       replica_.state().next <= directive.effective) {
     lease_until_ = std::max(lease_until_, event.sent_at + terms_.serving);
   }
-  for (const TargetId& target : reply.suspects) {
-    // The address is filled in by the controller.
-    out.push_back(SendProbeAction{.target = target, .address = ""});
-  }
+  Probe(reply.suspects, now, out);
 }
 
 // The host that was asked is not the decider; it may know who is.
@@ -264,12 +294,9 @@
   request.config_version = replica_.config_version();
   request.busy = busy_;
   request.leaving = leaving_;
-  for (const auto& [key, signal] : signals_) {
-    request.signals.push_back(signal);
+  if (decider_) {
+    request.signals = TakeSignals();
   }
-  std::erase_if(signals_, [](const auto& it) {
-    return it.second.kind == detection::SignalKind::kAlive;
-  });
   if (decider_ && echo_) {
     // The decider counts this renewal from the echoed stamp, which is older
     // than its receipt here; so this promise lasts longer than the decider
--- a/src/core/control/member.h
+++ b/src/core/control/member.h
@@ -60,6 +60,10 @@
   bool IsEligible() const;
   Duration ElectionDelay() const;
   void SendRenewal(TimePoint now, Actions& out);
+  std::vector<detection::Signal> TakeSignals();
+  void Probe(const std::vector<TargetId>& suspects,
+             TimePoint now,
+             Actions& out);
   std::optional<HostInfo> NextContact();
   void TryPendingDirective(TimePoint now, Actions& out);
   std::optional<Directive> StepCandidacy(TimePoint now, Actions& out);
@@ -99,8 +103,12 @@
   bool leaving_ = false;
   std::vector<Unit> busy_;
   std::uint64_t acked_sequence_ = 0;
-  std::map<std::pair<TargetId, detection::SignalSource>, detection::Signal>
-      signals_;
+  using SignalKey = std::pair<TargetId, detection::SignalSource>;
+  // Observations that no renewal has carried yet.
+  std::map<SignalKey, detection::Signal> signals_;
+  // Of these, the decider has heard a bad signal last.
+  std::set<SignalKey> reported_bad_;
+  std::map<TargetId, TimePoint> probed_at_;
   // A directive that needs records this host has not read yet.
   std::optional<Directive> pending_;
   TimePoint pending_since_;
--- a/tests/core/control/controller_fixture.cc
+++ b/tests/core/control/controller_fixture.cc
@@ -142,6 +142,10 @@
   hosts_.erase(address);
 }
 
+void Fleet::Stop(const std::string& address) {
+  Deliver(hosts_.at(address), StopEvent{});
+}
+
 void Fleet::Pause(const std::string& address) {
   if (targets_.contains(address)) {
     targets_.at(address).paused = true;
--- a/tests/core/control/controller_fixture.h
+++ b/tests/core/control/controller_fixture.h
@@ -104,6 +104,8 @@
   // Starts h1..hN and waits until all units are served.
   bool StartFleet(int hosts);
   void Kill(const std::string& address);
+  // Asks a host for a planned stop; it runs on until it is killed.
+  void Stop(const std::string& address);
   void Pause(const std::string& address);
   void Resume(const std::string& address);
   void RestartTarget(const std::string& address);
--- /dev/null
+++ b/tests/core/control/membership_test.cc
@@ -0,0 +1,171 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "core/control/controller_fixture.h"
+
+namespace toucandock::core::control::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct VoterHistory {
+  size_t largest = 0;
+  // Changes of more than one voter by one record, other than a foundation.
+  size_t jumps = 0;
+};
+
+VoterHistory HistoryOf(const Fleet& fleet) {
+  VoterHistory history;
+  ControlState state;
+  for (const LogEntry& entry : fleet.log.entries) {
+    const std::vector<HostId> before = Voters(state);
+    const Offset founded = state.founded;
+    Fold(state, entry);
+    const std::vector<HostId> after = Voters(state);
+    std::vector<HostId> changed;
+    std::set_symmetric_difference(before.begin(), before.end(), after.begin(),
+                                  after.end(), std::back_inserter(changed));
+    history.largest = std::max(history.largest, after.size());
+    if (changed.size() > 1 && state.founded == founded) {
+      ++history.jumps;
+    }
+  }
+  return history;
+}
+
+const ControlState& StateOf(const Fleet& fleet) {
+  return fleet.DeciderHost()->controller->replica().state();
+}
+
+}  // namespace
+
+TEST_CASE("voters must stay odd in number and change one at a time") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(5));
+  for (const char* it : {"h6", "h7", "h8", "h9"}) {
+    fleet.StartHost(it, {"h1"});
+  }
+  fleet.RunFor(seconds(5));
+  REQUIRE(fleet.DeciderHost() != nullptr);
+  CHECK(StateOf(fleet).members.size() == 9);
+  CHECK(Voters(StateOf(fleet)).size() == 7);
+  CHECK(fleet.IsServing());
+
+  SUBCASE("a voter is lost and another host takes its vote") {
+    const std::string decider = fleet.DeciderHost()->info.peer_address;
+    for (const std::string it : {"h2", "h3"}) {
+      if (it != decider) {
+        fleet.Kill(it);
+        fleet.RunFor(seconds(8));
+        CHECK(Voters(StateOf(fleet)).size() == 7);
+      }
+    }
+    CHECK(fleet.IsServing());
+  }
+
+  SUBCASE("all but three hosts are lost one by one") {
+    for (int n = 0; n < 6; ++n) {
+      const std::string decider = fleet.DeciderHost()->info.peer_address;
+      const std::vector<FakeHost*> live = fleet.LiveHosts();
+      const auto it = std::find_if(live.begin(), live.end(), [&](auto* host) {
+        return host->info.peer_address != decider;
+      });
+      fleet.Kill((*it)->info.peer_address);
+      fleet.RunFor(seconds(8));
+      REQUIRE(fleet.DeciderHost() != nullptr);
+      CHECK(fleet.IsServing());
+    }
+    CHECK(Voters(StateOf(fleet)).size() == 3);
+  }
+
+  SUBCASE("an evicted host returns") {
+    const std::string decider = fleet.DeciderHost()->info.peer_address;
+    const std::string cut = decider == "h5" ? "h4" : "h5";
+    for (const FakeHost* host : fleet.LiveHosts()) {
+      if (host->info.peer_address != cut) {
+        fleet.Cut(cut, host->info.peer_address);
+      }
+    }
+    fleet.Cut(cut, "log");
+    fleet.RunFor(seconds(8));
+    const HostId id = fleet.Host(cut).info.id;
+    CHECK_FALSE(StateOf(fleet).members.contains(id));
+    fleet.HealLinks();
+    fleet.RunFor(seconds(3));
+    CHECK(StateOf(fleet).members.contains(id));
+    CHECK(fleet.IsServing());
+  }
+
+  SUBCASE("the decider's host stops as planned") {
+    const std::string decider = fleet.DeciderHost()->info.peer_address;
+    const HostId id = fleet.Host(decider).info.id;
+    fleet.Stop(decider);
+    const auto taken = fleet.RunUntil(
+        [&] {
+          const FakeHost* now = fleet.DeciderHost();
+          return now != nullptr && now->info.id != id;
+        },
+        seconds(3));
+    REQUIRE(taken.has_value());
+    CHECK(*taken <= milliseconds(600));
+    fleet.Kill(decider);
+    fleet.RunFor(seconds(3));
+    CHECK_FALSE(StateOf(fleet).members.contains(id));
+    CHECK(Voters(StateOf(fleet)).size() == 7);
+  }
+
+  const VoterHistory history = HistoryOf(fleet);
+  CHECK(history.largest == 7);
+  CHECK(history.jumps == 0);
+  CHECK(fleet.Breaches() == "");
+}
+
+TEST_CASE(
+    "a host that has just joined must not be evicted before it was "
+    "heard") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  fleet.Isolate("h4", {"h1", "h2", "h3"});
+  fleet.StartHost("h4");
+  fleet.RunFor(seconds(3));
+  const HostId id = fleet.Host("h4").info.id;
+  const size_t joins = fleet.log.entries.size();
+  CHECK(StateOf(fleet).members.contains(id));
+  fleet.HealLinks();
+  fleet.RunFor(seconds(2));
+  CHECK(fleet.IsServing());
+  CHECK(fleet.log.entries.size() == joins);
+}
+
+TEST_CASE("hosts that campaign at once must end with one decider") {
+  for (const int delay_ms : {1, 20, 60}) {
+    SUBCASE(std::to_string(delay_ms).c_str()) {
+      Fleet fleet;
+      REQUIRE(fleet.StartFleet(5));
+      fleet.link_delay = milliseconds(delay_ms);
+      fleet.RunFor(seconds(1));
+      const std::string decider = fleet.DeciderHost()->info.peer_address;
+      // Host n waits n steps of 150 ms longer, so losing the decider earlier
+      // by as much makes them campaign together.
+      const std::vector<std::string> order = {"h5", "h4", "h3", "h2", "h1"};
+      for (const std::string& it : order) {
+        if (it != decider) {
+          fleet.Cut(it, decider);
+        }
+        fleet.RunFor(milliseconds(150));
+      }
+      fleet.Kill(decider);
+      CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(6)));
+      fleet.RunFor(seconds(10));
+      CHECK(fleet.IsServing());
+      CHECK(fleet.Breaches() == "");
+    }
+  }
+}
+
+}  // namespace toucandock::core::control::testing
--- /dev/null
+++ b/tests/core/control/planned_move_test.cc
@@ -0,0 +1,143 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "core/control/controller_fixture.h"
+
+namespace toucandock::core::control::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+size_t CountMoves(const Fleet& fleet) {
+  return std::count_if(fleet.decisions.begin(), fleet.decisions.end(),
+                       [](const std::string& it) {
+                         return absl::StrContains(it, " moves from ");
+                       });
+}
+
+// Latest run that the target started.
+TimePoint LastStart(const Fleet& fleet, const TargetId& target) {
+  TimePoint last;
+  for (const Run& run : fleet.journal) {
+    if (run.target == target) {
+      last = std::max(last, run.at);
+    }
+  }
+  return last;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a leaving target must get no new work after 2 s, and no unit may "
+    "move while a request for it is in flight") {
+  struct Leave {
+    const char* name;
+    const char* address;
+    bool by_list;
+  };
+  const Leave leaves[] = {
+      {"its health says so", "t1", false},
+      {"its health says so, and it checks no fences", "u1", false},
+      {"the host list says so", "t1", true},
+      {"the host list says so, and it checks no fences", "u1", true},
+  };
+  for (const Leave& leave : leaves) {
+    for (const int work_ms : {2, 800, 3'000}) {
+      const std::string name = std::string(leave.name) + ", requests take " +
+                               std::to_string(work_ms) + " ms";
+      SUBCASE(name.c_str()) {
+        Fleet fleet;
+        REQUIRE(fleet.StartFleet(3));
+        const TargetId id = fleet.Target(leave.address).id;
+        REQUIRE_FALSE(fleet.UnitsOf(id).empty());
+        fleet.work_time = milliseconds(work_ms);
+        fleet.RunFor(milliseconds(500));
+        const TimePoint start = fleet.now();
+        if (leave.by_list) {
+          fleet.SetHostList(
+              {"h1", "h2", "h3", std::string("-") + leave.address});
+        } else {
+          fleet.Target(leave.address).health = TargetHealth::kDraining;
+        }
+        fleet.RunFor(seconds(8));
+        CHECK(LastStart(fleet, id) - start <= seconds(2));
+        CHECK(fleet.UnitsOf(id).empty());
+        CHECK(fleet.IsServing());
+        CHECK(fleet.overlaps == std::vector<std::string>{});
+        CHECK(fleet.Breaches() == "");
+      }
+    }
+  }
+}
+
+TEST_CASE(
+    "a request that never ends must not keep a leaving target's unit "
+    "beyond the drain limit") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  const TargetId id = fleet.Target("u1").id;
+  fleet.work_time = seconds(60);
+  fleet.RunFor(milliseconds(500));
+  fleet.Target("u1").health = TargetHealth::kDraining;
+  fleet.RunFor(seconds(9));
+  CHECK(fleet.overlaps.empty());
+  CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(3)));
+  CHECK(fleet.UnitsOf(id).empty());
+}
+
+TEST_CASE("one bad signal alone must move nothing") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  fleet.SetHostList({"h1", "h2", "h3", "t1", "t2", "t3", "u1", "u2", "u3"});
+  fleet.RunFor(seconds(1));
+  const size_t moves = CountMoves(fleet);
+  const std::string decider = fleet.DeciderHost()->info.peer_address;
+  const std::string other = decider == "h3" ? "h2" : "h3";
+
+  SUBCASE("one host that is not the decider is cut off from targets") {
+    fleet.Isolate(other, {"u1", "t1"});
+  }
+  SUBCASE("the decider is cut off from a target that checks no fences") {
+    fleet.Isolate(decider, {"u1"});
+  }
+  SUBCASE("the host list omits targets") {
+    fleet.SetHostList({"h1", "h2", "h3"});
+  }
+  fleet.RunFor(seconds(6));
+  CHECK(CountMoves(fleet) == moves);
+  CHECK(fleet.Breaches() == "");
+}
+
+TEST_CASE("a target that comes and goes must not drag its units along") {
+  for (const std::string address : {"t1", "u1"}) {
+    for (const int period_ms : {800, 1'500, 3'000}) {
+      const std::string name =
+          address + " every " + std::to_string(period_ms) + " ms";
+      SUBCASE(name.c_str()) {
+        Fleet fleet;
+        REQUIRE(fleet.StartFleet(3));
+        const size_t units = fleet.UnitsOf(fleet.Target(address).id).size();
+        const size_t moves = CountMoves(fleet);
+        for (int n = 0; n < 20; ++n) {
+          fleet.Kill(address);
+          fleet.RunFor(milliseconds(period_ms / 2));
+          fleet.RestartTarget(address);
+          fleet.RunFor(milliseconds(period_ms / 2));
+        }
+        // At most one move there and back in each 5 s, not in each period.
+        const size_t limit = units * 2 * (1 + 20 * period_ms / 5'000);
+        CHECK(CountMoves(fleet) - moves <= limit);
+        CHECK(fleet.Breaches() == "");
+      }
+    }
+  }
+}
+
+}  // namespace toucandock::core::control::testing
--- /dev/null
+++ b/tests/core/control/reform_test.cc
@@ -0,0 +1,158 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/control/controller_fixture.h"
+
+namespace toucandock::core::control::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::map<Unit, Fence> Fences(const Fleet& fleet) {
+  std::map<Unit, Fence> fences;
+  for (const Unit& unit : fleet.Units()) {
+    fences[unit] = fleet.LastRun(unit)->fence;
+  }
+  return fences;
+}
+
+bool AllHigher(const std::map<Unit, Fence>& before,
+               const std::map<Unit, Fence>& after) {
+  return std::all_of(before.begin(), before.end(), [&](const auto& it) {
+    return after.at(it.first) > it.second;
+  });
+}
+
+size_t CountReforms(const Fleet& fleet) {
+  return std::count_if(
+      fleet.log.entries.begin(), fleet.log.entries.end(),
+      [](const LogEntry& it) {
+        return std::holds_alternative<ReformRecord>(it.record.body);
+      });
+}
+
+}  // namespace
+
+TEST_CASE("a lost majority must be replaced on evidence only") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  fleet.SetHostList({"h1", "h2", "h3"});
+  fleet.RunFor(seconds(1));
+  const std::map<Unit, Fence> before = Fences(fleet);
+  fleet.Kill("h1");
+  fleet.Kill("h2");
+
+  SUBCASE("the host list lags and still names the lost hosts") {
+    fleet.RunFor(seconds(15));
+    CHECK(CountReforms(fleet) == 0);
+    CHECK_FALSE(fleet.HasLease(fleet.Host("h3")));
+
+    SUBCASE("then it drops them") {
+      fleet.SetHostList({"h3"});
+      CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(8)));
+      fleet.RunFor(milliseconds(200));
+      CHECK(CountReforms(fleet) == 1);
+      CHECK(AllHigher(before, Fences(fleet)));
+    }
+
+    SUBCASE("then new processes answer at their addresses") {
+      fleet.StartHost("h1");
+      fleet.RunFor(seconds(10));
+      CHECK(CountReforms(fleet) == 0);
+      fleet.StartHost("h2");
+      CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(10)));
+      fleet.RunFor(milliseconds(200));
+      CHECK(CountReforms(fleet) >= 1);
+      CHECK(AllHigher(before, Fences(fleet)));
+    }
+  }
+
+  SUBCASE("the survivor is only cut off and the list is gone") {
+    fleet.RunFor(seconds(15));
+    CHECK(CountReforms(fleet) == 0);
+  }
+
+  SUBCASE("the log is down: nobody may found a membership") {
+    fleet.log.available = false;
+    fleet.SetHostList({"h3"});
+    fleet.RunFor(seconds(15));
+    CHECK_FALSE(fleet.HasLease(fleet.Host("h3")));
+
+    SUBCASE("until it returns") {
+      fleet.log.available = true;
+      CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(8)));
+      fleet.RunFor(milliseconds(200));
+      CHECK(AllHigher(before, Fences(fleet)));
+    }
+  }
+  CHECK(fleet.Breaches() == "");
+}
+
+TEST_CASE(
+    "a restart of the whole fleet must end in one membership with higher "
+    "fences") {
+  for (const bool same_addresses : {true, false}) {
+    SUBCASE(same_addresses ? "at the same addresses" : "at new addresses") {
+      Fleet fleet;
+      REQUIRE(fleet.StartFleet(3));
+      const std::map<Unit, Fence> before = Fences(fleet);
+      for (const char* it : {"h1", "h2", "h3"}) {
+        fleet.Kill(it);
+      }
+      fleet.RunFor(milliseconds(300));
+      const std::vector<std::string> addresses =
+          same_addresses ? std::vector<std::string>{"h1", "h2", "h3"}
+                         : std::vector<std::string>{"h4", "h5", "h6"};
+      for (const std::string& it : addresses) {
+        fleet.StartHost(it, addresses);
+      }
+      fleet.SetHostList(addresses);
+      CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(15)));
+      fleet.RunFor(seconds(8));
+      CHECK(fleet.IsServing());
+      CHECK(AllHigher(before, Fences(fleet)));
+      const ControlState& state =
+          fleet.Host(addresses[0]).controller->replica().state();
+      CHECK(Voters(state).size() == 3);
+      CHECK(state.members.size() == 3);
+      CHECK(fleet.Breaches() == "");
+    }
+  }
+}
+
+TEST_CASE(
+    "a sole voter that was paused while others replaced it must not take "
+    "up its office again") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(2));
+  REQUIRE(Voters(fleet.Host("h1").controller->replica().state()).size() == 1);
+  const std::string voter = fleet.DeciderHost()->info.peer_address;
+  const std::string other = voter == "h1" ? "h2" : "h1";
+  fleet.SetHostList({"h1", "h2"});
+  fleet.RunFor(seconds(1));
+  fleet.Pause(voter);
+  fleet.SetHostList({other});
+  CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(12)));
+  fleet.Kill("u1");
+  fleet.RunFor(seconds(2));
+  fleet.RestartTarget("u1");
+
+  SUBCASE("and the log is available") {}
+  SUBCASE("and the log is slow for it") {
+    fleet.log.delay = milliseconds(500);
+  }
+  SUBCASE("and it cannot reach the log") {
+    fleet.Cut(voter, "log");
+  }
+  fleet.Resume(voter);
+  fleet.RunFor(seconds(6));
+  CHECK(fleet.Breaches() == "");
+}
+
+}  // namespace toucandock::core::control::testing
--- /dev/null
+++ b/tests/core/control/retention_test.cc
@@ -0,0 +1,170 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/control/controller_fixture.h"
+#include "core/control/replica.h"
+
+namespace toucandock::core::control::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+size_t CountCheckpoints(const Fleet& fleet) {
+  return std::count_if(
+      fleet.log.entries.begin(), fleet.log.entries.end(),
+      [](const LogEntry& it) {
+        return std::holds_alternative<CheckpointRecord>(it.record.body);
+      });
+}
+
+bool KnowsTheSame(const Fleet& fleet,
+                  const std::string& a,
+                  const std::string& b) {
+  const ControlState& x = fleet.Host(a).controller->replica().state();
+  const ControlState& y = fleet.Host(b).controller->replica().state();
+  return x.next == y.next && x.members == y.members &&
+         x.assignments == y.assignments && x.founded == y.founded &&
+         x.last_decider == y.last_decider && x.ballot == y.ballot &&
+         x.config_version == y.config_version;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a host that starts after retention has removed the first records "
+    "must find the fleet's state") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+
+  SUBCASE("retention removes everything at once") {
+    fleet.log.first_retained = fleet.log.entries.size();
+
+    SUBCASE("and the host starts at that moment") {
+      fleet.StartHost("h4");
+    }
+    SUBCASE("and the host starts when the decider has written a checkpoint") {
+      fleet.RunFor(seconds(1));
+      CHECK(CountCheckpoints(fleet) == 1);
+      fleet.StartHost("h4");
+    }
+    SUBCASE("and a running host was cut off from the log meanwhile") {
+      fleet.Cut("h3", "log");
+      fleet.RunFor(seconds(1));
+      fleet.Publish("first", 1);
+      fleet.RunFor(seconds(1));
+      fleet.log.first_retained = fleet.log.entries.size();
+      fleet.RunFor(seconds(1));
+      fleet.HealLinks();
+      fleet.StartHost("h4");
+    }
+    CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(8)));
+    fleet.RunFor(seconds(1));
+    CHECK(KnowsTheSame(fleet, "h1", "h4"));
+    CHECK(KnowsTheSame(fleet, "h1", "h3"));
+  }
+
+  SUBCASE("a quiet fleet writes checkpoints by time") {
+    fleet.traffic = false;
+    fleet.RunFor(minutes(21));
+    CHECK(CountCheckpoints(fleet) == 2);
+  }
+  CHECK(fleet.Breaches() == "");
+}
+
+TEST_CASE("a void checkpoint of a replaced decider must not be used") {
+  std::vector<LogEntry> entries;
+  ControlState state;
+  const auto add = [&](const HostId& author, const Ballot& ballot,
+                       Offset builds_on, RecordBody body) {
+    const Offset offset = entries.size();
+    entries.push_back({offset, Record{.id = "r" + std::to_string(offset),
+                                      .author = author,
+                                      .ballot = ballot,
+                                      .builds_on = builds_on,
+                                      .body = std::move(body)}});
+    return Fold(state, entries.back());
+  };
+  add("a", {}, 0, JoinRecord{{.id = "a", .peer_address = "a"}});
+  const Ballot first{state.ballot.number + 1, "a"};
+  REQUIRE(add("a", first, state.last_decider, TermRecord{}) ==
+          FoldResult::kApplied);
+  const auto early = std::make_shared<const ControlState>(state);
+  const Ballot second{first.number + 1, "b"};
+  const Offset first_term = state.last_decider;
+  REQUIRE(add("b", second, first_term, TermRecord{}) == FoldResult::kApplied);
+  const Unit unit{"callboard", 1};
+  add("b", second, state.last_decider,
+      SettleRecord{{{unit, {"callboard/t2", state.next_fence + 5}}}});
+
+  SUBCASE("it is the last record") {
+    REQUIRE(add("a", first, first_term, CheckpointRecord{early}) ==
+            FoldResult::kStale);
+  }
+  SUBCASE("it is followed by records of its successor") {
+    REQUIRE(add("a", first, first_term, CheckpointRecord{early}) ==
+            FoldResult::kStale);
+    add("b", second, state.last_decider,
+        SettleRecord{{{unit, {"callboard/t3", state.next_fence + 5}}}});
+  }
+  SUBCASE("a valid one precedes it, and a join lies between") {
+    const auto whole = std::make_shared<const ControlState>(state);
+    add("c", {}, 0, JoinRecord{{.id = "c", .peer_address = "c"}});
+    REQUIRE(add("b", second, state.last_decider, CheckpointRecord{whole}) ==
+            FoldResult::kApplied);
+    add("a", first, first_term, CheckpointRecord{early});
+  }
+
+  const ControlHooks hooks = {
+      .parse_config = [](const std::string&) -> absl::StatusOr<config::Config> {
+        return config::Config{};
+      },
+      .new_record_id = [] { return "x"; }};
+  Replica replica(hooks);
+  REQUIRE(replica.AddEntries(LogReadEvent{
+      .first_retained = 0, .end = entries.size(), .entries = entries}));
+  replica.FoldAll();
+  CHECK(replica.state().ballot == second);
+  CHECK(replica.state().assignments == state.assignments);
+  CHECK(replica.state().members == state.members);
+  CHECK(replica.state().last_decider == state.last_decider);
+  CHECK(replica.state().next == state.next);
+}
+
+TEST_CASE("a new empty host must serve during a log outage and join after it") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  fleet.log.available = false;
+  fleet.RunFor(seconds(2));
+  fleet.StartHost("h4", {"h1"});
+  CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(5)));
+  const HostId learner = fleet.Host("h4").info.id;
+  CHECK_FALSE(
+      fleet.Host("h1").controller->replica().state().members.contains(learner));
+
+  SUBCASE("an owner and then the decider are lost while it serves") {
+    fleet.Kill("u1");
+    fleet.RunFor(seconds(2));
+    CHECK(fleet.IsServing());
+    fleet.Kill(fleet.DeciderHost()->info.peer_address);
+    fleet.Kill("u2");
+    CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(5)));
+  }
+
+  SUBCASE("the log returns") {
+    fleet.log.available = true;
+    fleet.RunFor(seconds(2));
+    CHECK(fleet.Host("h1").controller->replica().state().members.contains(
+        learner));
+    CHECK(KnowsTheSame(fleet, "h1", "h4"));
+  }
+  CHECK(fleet.Breaches() == "");
+}
+
+}  // namespace toucandock::core::control::testing
