--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -7,6 +7,8 @@
 
 constexpr size_t kMaxProposals = 16;
 constexpr size_t kMaxVerdicts = 64;
+// Elections between two foundations; those of a log outage leave no record.
+constexpr int kBallotBits = 20;
 
 Fence FirstFenceOfGeneration(Offset offset) {
   return (offset + 1) << kFenceCounterBits;
@@ -138,7 +140,11 @@
     for (const HostInfo& host : voters) {
       state_.members[host.id] = MemberState{.host = host, .votes = true};
     }
-    state_.ballot = Ballot{state_.ballot.number + 1, ""};
+    // Targets and hosts may have seen ballots that the log does not show, so
+    // the number follows from the offset like a fence.
+    state_.ballot = Ballot{std::max(state_.ballot.number + 1,
+                                    (entry_.offset + 1) << kBallotBits),
+                           ""};
     state_.next_fence =
         std::max(state_.next_fence, FirstFenceOfGeneration(entry_.offset));
     state_.last_decider = entry_.offset;
