Deny votes by hosts that are no voters; end the join and evict loop

Change: a vote needs the voter's own vote in its state; silence counts from the latest join; a decider at the host's own address is not believed.

Conclusion: votes are only cast by the process that made the promises.

--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -142,9 +142,9 @@
     }
     // Targets and hosts may have seen ballots that the log does not show, so
     // the number follows from the offset like a fence.
-    state_.ballot = Ballot{std::max(state_.ballot.number + 1,
-                                    (entry_.offset + 1) << kBallotBits),
-                           ""};
+    state_.ballot = Ballot{
+        std::max(state_.ballot.number + 1, (entry_.offset + 1) << kBallotBits),
+        ""};
     state_.next_fence =
         std::max(state_.next_fence, FirstFenceOfGeneration(entry_.offset));
     state_.last_decider = entry_.offset;
--- a/src/core/control/decider.cc
+++ b/src/core/control/decider.cc
@@ -89,6 +89,7 @@
                           .heard_at = now};
   }
   holders_[self_.id].host = self_;
+  NoteNewMembers(now);
 }
 
 // Phases are run through again: this decider does not know which hosts and
@@ -275,16 +276,28 @@
   changed_ = true;
   AdoptEarlySettles(now);
   replica_.set_directive(directive_);
-  for (const auto& [id, member] : state.members) {
-    // A host that has just joined has not found the decider yet.
-    holders_.try_emplace(id, Holder{.host = member.host, .heard_at = now});
-  }
+  NoteNewMembers(now);
   if (state.voters_changed != voters_changed_) {
     voters_changed_ = state.voters_changed;
     voters_sequence_ = directive_.sequence + 1;
   }
 }
 
+// A host that has just joined, or joined again after it was evicted, may not
+// have found the decider yet: its silence counts from here.
+void Decider::NoteNewMembers(TimePoint now) {
+  std::set<HostId> members;
+  for (const auto& [id, member] : replica_.state().members) {
+    members.insert(id);
+    if (!members_.contains(id)) {
+      Holder& holder = holders_[id];
+      holder.host = member.host;
+      holder.heard_at = now;
+    }
+  }
+  members_ = std::move(members);
+}
+
 // An assignment that a predecessor wrote without our knowledge becomes a move,
 // since nobody has waited for its old owner yet.
 void Decider::AdoptEarlySettles(TimePoint now) {
--- a/src/core/control/decider.h
+++ b/src/core/control/decider.h
@@ -70,6 +70,7 @@
   void Refence();
   void InheritMoves(TimePoint now);
   void AdoptEarlySettles(TimePoint now);
+  void NoteNewMembers(TimePoint now);
   void UpdateAuthority(TimePoint now);
   void AdvanceEffective(TimePoint now);
   void JudgeTargets(TimePoint now, Actions& out);
@@ -122,6 +123,7 @@
   // moving there.
   std::map<Unit, std::set<TargetId>> may_hold_;
   std::map<HostId, Holder> holders_;
+  std::set<HostId> members_;
   TargetBook targets_;
   std::uint64_t targets_version_ = 0;
   LogWriter writer_;
--- a/src/core/control/member.cc
+++ b/src/core/control/member.cc
@@ -140,7 +140,10 @@
     support_until_ = now;
     last_contact_ = now - terms_.election;
   }
-  if (!decider_ && reply.decider && reply.decider->id != self_.id) {
+  // An earlier process at this host's own address is no decider any more, nor
+  // is the host that has just said that it is none.
+  if (!decider_ && reply.decider && reply.decider->id != event.from &&
+      reply.decider->peer_address != self_.peer_address) {
     SetDecider(*reply.decider, now);
     renew_now_ = true;
   }
@@ -187,8 +190,11 @@
       in_office_ ? now >= authority_until_
                  : now >= support_until_ || supported_ == request.host.id;
   highest_seen_ = std::max(highest_seen_, request.ballot.number);
+  // A new process at a voter's address knows nothing of the voter's promises.
+  const auto self = state.members.find(self_.id);
+  const bool votes = self != state.members.end() && self->second.votes;
   const bool above_own = !candidacy_ || request.ballot > candidacy_->ballot;
-  if (current && free && above_own && request.ballot > promised_) {
+  if (votes && current && free && above_own && request.ballot > promised_) {
     promised_ = request.ballot;
     ForgetDecider();
     last_contact_ = now;
@@ -314,7 +320,7 @@
 std::optional<HostInfo> Member::NextContact() {
   std::vector<HostInfo> contacts;
   for (const auto& [id, member] : replica_.state().members) {
-    if (id != self_.id) {
+    if (member.host.peer_address != self_.peer_address) {
       contacts.push_back(member.host);
     }
   }
