Show that acknowledgements follow a tick; bound the randomized case

Cause: no case failed when a directive was acknowledged by an earlier tick's in-flight table.

Change: the fake can write requests slowly; a case starts one request in each of the 20 ms before a host learns of a move. The randomized case sends every 20 ms.

--- a/tests/core/control/controller_fixture.h
+++ b/tests/core/control/controller_fixture.h
@@ -150,7 +150,10 @@
   Duration work_time = std::chrono::milliseconds(2);
   // Hosts whose requests stay partly written until they time out.
   std::set<std::string> stuck_sending;
+  // How long each request takes to be written.
+  Duration sending_time{};
   bool traffic = true;
+  Duration traffic_interval = std::chrono::milliseconds(10);
   std::vector<Run> journal;
   std::vector<std::string> decisions;
   // Breaches of sole ownership, of rising fences, of rising versions.
@@ -197,6 +200,11 @@
             const Unit& unit,
             Fence fence,
             std::uint64_t sequence);
+  void Arrive(const HostPtr& host,
+              const TargetId& target,
+              const Unit& unit,
+              Fence fence,
+              const std::function<void(detection::SignalKind)>& done);
   bool Accepts(const FakeTarget& target, const Unit& unit, Fence fence) const;
   void RecordRun(const FakeTarget& target, const Unit& unit, Fence fence);
   void CheckHosts();
--- a/tests/core/control/planned_move_test.cc
+++ b/tests/core/control/planned_move_test.cc
@@ -92,6 +92,60 @@
   CHECK(fleet.UnitsOf(id).empty());
 }
 
+namespace {
+
+// Drains u1 while one slow request for its first unit starts at another host,
+// `start_ms` after the drain. Returns when that host learned of the move.
+int DrainBesideSlowRequest(int start_ms) {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  fleet.traffic = false;
+  fleet.RunFor(seconds(1));
+  fleet.link_delay = milliseconds(8);
+  fleet.sending_time = milliseconds(100);
+  const TargetId id = fleet.Target("u1").id;
+  const Unit unit = fleet.UnitsOf(id).front();
+  const Fence fence = fleet.LastRun(unit)->fence;
+  FakeHost& other =
+      fleet.Host(fleet.DeciderHost()->info.peer_address == "h3" ? "h2" : "h3");
+  const auto has_owner = [&] {
+    return other.snapshot->services.at(unit.service)
+               .shards.at(unit.number)
+               .target >= 0;
+  };
+  fleet.Target("u1").health = TargetHealth::kDraining;
+  const size_t before = fleet.journal.size();
+  int learned_ms = 0;
+  for (; learned_ms < 1'000 && has_owner(); ++learned_ms) {
+    if (learned_ms == start_ms) {
+      fleet.SendRequest(other, id, unit, fence);
+    }
+    fleet.RunFor(milliseconds(1));
+  }
+  // Until the request arrives, nobody else may own its unit.
+  for (int n = 0; n < 90 && fleet.journal.size() == before; ++n) {
+    const TargetId owner = fleet.OwnerOf(unit);
+    CHECK((start_ms < 0 || owner.empty() || owner == id));
+    fleet.RunFor(milliseconds(1));
+  }
+  CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(2)));
+  CHECK(fleet.OwnerOf(unit) != id);
+  CHECK(fleet.Breaches() == "");
+  return learned_ms;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a request that starts just before a host learns of a move must not "
+    "be overtaken by the new owner") {
+  const int learned_ms = DrainBesideSlowRequest(-1);
+  for (int n = 1; n <= 20; ++n) {
+    CAPTURE(n);
+    CHECK(DrainBesideSlowRequest(learned_ms - n) == learned_ms);
+  }
+}
+
 TEST_CASE("one bad signal alone must move nothing") {
   Fleet fleet;
   REQUIRE(fleet.StartFleet(3));
--- a/tests/core/control/random_faults_test.cc
+++ b/tests/core/control/random_faults_test.cc
@@ -133,6 +133,7 @@
   for (std::uint64_t seed = 1; seed <= 16; ++seed) {
     SUBCASE(("seed " + std::to_string(seed)).c_str()) {
       Fleet fleet(seed);
+      fleet.traffic_interval = milliseconds(20);
       REQUIRE(fleet.StartFleet(5));
       fleet.SetHostList({"h1", "h2", "h3", "h4", "h5"});
       FaultDrawer faults(fleet, seed);
