--- a/src/core/control/decider.h
+++ b/src/core/control/decider.h
@@ -76,6 +76,7 @@
   void Refence();
   void InheritMoves(TimePoint now);
   void AdoptEarlySettles(TimePoint now);
+  void NoteNewMembers(TimePoint now);
   void UpdateAuthority(TimePoint now);
   void AdvanceEffective(TimePoint now);
   void Review(TimePoint now, Actions& out);
@@ -149,6 +150,7 @@
   // moving there.
   std::map<Unit, std::set<TargetId>> may_hold_;
   std::map<HostId, Holder> holders_;
+  std::set<HostId> members_;
   TargetBook targets_;
   LoadBook loads_;
   TimePoint review_at_;
--- a/src/core/control/member.cc
+++ b/src/core/control/member.cc
@@ -44,13 +44,46 @@
 }
 
 void Member::AddSignal(const detection::Signal& signal) {
-  const auto key = std::make_pair(signal.target, signal.source);
+  const SignalKey key(signal.target, signal.source);
   const bool bad = signal.kind != detection::SignalKind::kAlive;
-  if (!bad && !signals_.contains(key)) {
+  if (!bad && !signals_.contains(key) && !reported_bad_.contains(key)) {
     return;
   }
   signals_[key] = signal;
-  renew_now_ = renew_now_ || bad;
+  // Only the first bad signal is urgent. If each were sent at once, the
+  // suspects in the replies would lead to more probes and more signals.
+  renew_now_ = renew_now_ || (bad && !reported_bad_.contains(key));
+}
+
+// Each observation is reported once: a time-out that is repeated in every
+// renewal would count as many.
+std::vector<detection::Signal> Member::TakeSignals() {
+  std::vector<detection::Signal> taken;
+  for (const auto& [key, signal] : signals_) {
+    taken.push_back(signal);
+    if (signal.kind == detection::SignalKind::kAlive) {
+      reported_bad_.erase(key);
+    } else {
+      reported_bad_.insert(key);
+    }
+  }
+  signals_.clear();
+  return taken;
+}
+
+// Probes each suspect at most once in a renewal interval.
+void Member::Probe(const std::vector<TargetId>& suspects,
+                   TimePoint now,
+                   Actions& out) {
+  for (const TargetId& target : suspects) {
+    const auto [it, added] = probed_at_.try_emplace(target, now);
+    if (!added && now - it->second < terms_.renew_interval) {
+      continue;
+    }
+    it->second = now;
+    // The address is filled in by the controller.
+    out.push_back(SendProbeAction{.target = target, .address = ""});
+  }
 }
 
 void Member::SetLeaving() {
@@ -97,10 +130,7 @@
       replica_.state().next <= directive.effective) {
     lease_until_ = std::max(lease_until_, event.sent_at + terms_.serving);
   }
-  for (const TargetId& target : reply.suspects) {
-    // The address is filled in by the controller.
-    out.push_back(SendProbeAction{.target = target, .address = ""});
-  }
+  Probe(reply.suspects, now, out);
 }
 
 // The host that was asked is not the decider; it may know who is.
@@ -117,7 +147,10 @@
     support_until_ = now;
     last_contact_ = now - terms_.election;
   }
-  if (!decider_ && reply.decider && reply.decider->id != self_.id) {
+  // An earlier process at this host's own address is no decider any more, nor
+  // is the host that has just said that it is none.
+  if (!decider_ && reply.decider && reply.decider->id != event.from &&
+      reply.decider->peer_address != self_.peer_address) {
     SetDecider(*reply.decider, now);
     renew_now_ = true;
   }
@@ -164,8 +197,11 @@
       in_office_ ? now >= authority_until_
                  : now >= support_until_ || supported_ == request.host.id;
   highest_seen_ = std::max(highest_seen_, request.ballot.number);
+  // A new process at a voter's address knows nothing of the voter's promises.
+  const auto self = state.members.find(self_.id);
+  const bool votes = self != state.members.end() && self->second.votes;
   const bool above_own = !candidacy_ || request.ballot > candidacy_->ballot;
-  if (current && free && above_own && request.ballot > promised_) {
+  if (votes && current && free && above_own && request.ballot > promised_) {
     promised_ = request.ballot;
     ForgetDecider();
     last_contact_ = now;
@@ -273,13 +309,8 @@
   request.leaving = leaving_;
   if (decider_) {
     request.rates = TakeRates();
+    request.signals = TakeSignals();
   }
-  for (const auto& [key, signal] : signals_) {
-    request.signals.push_back(signal);
-  }
-  std::erase_if(signals_, [](const auto& it) {
-    return it.second.kind == detection::SignalKind::kAlive;
-  });
   if (decider_ && echo_) {
     // The decider counts this renewal from the echoed stamp, which is older
     // than its receipt here; so this promise lasts longer than the decider
@@ -297,7 +328,7 @@
 std::optional<HostInfo> Member::NextContact() {
   std::vector<HostInfo> contacts;
   for (const auto& [id, member] : replica_.state().members) {
-    if (id != self_.id) {
+    if (member.host.peer_address != self_.peer_address) {
       contacts.push_back(member.host);
     }
   }
--- a/tests/core/control/controller_fixture.h
+++ b/tests/core/control/controller_fixture.h
@@ -104,6 +104,8 @@
   // Starts h1..hN and waits until all units are served.
   bool StartFleet(int hosts);
   void Kill(const std::string& address);
+  // Asks a host for a planned stop; it runs on until it is killed.
+  void Stop(const std::string& address);
   void Pause(const std::string& address);
   void Resume(const std::string& address);
   void RestartTarget(const std::string& address);
@@ -148,7 +150,10 @@
   Duration work_time = std::chrono::milliseconds(2);
   // Hosts whose requests stay partly written until they time out.
   std::set<std::string> stuck_sending;
+  // How long each request takes to be written.
+  Duration sending_time{};
   bool traffic = true;
+  Duration traffic_interval = std::chrono::milliseconds(10);
   std::vector<Run> journal;
   std::vector<std::string> decisions;
   // Breaches of sole ownership, of rising fences, of rising versions.
@@ -195,6 +200,11 @@
             const Unit& unit,
             Fence fence,
             std::uint64_t sequence);
+  void Arrive(const HostPtr& host,
+              const TargetId& target,
+              const Unit& unit,
+              Fence fence,
+              const std::function<void(detection::SignalKind)>& done);
   bool Accepts(const FakeTarget& target, const Unit& unit, Fence fence) const;
   void RecordRun(const FakeTarget& target, const Unit& unit, Fence fence);
   void CheckHosts();
