--- a/src/daemon/attempt_service.cc
+++ b/src/daemon/attempt_service.cc
@@ -16,7 +16,6 @@
 using core::request::FinishResult;
 using core::request::RecordResult;
 
-constexpr size_t kThreads = 4;
 // Outcomes that wait to be written. Above this they are not written; a resend
 // is then answered "unknown" instead of "ran".
 constexpr int kMaxPending = 1'024;
@@ -37,10 +36,7 @@
 AttemptService::AttemptService(core::HostId self,
                                const core::request::RegistryLimits& limits,
                                AttemptHooks hooks)
-    : self_(std::move(self)),
-      hooks_(std::move(hooks)),
-      registry_(limits),
-      pool_(kThreads) {}
+    : self_(std::move(self)), hooks_(std::move(hooks)), registry_(limits) {}
 
 // Registers the attempt on both registry hosts.
 //
@@ -88,14 +84,14 @@
     --pending_;
     return;
   }
-  pool_.Run([this, key, result] {
+  hooks_.run([this, key, result] {
     FinishEverywhere(key, result);
     --pending_;
   });
 }
 
 void AttemptService::OnMembersChanged() {
-  pool_.Run([this] { HandOver(); });
+  hooks_.run([this] { HandOver(); });
 }
 
 std::vector<peer::Method> AttemptService::PeerMethods() {
--- a/src/daemon/attempt_service.h
+++ b/src/daemon/attempt_service.h
@@ -10,7 +10,6 @@
 #include "core/control/records.h"
 #include "core/request/attempt_registry.h"
 #include "core/request/request_life.h"
-#include "daemon/work_pool.h"
 #include "peer/json_rpc.h"
 
 namespace toucandock::daemon {
@@ -27,6 +26,8 @@
   std::function<bool()> has_lease;
   std::function<std::vector<core::control::HostInfo>()> members;
   PeerCall call_peer;
+  // Runs blocking work on another thread.
+  std::function<void(std::function<void()>)> run;
 };
 
 // Registers attempts of non-idempotent requests on their registry hosts, and
@@ -41,7 +42,7 @@
   core::request::RecordResult Begin(const core::request::AttemptKey& key);
   void Finish(const core::request::AttemptKey& key,
               core::request::FinishResult result);
-  // Does not block: hands records over on a thread of its own.
+  // Does not block: hands records over on another thread.
   void OnMembersChanged();
 
   std::vector<peer::Method> PeerMethods();
@@ -69,8 +70,6 @@
   // From when on this host confirms attempts.
   core::TimePoint confirms_from_ = core::TimePoint::max();
   std::atomic<int> pending_ = 0;
-  // Last, so that its threads end before what they use.
-  WorkPool pool_;
 };
 
 }  // namespace toucandock::daemon
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -24,6 +24,8 @@
 // Blocking calls of the control thread at a time: one for each of about 43
 // targets of a tenant, and the peers.
 constexpr size_t kWorkers = 48;
+// Blocking calls for outcomes, handovers and crash reports at a time.
+constexpr size_t kRequestWorkers = 4;
 constexpr size_t kHistorySize = 10'000;
 constexpr milliseconds kLogRetry{100};
 constexpr std::uint32_t kPeerBodyBytes = 64 << 20;
@@ -64,6 +66,7 @@
     control_->Stop();
   }
   peer_server_.reset();
+  request_pool_.reset();
   pool_.reset();
 }
 
@@ -384,20 +387,27 @@
                                 const std::string& params) {
     return CallPeer(address, method, params);
   };
+  request_pool_ = std::make_unique<WorkPool>(kRequestWorkers);
+  const auto run = [this](std::function<void()> work) {
+    request_pool_->Run(std::move(work));
+  };
   attempts_ = std::make_unique<AttemptService>(
       host_id_, core::request::RegistryLimits{},
       AttemptHooks{.now = Now,
                    .has_lease = [this] { return view_.HasLease(Now()); },
                    .members = members,
-                   .call_peer = call_peer});
+                   .call_peer = call_peer,
+                   .run = run});
   poison_ = std::make_unique<PoisonService>(
       host_id_, core::request::PoisonLimits{},
       PoisonHooks{.now = Now,
                   .members = members,
                   .call_peer = call_peer,
-                  .probe = [this](const std::string& address) {
-                    return ProbeForCrash(address);
-                  }});
+                  .probe =
+                      [this](const std::string& address) {
+                        return ProbeForCrash(address);
+                      },
+                  .run = run});
 }
 
 http::Response Daemon::ServePeer(const http::Request& request) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -100,7 +100,8 @@
   std::atomic<bool> ended_ = false;
   std::mutex stop_mutex_;
   std::condition_variable stop_requested_;
-  // Last, so that its threads end before what they use.
+  // Last, so that their threads end before what they use.
+  std::unique_ptr<WorkPool> request_pool_;
   std::unique_ptr<WorkPool> pool_;
 };
 
--- a/src/daemon/poison_service.cc
+++ b/src/daemon/poison_service.cc
@@ -15,7 +15,6 @@
 using core::request::PoisonKey;
 using core::request::PoisonVerdict;
 
-constexpr size_t kThreads = 2;
 // A process that ends closes its sockets one by one: the connection may break
 // shortly before new connects are refused.
 constexpr std::chrono::milliseconds kSecondProbe{20};
@@ -27,10 +26,7 @@
 PoisonService::PoisonService(core::HostId self,
                              const core::request::PoisonLimits& limits,
                              PoisonHooks hooks)
-    : self_(std::move(self)),
-      hooks_(std::move(hooks)),
-      registry_(limits),
-      pool_(kThreads) {}
+    : self_(std::move(self)), hooks_(std::move(hooks)), registry_(limits) {}
 
 PoisonVerdict PoisonService::VerdictOn(const PoisonKey& key) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -51,7 +47,7 @@
   const std::string params = codec::Encode(std::vector<CrashReport>{report});
   for (const HostInfo& host : hooks_.members()) {
     if (host.id != self_) {
-      pool_.Run([this, address = host.peer_address, params] {
+      hooks_.run([this, address = host.peer_address, params] {
         hooks_.call_peer(address, "poison_report", params);
       });
     }
@@ -76,7 +72,7 @@
 }
 
 void PoisonService::OnMembersChanged() {
-  pool_.Run([this] { TellNewMembers(); });
+  hooks_.run([this] { TellNewMembers(); });
 }
 
 std::vector<peer::Method> PoisonService::PeerMethods() {
--- a/src/daemon/poison_service.h
+++ b/src/daemon/poison_service.h
@@ -10,7 +10,6 @@
 #include "core/control/records.h"
 #include "core/request/poison_registry.h"
 #include "daemon/attempt_service.h"
-#include "daemon/work_pool.h"
 #include "peer/json_rpc.h"
 
 namespace toucandock::daemon {
@@ -28,6 +27,8 @@
   PeerCall call_peer;
   // Connects to a target and asks it for its health.
   std::function<ProbeResult(const std::string& address)> probe;
+  // Runs blocking work on another thread.
+  std::function<void(std::function<void()>)> run;
 };
 
 // Finds out whether a request crashed its target and shares what it finds with
@@ -62,8 +63,6 @@
   std::map<core::TargetId, std::string> instances_;
   std::mutex members_mutex_;
   std::vector<core::control::HostInfo> told_;
-  // Last, so that its threads end before what they use.
-  WorkPool pool_;
 };
 
 }  // namespace toucandock::daemon
--- a/tests/daemon/attempt_service_test.cc
+++ b/tests/daemon/attempt_service_test.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <thread>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "core/request/attempt_placement.h"
 
@@ -48,7 +49,8 @@
                          [this](const auto& address, const auto& method,
                                 const auto& params) {
                            return Call(address, method, params);
-                         }});
+                         },
+                     .run = [](const std::function<void()>& work) { work(); }});
     members_.push_back({.id = id, .peer_address = id});
   }
 
@@ -68,8 +70,6 @@
         host.service->OnMembersChanged();
       }
     }
-    // The services take the change over on threads of their own.
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
 
   void Advance(core::Duration by) { now_ = now_.load() + by; }
@@ -156,7 +156,6 @@
 
   SUBCASE("the first arrival ran") {
     fleet.At(other).Finish(first, FinishResult::kRan);
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
     CHECK(fleet.Begin(registry[0], resend) == RecordResult::kDuplicateRan);
   }
 
@@ -231,6 +230,30 @@
     }
   }
 
+  SUBCASE("two hosts join and an old host has not learned of them") {
+    for (const char* id : {"joined-0", "joined-1"}) {
+      fleet.Join(id);
+      fleet.ShareView({"entry-0"});
+    }
+    fleet.Advance(std::chrono::seconds(2));
+    int placed_anew = 0;
+    for (int n = 0; n < 200; ++n) {
+      const std::string id = absl::StrCat("later-", n);
+      const auto registry = fleet.RegistryOf(Arrival(id, "any"));
+      if (absl::StartsWith(registry[0], "joined") &&
+          absl::StartsWith(registry[1], "joined")) {
+        ++placed_anew;
+      }
+      const bool old_view = fleet.Begin("entry-0", Arrival(id, "old view")) ==
+                            RecordResult::kRecorded;
+      const bool new_view = fleet.Begin("joined-0", Arrival(id, "new view")) ==
+                            RecordResult::kRecorded;
+      CHECK_FALSE((old_view && new_view));
+    }
+    // For these the two views share no registry host.
+    CHECK(placed_anew > 0);
+  }
+
   SUBCASE("two hosts join before the records have reached them") {
     fleet.Join("joined-0");
     fleet.Join("joined-1");
--- /dev/null
+++ b/tests/daemon/poison_service_test.cc
@@ -0,0 +1,127 @@
+#include "daemon/poison_service.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucandock::daemon {
+namespace {
+
+using core::request::CrashReport;
+using core::request::PoisonKey;
+using core::request::PoisonVerdict;
+
+const PoisonKey kPoison = {"desk", "order-1", "f"};
+
+CrashReport Crash(const std::string& target) {
+  return {.key = kPoison, .target = target, .crash_limit = 2};
+}
+
+// Two hosts; the peer of the first is the second.
+struct Pair {
+  Pair() {
+    second.emplace(
+        "second", core::request::PoisonLimits{},
+        PoisonHooks{.now = Now,
+                    .members = [this] { return members; },
+                    .call_peer = NoPeer,
+                    .probe = [this](const std::string&) { return probe; },
+                    .run = RunHere});
+    first.emplace(
+        "first", core::request::PoisonLimits{},
+        PoisonHooks{
+            .now = Now,
+            .members = [this] { return members; },
+            .call_peer =
+                [this](const std::string& address, const std::string& method,
+                       const std::string& params) {
+                  CHECK(address == "second");
+                  CHECK(method == "poison_report");
+                  return second->PeerMethods()[0].handler(params);
+                },
+            .probe = [this](const std::string&) { return probe; },
+            .run = RunHere});
+  }
+
+  static core::TimePoint Now() { return std::chrono::steady_clock::now(); }
+  static std::string NoPeer(const std::string&,
+                            const std::string&,
+                            const std::string&) {
+    return "";
+  }
+
+  static void RunHere(const std::function<void()>& work) { work(); }
+
+  bool SecondRefuses() {
+    return second->VerdictOn(kPoison) != PoisonVerdict::kNone;
+  }
+
+  std::vector<core::control::HostInfo> members = {
+      {.id = "first", .peer_address = "first"},
+      {.id = "second", .peer_address = "second"}};
+  ProbeResult probe;
+  std::optional<PoisonService> second;
+  std::optional<PoisonService> first;
+};
+
+}  // namespace
+
+TEST_CASE("a broken connection must not be taken for a crash by itself") {
+  Pair hosts;
+
+  SUBCASE("the target answers as before") {
+    hosts.probe = {.refused = false, .instance = "process-1"};
+    hosts.first->OnInstance("desk/a", "process-1");
+    hosts.first->OnBroken(Crash("desk/a"), "a");
+    hosts.first->OnBroken(Crash("desk/b"), "b");
+    CHECK(hosts.first->VerdictOn(kPoison) == PoisonVerdict::kNone);
+  }
+
+  SUBCASE("the target does not say which process it is") {
+    hosts.first->OnInstance("desk/a", "process-1");
+    hosts.first->OnBroken(Crash("desk/a"), "a");
+    hosts.first->OnBroken(Crash("desk/b"), "b");
+    CHECK(hosts.first->VerdictOn(kPoison) == PoisonVerdict::kNone);
+  }
+
+  SUBCASE("the targets refuse connects") {
+    hosts.probe.refused = true;
+    hosts.first->OnBroken(Crash("desk/a"), "a");
+    CHECK(hosts.first->VerdictOn(kPoison) == PoisonVerdict::kNone);
+    hosts.first->OnBroken(Crash("desk/b"), "b");
+    CHECK(hosts.first->VerdictOn(kPoison) == PoisonVerdict::kSameRequest);
+
+    SUBCASE("and the other host refuses the request as well") {
+      CHECK(hosts.SecondRefuses());
+    }
+  }
+
+  SUBCASE("other processes answer for the targets") {
+    hosts.first->OnInstance("desk/a", "process-1");
+    hosts.first->OnInstance("desk/b", "process-2");
+    hosts.probe.instance = "process-3";
+    hosts.first->OnBroken(Crash("desk/a"), "a");
+    hosts.first->OnBroken(Crash("desk/b"), "b");
+    CHECK(hosts.first->VerdictOn(kPoison) == PoisonVerdict::kSameRequest);
+  }
+}
+
+TEST_CASE("a joined host must get the verdicts in force") {
+  Pair hosts;
+  const auto all = hosts.members;
+  hosts.members = {all[0]};
+  hosts.first->OnMembersChanged();
+  hosts.probe.refused = true;
+  hosts.first->OnBroken(Crash("desk/a"), "a");
+  hosts.first->OnBroken(Crash("desk/b"), "b");
+  REQUIRE(hosts.second->VerdictOn(kPoison) == PoisonVerdict::kNone);
+  hosts.members = all;
+  hosts.first->OnMembersChanged();
+  CHECK(hosts.SecondRefuses());
+}
+
+}  // namespace toucandock::daemon
