--- a/tests/http/raw_target.h
+++ b/tests/http/raw_target.h
@@ -123,9 +123,10 @@
                            .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
     socklen_t length = sizeof(address);
     auto* any = reinterpret_cast<sockaddr*>(&address);
-    bind(listener_, any, length);
-    listen(listener_, 64);
-    getsockname(listener_, any, &length);
+    if (bind(listener_, any, length) != 0 || listen(listener_, 64) != 0 ||
+        getsockname(listener_, any, &length) != 0) {
+      return;
+    }
     address_ = absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
     acceptor_ = std::thread([this] { Accept(); });
   }
@@ -141,6 +142,7 @@
   RawTarget(const RawTarget&) = delete;
   RawTarget& operator=(const RawTarget&) = delete;
 
+  // Empty when no port could be bound.
   const std::string& address() const { return address_; }
   int connections() const { return connections_; }
 
