--- a/tests/daemon/attempt_service_test.cc
+++ b/tests/daemon/attempt_service_test.cc
@@ -49,7 +49,8 @@
                          [this](const auto& address, const auto& method,
                                 const auto& params) {
                            return Call(address, method, params);
-                         }});
+                         },
+                     .run = [](const std::function<void()>& work) { work(); }});
     members_.push_back({.id = id, .peer_address = id});
   }
 
@@ -69,8 +70,6 @@
         host.service->OnMembersChanged();
       }
     }
-    // The services take the change over on threads of their own.
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
 
   void Advance(core::Duration by) { now_ = now_.load() + by; }
@@ -157,7 +156,6 @@
 
   SUBCASE("the first arrival ran") {
     fleet.At(other).Finish(first, FinishResult::kRan);
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
     CHECK(fleet.Begin(registry[0], resend) == RecordResult::kDuplicateRan);
   }
 
--- a/tests/daemon/poison_service_test.cc
+++ b/tests/daemon/poison_service_test.cc
@@ -3,9 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace toucandock::daemon {
@@ -29,7 +29,8 @@
         PoisonHooks{.now = Now,
                     .members = [this] { return members; },
                     .call_peer = NoPeer,
-                    .probe = [this](const std::string&) { return probe; }});
+                    .probe = [this](const std::string&) { return probe; },
+                    .run = RunHere});
     first.emplace(
         "first", core::request::PoisonLimits{},
         PoisonHooks{
@@ -42,7 +43,8 @@
                   CHECK(method == "poison_report");
                   return second->PeerMethods()[0].handler(params);
                 },
-            .probe = [this](const std::string&) { return probe; }});
+            .probe = [this](const std::string&) { return probe; },
+            .run = RunHere});
   }
 
   static core::TimePoint Now() { return std::chrono::steady_clock::now(); }
@@ -52,15 +54,10 @@
     return "";
   }
 
-  // Reports travel on threads of the first host.
+  static void RunHere(const std::function<void()>& work) { work(); }
+
   bool SecondRefuses() {
-    for (int n = 0; n < 100; ++n) {
-      if (second->VerdictOn(kPoison) != PoisonVerdict::kNone) {
-        return true;
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
-    return false;
+    return second->VerdictOn(kPoison) != PoisonVerdict::kNone;
   }
 
   std::vector<core::control::HostInfo> members = {
@@ -121,7 +118,6 @@
   hosts.probe.refused = true;
   hosts.first->OnBroken(Crash("desk/a"), "a");
   hosts.first->OnBroken(Crash("desk/b"), "b");
-  std::this_thread::sleep_for(std::chrono::milliseconds(50));
   REQUIRE(hosts.second->VerdictOn(kPoison) == PoisonVerdict::kNone);
   hosts.members = all;
   hosts.first->OnMembersChanged();
