Notice a home host that is paused

Cause: a paused home host accepts connections and never answers, so requests for its targets waited until their deadline and were sent to it again. Change: HomeWatch finds hosts that are silent while a request waits; the control thread's tick has them probed (GET /forward). New requests avoid a host after one failed probe or refused connect until it answers a probe; requests under way are given up after two.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -148,6 +148,12 @@
       .now = Now,
       .tick =
           [this] {
+            for (const HostInfo& it : front_->HomesToProbe()) {
+              pool_->Run([this, it] {
+                front_->ProbeHome(
+                    it, duration_cast<milliseconds>(settings_.peer_timeout));
+              });
+            }
             return TickEvent{in_flight_.OldestSending(),
                              in_flight_.BusyUnits()};
           },
@@ -365,7 +371,7 @@
 }
 
 http::Response Daemon::ServePeer(const http::Request& request) {
-  if (request.method == "POST" && request.path == proxy::kForwardPath) {
+  if (request.path == proxy::kForwardPath) {
     return front_->ServeForward(request);
   }
   if (control_ == nullptr) {
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -207,8 +207,12 @@
 // is never forwarded again, so that hosts with different views cannot pass it
 // round in a circle.
 http::Response CallerFront::ServeForward(const http::Request& request) {
-  const absl::StatusOr<Forward> forward = ParseForward(request);
   ForwardResult result;
+  if (request.method == "GET") {
+    result.unavailable = hooks_.is_stopping();
+    return EncodeForwardResult(result);
+  }
+  const absl::StatusOr<Forward> forward = ParseForward(request);
   if (!forward.ok() || hooks_.is_stopping()) {
     result.unavailable = true;
     return EncodeForwardResult(result);
@@ -223,6 +227,25 @@
   return EncodeForwardResult(result);
 }
 
+std::vector<core::control::HostInfo> CallerFront::HomesToProbe() {
+  return homes_.HostsToProbe(hooks_.now());
+}
+
+// Asks a home host whether it takes requests. When it does not answer again and
+// again, the requests that were forwarded to it are given up.
+void CallerFront::ProbeHome(const core::control::HostInfo& host,
+                            std::chrono::milliseconds timeout) {
+  http::ExchangeResult exchange =
+      client_.Exchange(host.peer_address, {.path = kForwardPath},
+                       {.connect_timeout = timeout, .timeout = timeout});
+  const bool answered = exchange.progress == http::Progress::kComplete &&
+                        !ParseForwardResult(std::move(exchange)).unavailable;
+  homes_.OnProbe(host.id, answered, hooks_.now());
+  if (!answered) {
+    client_.WakeAll();
+  }
+}
+
 // Returns false when this host's view does not allow to send the request.
 bool CallerFront::TakeForward(const ForwardFacts& facts, Job& job) const {
   job.is_forwarded = true;
@@ -387,10 +410,9 @@
 
 AttemptResult CallerFront::Attempt(Job& job) {
   job.tried.push_back(job.target->id);
-  const core::TimePoint now = hooks_.now();
   const core::control::HostInfo* home = core::routing::HomeHost(
       *job.snapshot, job.target->id,
-      [&](const core::HostId& id) { return failing_hosts_.Contains(id, now); });
+      [this](const core::HostId& id) { return homes_.IsFailing(id); });
   return home == nullptr || hooks_.is_self(home->id) ? SendInTurn(job)
                                                      : SendThrough(*home, job);
 }
@@ -403,7 +425,9 @@
   InFlightTable::Ticket ticket(in_flight_, job.snapshot->sequence,
                                job.target->id, std::nullopt);
   ticket.MarkSent();
-  const core::Duration remaining = job.deadline - hooks_.now();
+  const core::TimePoint start = hooks_.now();
+  const HomeWatch::Ticket watched(homes_, home, start);
+  const core::Duration remaining = job.deadline - start;
   const http::Request request =
       EncodeForward({.facts = {.service = job.service_name,
                                .target = job.target->id,
@@ -417,14 +441,21 @@
       .timeout = std::chrono::ceil<std::chrono::milliseconds>(
           std::max(remaining, core::Duration::zero()) + kHopAllowance),
       .max_body = limits_.answer_bytes,
-      .fresh_connection = !job.request_class->idempotent};
-  ForwardResult result =
-      ParseForwardResult(client_.Exchange(home.peer_address, request, options));
+      .fresh_connection = !job.request_class->idempotent,
+      .is_cancelled = [&] { return watched.IsLost(); }};
+  http::ExchangeResult exchange =
+      client_.Exchange(home.peer_address, request, options);
+  const bool answered = exchange.progress == http::Progress::kComplete;
+  ForwardResult result = ParseForwardResult(std::move(exchange));
   home_counts_.Set(job.target->id, result.home_count, hooks_.now());
   if (result.unavailable) {
-    failing_hosts_.Add(home.id, hooks_.now());
-  } else if (result.attempt.stage == AttemptStage::kNotConnected &&
-             !result.attempt.overloaded) {
+    homes_.OnUnavailable(home.id, hooks_.now());
+  } else if (answered) {
+    homes_.OnAnswer(home.id, hooks_.now());
+  }
+  if (!result.unavailable &&
+      result.attempt.stage == AttemptStage::kNotConnected &&
+      !result.attempt.overloaded) {
     failing_targets_.Add(job.target->id, hooks_.now());
   }
   job.answer = std::move(result.answer);
--- a/src/proxy/caller_front.h
+++ b/src/proxy/caller_front.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANDOCK_PROXY_CALLER_FRONT_H_
 #define TOUCANDOCK_PROXY_CALLER_FRONT_H_
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +20,7 @@
 #include "observe/metrics.h"
 #include "proxy/forward.h"
 #include "proxy/home_counts.h"
+#include "proxy/home_watch.h"
 #include "proxy/in_flight_table.h"
 #include "proxy/published_view.h"
 #include "proxy/recent_failures.h"
@@ -68,6 +70,11 @@
   // Sends another entry host's request to a target whose home host this is.
   http::Response ServeForward(const http::Request& request);
 
+  // Home hosts that may have been lost; ProbeHome() blocks on one of them.
+  std::vector<core::control::HostInfo> HomesToProbe();
+  void ProbeHome(const core::control::HostInfo& host,
+                 std::chrono::milliseconds timeout);
+
  private:
   struct Job;
 
@@ -94,7 +101,7 @@
   http::Client& client_;
   observe::Metrics& metrics_;
   const FrontHooks hooks_;
-  RecentFailures failing_hosts_;
+  HomeWatch homes_;
   RecentFailures failing_targets_;
   HomeCounts home_counts_;
   std::mutex budgets_mutex_;
--- /dev/null
+++ b/src/proxy/home_watch.cc
@@ -0,0 +1,104 @@
+#include "proxy/home_watch.h"
+
+#include <algorithm>
+
+namespace toucandock::proxy {
+namespace {
+
+// A host that has said nothing for this long is probed. Requests wait longer
+// than that in a queue, so the silence alone means nothing.
+constexpr core::Duration kPatience = std::chrono::milliseconds(100);
+// New requests avoid a host after its first failure; those under way are given
+// up after this many, since a short pause ends by itself.
+constexpr int kLostFailures = 2;
+// By then a lost host has left the fleet.
+constexpr core::Duration kForget = std::chrono::minutes(1);
+
+}  // namespace
+
+HomeWatch::Ticket::Ticket(HomeWatch& watch,
+                          const core::control::HostInfo& host,
+                          core::TimePoint now)
+    : watch_(watch), host_(host.id), started_(now) {
+  const std::lock_guard<std::mutex> lock(watch_.mutex_);
+  State& state = watch_.hosts_[host_];
+  state.host = host;
+  state.started.insert(now);
+}
+
+HomeWatch::Ticket::~Ticket() {
+  const std::lock_guard<std::mutex> lock(watch_.mutex_);
+  std::multiset<core::TimePoint>& started = watch_.hosts_.at(host_).started;
+  started.erase(started.find(started_));
+}
+
+// Whether the host does not answer any more, so that waiting is useless.
+bool HomeWatch::Ticket::IsLost() const {
+  const std::lock_guard<std::mutex> lock(watch_.mutex_);
+  return watch_.hosts_.at(host_).failures >= kLostFailures;
+}
+
+void HomeWatch::OnAnswer(const core::HostId& host, core::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  State& state = hosts_[host];
+  state.heard_at = now;
+  state.failures = 0;
+}
+
+// The host refused a connect or takes no requests.
+void HomeWatch::OnUnavailable(const core::HostId& host, core::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  State& state = hosts_[host];
+  state.heard_at = now;
+  state.failed_at = now;
+  state.failures = std::max(state.failures, 1);
+}
+
+void HomeWatch::OnProbe(const core::HostId& host,
+                        bool answered,
+                        core::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  State& state = hosts_[host];
+  state.probing = false;
+  state.heard_at = now;
+  if (answered) {
+    state.failures = 0;
+  } else {
+    if (state.failures == 0) {
+      state.failed_at = now;
+    }
+    ++state.failures;
+  }
+}
+
+bool HomeWatch::IsFailing(const core::HostId& host) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = hosts_.find(host);
+  return it != hosts_.end() && it->second.failures > 0;
+}
+
+// Returns the hosts that are silent or were failing; each must be reported with
+// OnProbe().
+std::vector<core::control::HostInfo> HomeWatch::HostsToProbe(
+    core::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::erase_if(hosts_, [&](const auto& it) {
+    const State& state = it.second;
+    return state.started.empty() && !state.probing &&
+           now - (state.failures > 0 ? state.failed_at : state.heard_at) >
+               kForget;
+  });
+  std::vector<core::control::HostInfo> hosts;
+  for (auto& [id, state] : hosts_) {
+    const bool is_waited_for =
+        !state.started.empty() && now - *state.started.begin() >= kPatience;
+    if (!state.probing && (is_waited_for || state.failures > 0) &&
+        now - state.heard_at >= kPatience) {
+      state.probing = true;
+      hosts.push_back(state.host);
+    }
+  }
+  return hosts;
+}
+
+}  // namespace toucandock::proxy
--- a/tests/proxy/home_path_test.cc
+++ b/tests/proxy/home_path_test.cc
@@ -87,6 +87,9 @@
                 .new_request_id = [] { return "r"; }}),
         peer_server_(
             *http::Server::Start({}, [this](const http::Request& request) {
+              while (paused_) {
+                std::this_thread::sleep_for(milliseconds(1));
+              }
               return front_.ServeForward(request);
             })) {}
 
@@ -99,6 +102,12 @@
   }
   void LoseLease() { view_.SetLease(Now() - seconds(1), Now()); }
   void Stop() { stopping_ = true; }
+  void Pause(bool paused) { paused_ = paused; }
+  void ProbeHomes() {
+    for (const core::control::HostInfo& it : front_.HomesToProbe()) {
+      front_.ProbeHome(it, milliseconds(50));
+    }
+  }
   void Kill() { peer_server_.reset(); }
   bool Drain() { return peer_server_->Drain(seconds(5)); }
   http::Response Serve(const http::Request& request) {
@@ -109,6 +118,7 @@
  private:
   const core::HostId id_;
   std::atomic<bool> stopping_ = false;
+  std::atomic<bool> paused_ = false;
   http::Client client_;
   observe::Metrics metrics_;
   PublishedView view_;
@@ -238,6 +248,36 @@
     CHECK(target.ran() == 1);
   }
 
+  SUBCASE("the home host is paused: its requests are given up soon") {
+    home.Pause(true);
+    const core::TimePoint start = Now();
+    const auto send = [&](const char* method) {
+      auto answer = std::async(std::launch::async, [&entry, method] {
+        return entry.Serve(RequestTo("/keyed/a", method));
+      });
+      while (answer.wait_for(milliseconds(5)) != std::future_status::ready) {
+        entry.ProbeHomes();
+      }
+      return answer.get();
+    };
+
+    SUBCASE("an idempotent one takes another path") {
+      CHECK(send("GET").status == 200);
+      CHECK(Now() - start < seconds(1));
+    }
+
+    SUBCASE("another one may have run") {
+      const http::Response answer = send("POST");
+      CHECK(absl::StrContains(answer.body, "\"outcome\":\"unknown\""));
+      CHECK(Now() - start < seconds(1));
+
+      SUBCASE("and the next takes another path at once") {
+        CHECK(send("POST").status == 200);
+      }
+    }
+    home.Pause(false);
+  }
+
   SUBCASE("the home host may not send to owners of keys: it does not") {
     home.LoseLease();
     http::Request request = RequestTo("/keyed/a", "POST");
