--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -157,6 +157,12 @@
       .now = Now,
       .tick =
           [this] {
+            for (const HostInfo& it : front_->HomesToProbe()) {
+              pool_->Run([this, it] {
+                front_->ProbeHome(
+                    it, duration_cast<milliseconds>(settings_.peer_timeout));
+              });
+            }
             return TickEvent{in_flight_.OldestSending(), in_flight_.BusyUnits(),
                              key_meter_.TakeIfDue(Now())};
           },
@@ -446,7 +452,7 @@
 }
 
 http::Response Daemon::ServePeer(const http::Request& request) {
-  if (request.method == "POST" && request.path == proxy::kForwardPath) {
+  if (request.path == proxy::kForwardPath) {
     return front_->ServeForward(request);
   }
   if (control_ == nullptr) {
