Accept texts that other editors saved; tell a missing verdict from a refusal

Cause: a byte order mark hid the version comment, carriage returns went into the log, and a proposal without a verdict was reported as an outage of the log, which the tool asked without a pause. Conclusion: operators may use any editor that can save UTF-8.

--- a/src/cli/config_commands.cc
+++ b/src/cli/config_commands.cc
@@ -78,6 +78,10 @@
   if (!text.ok()) {
     return Failed(ErrorKind::kNotFound, std::string(text.status().message()));
   }
+  text = NormalizeText(file, *std::move(text));
+  if (!text.ok()) {
+    return InvalidConfig(text.status());
+  }
   absl::StatusOr<Config> config = codec::ParseConfig(file, *text);
   if (!config.ok()) {
     return InvalidConfig(config.status());
@@ -150,6 +154,10 @@
                                     .author = options.author,
                                     .edited_from = edited_from,
                                     .wait = options.wait});
+  if (absl::IsDeadlineExceeded(verdict.status())) {
+    return Failed(ErrorKind::kHostUnavailable,
+                  std::string(verdict.status().message()));
+  }
   if (!verdict.ok()) {
     return LogFailed(options, verdict.status());
   }
--- a/src/cli/log_view.cc
+++ b/src/cli/log_view.cc
@@ -90,7 +90,8 @@
 
 // Appends the proposal and reads the log until the verdict is on it. The
 // append is repeated under the same id when its answer was lost, which the
-// hosts recognise. The Unavailable error means that there is no verdict yet.
+// hosts recognise. There is no verdict yet with DeadlineExceeded (the proposal
+// is on the log) and Unavailable (it may or may not be there).
 absl::StatusOr<ConfigVerdict> LogView::Publish(const PublishRequest& request) {
   const Record record = {
       .id = NewRecordId(),
@@ -114,14 +115,22 @@
       stored = log_.Append(record).ok();
     }
     next = state->next;
-    // Held by the log until there is something new.
-    (void)log_.Read(next);
+    // Held by the log until there is something new; a log that answers at once
+    // is not asked without a pause.
+    const absl::StatusOr<LogReadEvent> more = log_.Read(next);
+    if (!more.ok() || more->end <= next) {
+      std::this_thread::sleep_for(kReadRetry);
+    }
+  }
+  if (stored) {
+    return absl::DeadlineExceededError(absl::StrCat(
+        "no entry host decided within ", request.wait.count(),
+        " ms; the proposal is on the log and will be decided as soon as one "
+        "can; see 'toucandock config' later"));
   }
   return absl::UnavailableError(absl::StrCat(
-      "no verdict within ", request.wait.count(), " ms; the proposal ",
-      record.id,
-      stored ? " is on the log and will be decided by the entry hosts"
-             : " may or may not be on the log"));
+      "the log did not confirm the proposal within ", request.wait.count(),
+      " ms; it may or may not be there; see 'toucandock config' later"));
 }
 
 }  // namespace toucandock::cli
--- a/src/cli/read_file.cc
+++ b/src/cli/read_file.cc
@@ -6,7 +6,10 @@
 #include <fstream>
 #include <sstream>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+#include "util/text_check.h"
 
 namespace toucandock::cli {
 
@@ -27,4 +30,19 @@
   return text.str();
 }
 
+// Removes what editors add that is no part of the text: a byte order mark and
+// carriage returns at the ends of lines. Refuses text that is not UTF-8.
+absl::StatusOr<std::string> NormalizeText(const std::string& file,
+                                          std::string text) {
+  constexpr absl::string_view kByteOrderMark = "\xEF\xBB\xBF";
+  if (absl::StartsWith(text, kByteOrderMark)) {
+    text.erase(0, kByteOrderMark.size());
+  }
+  if (!util::IsUtf8(text)) {
+    return absl::InvalidArgumentError(
+        absl::StrCat(file, ":1: text: is not UTF-8; save the file as UTF-8"));
+  }
+  return absl::StrReplaceAll(text, {{"\r\n", "\n"}});
+}
+
 }  // namespace toucandock::cli
--- a/src/cli/read_file.h
+++ b/src/cli/read_file.h
@@ -9,6 +9,9 @@
 
 absl::StatusOr<std::string> ReadFile(const std::string& file);
 
+absl::StatusOr<std::string> NormalizeText(const std::string& file,
+                                          std::string text);
+
 }  // namespace toucandock::cli
 
 #endif  // TOUCANDOCK_CLI_READ_FILE_H_
--- a/src/util/text_check.cc
+++ b/src/util/text_check.cc
@@ -26,8 +26,40 @@
          absl::SimpleAtoi(text, &value) && value <= max;
 }
 
+// Length of the sequence that starts with this byte; 0: none starts with it.
+size_t SequenceLength(unsigned char first) {
+  if (first < 0x80) {
+    return 1;
+  }
+  if (first >= 0xC2 && first <= 0xDF) {
+    return 2;
+  }
+  if (first >= 0xE0 && first <= 0xEF) {
+    return 3;
+  }
+  return first >= 0xF0 && first <= 0xF4 ? 4 : 0;
+}
+
 }  // namespace
 
+// Checks lengths and continuation bytes, which tells text from other encodings
+// and from binary data. A NUL byte is no text either.
+bool IsUtf8(absl::string_view text) {
+  for (size_t n = 0; n < text.size();) {
+    const size_t length = SequenceLength(static_cast<unsigned char>(text[n]));
+    if (length == 0 || n + length > text.size() || text[n] == '\0') {
+      return false;
+    }
+    for (size_t k = 1; k < length; ++k) {
+      if ((static_cast<unsigned char>(text[n + k]) & 0xC0) != 0x80) {
+        return false;
+      }
+    }
+    n += length;
+  }
+  return true;
+}
+
 // 1 to 63 of a-z, 0-9 and "-".
 bool IsName(absl::string_view text) {
   return !text.empty() && text.size() <= kMaxNameLength &&
--- a/src/util/text_check.h
+++ b/src/util/text_check.h
@@ -5,6 +5,8 @@
 
 namespace toucandock::util {
 
+bool IsUtf8(absl::string_view text);
+
 bool IsName(absl::string_view text);
 
 // kOrChosen: port 0 is allowed, which lets the kernel choose.
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "codec/json.h"
 #include "codec/record_json.h"
 #include "core/control/control_state.h"
@@ -46,6 +47,11 @@
 
   const std::string& address() const { return server_->address(); }
 
+  void StopDeciding() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    decides_ = false;
+  }
+
   // Writes a checkpoint and forgets everything before it.
   void PassRetention() {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -67,6 +73,9 @@
   void Decide(const Record& record) {
     const auto& publish = std::get<PublishRecord>(record.body);
     Add({}, publish, record.id);
+    if (!decides_) {
+      return;
+    }
     if (publish.edited_from == state_.config_version) {
       Add(state_.ballot, AcceptRecord{record.id, state_.config_version + 1});
     } else {
@@ -103,6 +112,7 @@
   ControlState state_;
   std::vector<LogEntry> entries_;
   core::Offset first_ = 0;
+  bool decides_ = true;
   std::unique_ptr<http::Server> server_;
 };
 
@@ -165,6 +175,14 @@
       CHECK((*value)["exit_code"] == 6);
       CHECK((*value)["version"] == 2);
     }
+    SUBCASE("a text that an editor of another system saved is the same text") {
+      const support::TemporaryFile saved(
+          "\xEF\xBB\xBF# version: 2\r\n" +
+          absl::StrReplaceAll(Text(3), {{"\n", "\r\n"}}));
+      CHECK(Run({"publish", saved.path()}, options).out ==
+            "accepted as version 3\n");
+      CHECK(Run({"config"}, options).out == "# version: 3\n" + Text(3));
+    }
     SUBCASE("a rollback is a new version with the older text") {
       CHECK(Run({"rollback", "1"}, options).out == "accepted as version 3\n");
       CHECK(Run({"config"}, options).out == "# version: 3\n" + Text(1));
@@ -179,6 +197,16 @@
       CHECK(Run({"config"}, options).out == "# version: 2\n" + Text(2));
       CHECK(Run({"rollback", "2"}, options).exit_code == 0);
     }
+    SUBCASE("without a verdict it must not look refused or accepted") {
+      log.StopDeciding();
+      options.wait = std::chrono::milliseconds(200);
+      const Result result = Run({"rollback", "1"}, options);
+      CHECK(result.exit_code == 5);
+      CHECK(absl::StartsWith(result.err,
+                             "host-unavailable: no entry host "
+                             "decided within 200 ms; the proposal "
+                             "is on the log"));
+    }
     SUBCASE("a rollback to a version that never was") {
       const Result result = Run({"rollback", "7"}, options);
       CHECK(result.exit_code == 3);
@@ -192,6 +220,8 @@
   const support::TemporaryFile bad_yaml("services: [");
   const support::TemporaryFile bad_key("services: []\ncolour: red\n");
   const support::TemporaryFile good(Text(1));
+  const support::TemporaryFile utf16(std::string("\xFF\xFEs\0", 4));
+  const support::TemporaryFile bad_type("services:\n  - druk\n");
   support::FakeServer other;
   other.Answer(200, "{\"first\":0}");
   support::FakeServer refusing;
@@ -227,6 +257,16 @@
        absl::StrCat("config-invalid: ", bad_key.path(),
                     ":1: services: the list is empty; name at least one\n",
                     bad_key.path(), ":2: colour: unknown name")},
+      {{"validate", utf16.path()},
+       kNobody,
+       2,
+       absl::StrCat("config-invalid: ", utf16.path(),
+                    ":1: text: is not UTF-8; save the file as UTF-8")},
+      {{"validate", bad_type.path()},
+       kNobody,
+       2,
+       absl::StrCat("config-invalid: ", bad_type.path(),
+                    ":2: services[0]: expected a map")},
       {{"publish", good.path()}, kNobody, 5, "log-unavailable: "},
       {{"diff", good.path()}, kNobody, 5, "log-unavailable: "},
       {{"config"}, kNobody, 5, "log-unavailable: "},
