Keep the cause of a move that settled between two directives

Cause: a host that missed the active phase explained the new owner with 'read from the log' only. Conclusion: explain names the cause on every host.

--- a/src/observe/ownership_watch.cc
+++ b/src/observe/ownership_watch.cc
@@ -63,17 +63,21 @@
                                  bool is_decider) {
   const UnitMove* move = replica.MoveOf(unit);
   const core::control::Assignment assignment = replica.AssignmentOf(unit);
-  const UnitView after = {
+  UnitView after = {
       .owner = assignment.owner,
       .fence = assignment.fence,
       .moving = move != nullptr && move->phase != MovePhase::kActive};
-  UnitView& before = units_[unit];
-  if (before == after) {
+  UnitView& known = units_[unit];
+  if (known.owner == after.owner && known.fence == after.fence &&
+      known.moving == after.moving) {
     return;
   }
-  const UnitView last = std::exchange(before, after);
+  const bool finished = move == nullptr && known.moving;
+  after.cause = finished ? known.cause : CauseOf(move, replica.directive());
+  const TargetId last_owner = known.owner;
+  known = std::move(after);
   if (is_decider) {
-    if (!last.owner.empty() && last.owner != after.owner) {
+    if (!last_owner.empty() && last_owner != known.owner) {
       hooks_.owner_changed(unit.service);
     }
     return;
@@ -81,18 +85,15 @@
   if (!started_) {
     return;
   }
-  const std::string cause = CauseOf(move, replica.directive());
-  if (after.moving) {
-    const TargetId from = move->from.empty() ? "nobody" : move->from;
-    hooks_.decided(
-        absl::StrCat("unit ", core::ToString(unit), " moves from ", from,
-                     " to ", after.owner, ", fence ", after.fence),
-        cause);
+  std::string what = absl::StrCat("unit ", core::ToString(unit));
+  if (known.moving) {
+    absl::StrAppend(&what, " moves from ",
+                    move->from.empty() ? "nobody" : move->from, " to ");
   } else {
-    hooks_.decided(absl::StrCat("unit ", core::ToString(unit), " is served by ",
-                                after.owner, ", fence ", after.fence),
-                   cause);
+    absl::StrAppend(&what, " is served by ");
   }
+  absl::StrAppend(&what, known.owner, ", fence ", known.fence);
+  hooks_.decided(what, known.cause);
 }
 
 void OwnershipWatch::ObserveTargets(const Directive& directive) {
--- a/src/observe/ownership_watch.h
+++ b/src/observe/ownership_watch.h
@@ -40,8 +40,8 @@
     core::Fence fence = 0;
     // Between two owners.
     bool moving = false;
-
-    bool operator==(const UnitView&) const = default;
+    // Why it moves; a directive that names the move as active may be missed.
+    std::string cause;
   };
 
   void ObserveUnit(const core::control::Replica& replica,
--- a/tests/observe/ownership_watch_test.cc
+++ b/tests/observe/ownership_watch_test.cc
@@ -99,6 +99,19 @@
       CHECK(decided.size() == 5);
     }
   }
+  SUBCASE("a move that was settled between two looks keeps its cause") {
+    fleet.Direct({Move(MovePhase::kGranting)});
+    watch.Observe(fleet.replica, false);
+    ControlState settled = fleet.replica.state();
+    settled.next = 2;
+    settled.assignments[{"s", 0}] = {"s/t2", 12};
+    fleet.replica.Install({std::make_shared<const ControlState>(settled), {}});
+    fleet.Direct({});
+    watch.Observe(fleet.replica, false);
+    CHECK(decided.back() ==
+          "unit s/shard-0 is served by s/t2, fence 12 (its "
+          "owner was lost, directive 1 of host a)");
+  }
   SUBCASE("the decider counts the change and leaves reporting to the core") {
     fleet.Direct({Move(MovePhase::kActive)});
     watch.Observe(fleet.replica, true);
