Test the request's life with attempts, poison and callers that leave

Cause: the new steps of RequestLife were covered only through CallerFront.

Change: two cases in tests/core/request/request_life_test.cc.

Conclusion: the state machine's answers are fixed in the core's own tests.

--- a/tests/core/request/request_life_test.cc
+++ b/tests/core/request/request_life_test.cc
@@ -128,4 +128,80 @@
   }
 }
 
+TEST_CASE("a request whose attempt is not recorded must not be sent") {
+  RequestLife life = MakeLife(false);
+  REQUIRE(life.OnRoute(RouteResult::kReady, kStart).step == NextStep::kRecord);
+
+  struct Row {
+    const char* what;
+    RecordResult result;
+    ErrorKind error;
+    Outcome outcome;
+  };
+  const Row rows[] = {
+      {"an earlier arrival may have run", RecordResult::kDuplicate,
+       ErrorKind::kDuplicateRequest, Outcome::kUnknown},
+      {"an earlier arrival ran", RecordResult::kDuplicateRan,
+       ErrorKind::kDuplicateRequest, Outcome::kRan},
+      {"the id belongs to another request", RecordResult::kReusedId,
+       ErrorKind::kMalformedRequest, Outcome::kNotRun},
+  };
+  for (const Row& row : rows) {
+    SUBCASE(row.what) {
+      const Decision decision = life.OnRecord(row.result, kStart);
+      CHECK(decision.step == NextStep::kRefuse);
+      CHECK(decision.error == row.error);
+      CHECK(decision.outcome == row.outcome);
+    }
+  }
+
+  SUBCASE("a registry host does not answer") {
+    const Decision decision = life.OnRecord(RecordResult::kFailed, kStart);
+    CHECK(decision.step == NextStep::kWait);
+    CHECK(decision.until > kStart);
+    CHECK(decision.until <= kDeadline);
+
+    SUBCASE("it is evicted: the attempt is recorded before it is sent") {
+      CHECK(life.OnRoute(RouteResult::kReady, kStart).step ==
+            NextStep::kRecord);
+      CHECK(life.OnRecord(RecordResult::kRecorded, kStart).step ==
+            NextStep::kSend);
+    }
+
+    SUBCASE("the deadline passes") {
+      const Decision refusal = life.OnRecord(RecordResult::kFailed, kDeadline);
+      CHECK(refusal.error == ErrorKind::kAttemptNotRecorded);
+      CHECK(refusal.outcome == Outcome::kNotRun);
+    }
+  }
+}
+
+TEST_CASE("a refused or abandoned request must not be called not run if sent") {
+  RequestLife life = MakeLife(true);
+  life.OnRoute(RouteResult::kReady, kStart);
+
+  SUBCASE("its content is refused before it was sent") {
+    CHECK(life.OnPoison(false).outcome == Outcome::kNotRun);
+  }
+  SUBCASE("its id is refused, so it was sent before") {
+    CHECK(life.OnPoison(true).outcome == Outcome::kUnknown);
+  }
+  SUBCASE("it is refused after it crashed its target") {
+    life.OnAttempt({AttemptStage::kSent}, true, kStart);
+    CHECK(life.OnPoison(false).outcome == Outcome::kUnknown);
+  }
+  SUBCASE("its caller left before it was sent") {
+    const Decision decision = life.OnAttempt(
+        {.stage = AttemptStage::kConnected, .caller_gone = true}, true, kStart);
+    CHECK(decision.error == ErrorKind::kCallerGone);
+    CHECK(decision.outcome == Outcome::kNotRun);
+  }
+  SUBCASE("its caller left after it was sent") {
+    const Decision decision = life.OnAttempt(
+        {.stage = AttemptStage::kSent, .caller_gone = true}, true, kStart);
+    CHECK(decision.error == ErrorKind::kCallerGone);
+    CHECK(decision.outcome == Outcome::kUnknown);
+  }
+}
+
 }  // namespace toucandock::core::request
