Keep the old grant during a change of decider; report a target that stays lost

Cause: a new decider's first grant to a target has no end on the target's clock. The target took it in place of its grant and refused everything until the next one, so a planned stop of the decider made other hosts answer not-run (owner-unavailable) after 20 to 60 ms of a 4 s deadline. Change: TargetClient sends a grant without a known process as a probe, which brings the clock reading, and answers kRejected, so that nothing counts as acknowledged. The test of a lost owner also waits until it counts as alive again.

--- a/src/proxy/target_client.cc
+++ b/src/proxy/target_client.cc
@@ -14,8 +14,19 @@
                            std::chrono::milliseconds timeout)
     : client_(client), timeout_(timeout) {}
 
+// A grant for a process that is not known yet has no end on its clock. It is
+// sent as a probe, whose answer brings the clock reading: as a grant it would
+// end the grant of an earlier decider under which the target is serving. The
+// result kRejected says that the target has not taken the grant.
 TargetAnswer TargetClient::SendGrant(const std::string& address,
                                      const core::control::Grant& grant) {
+  if (grant.instance.empty()) {
+    TargetAnswer answer = Probe(address);
+    if (answer.result == ContactResult::kOk) {
+      answer.result = ContactResult::kRejected;
+    }
+    return answer;
+  }
   return Call(address, {.method = "POST",
                         .path = "/toucandock/grant",
                         .headers = {{"Content-Type", "application/json"}},
--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -50,6 +50,8 @@
     fleet.target(n).process->Kill();
     WaitForSuccessor(fleet, owner);
     fleet.RestartTarget(n);
+    WaitUntil("the restarted target counts as alive",
+              [&] { return fleet.Status(0)["lost_targets"].empty(); });
   }
   SUBCASE("the owner freezes and resumes after the takeover") {
     fleet.target(n).process->Send(SIGSTOP);
@@ -60,6 +62,8 @@
       const http::ExchangeResult result = SendDirectly(fleet, n, earlier);
       CHECK(result.response.status == 409);
     }
+    WaitUntil("the resumed target counts as alive",
+              [&] { return fleet.Status(0)["lost_targets"].empty(); });
   }
   for (size_t host = 0; host < fleet.host_count(); ++host) {
     load.WaitForAnswers(host, 200);
