Let the baseline of the loss measurement wait for the host list

Cause: with detect_by_host_list_only every failed contact was withheld, and a loss needs at least one failed probe or grant, so the baseline never moved a key (20,000 ms, the limit of the measurement, in 6 of 6 losses). Change: failed contacts are withheld only while the list shows the target.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -290,7 +290,7 @@
   pool_->Run([this, action] {
     const TargetAnswer answer =
         targets_.SendGrant(action.address, action.grant);
-    if (CountsAsSign(answer)) {
+    if (CountsAsSign(action.address, answer)) {
       control_->Post(
           GrantAnswerEvent{action.grant.target, action.grant.sequence, answer});
     }
@@ -300,16 +300,23 @@
 void Daemon::Send(const SendProbeAction& action) {
   pool_->Run([this, action] {
     const TargetAnswer answer = targets_.Probe(action.address);
-    if (CountsAsSign(answer)) {
+    if (CountsAsSign(action.address, answer)) {
       control_->Post(ProbeAnswerEvent{action.target, answer});
     }
   });
 }
 
-bool Daemon::CountsAsSign(const TargetAnswer& answer) const {
-  return !settings_.detect_by_host_list_only ||
-         answer.result == ContactResult::kOk ||
-         answer.result == ContactResult::kRejected;
+// Returns false for a failed contact that loss detection is not to see, because
+// it waits for the host list and the list still shows the target.
+bool Daemon::CountsAsSign(const std::string& address,
+                          const TargetAnswer& answer) {
+  if (!settings_.detect_by_host_list_only ||
+      answer.result == ContactResult::kOk ||
+      answer.result == ContactResult::kRejected) {
+    return true;
+  }
+  const std::lock_guard<std::mutex> lock(listed_mutex_);
+  return !listed_.contains(address);
 }
 
 std::string Daemon::CallPeer(const std::string& address,
@@ -467,6 +474,13 @@
   while (!ended_) {
     auto list = platform::FetchHostList(client_, settings_.host_list_address);
     if (list.ok()) {
+      {
+        const std::lock_guard<std::mutex> lock(listed_mutex_);
+        listed_.clear();
+        for (const ListedHost& it : list->hosts) {
+          listed_.insert(it.address);
+        }
+      }
       control_->Post(*std::move(list));
     }
     if (!SleepUnlessStopping(settings_.host_list_interval)) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -60,7 +61,8 @@
   void AfterEvent(const core::control::HostController& controller,
                   core::TimePoint now);
 
-  bool CountsAsSign(const core::control::TargetAnswer& answer) const;
+  bool CountsAsSign(const std::string& address,
+                    const core::control::TargetAnswer& answer);
 
   std::string CallPeer(const std::string& address,
                        const std::string& method,
@@ -95,6 +97,9 @@
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> ended_ = false;
   std::mutex stop_mutex_;
+  std::mutex listed_mutex_;
+  // Addresses on the latest host list.
+  std::set<std::string> listed_;
   std::condition_variable stop_requested_;
   // Last, so that its threads end before what they use.
   std::unique_ptr<WorkPool> pool_;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -40,8 +40,8 @@
   core::Duration probe_timeout = std::chrono::milliseconds(200);
   core::Duration peer_timeout = std::chrono::milliseconds(200);
   core::Duration stop_limit = std::chrono::seconds(30);
-  // Only the host list and expired grants count as signs of a lost target. Kept
-  // as the baseline that loss detection is measured against.
+  // Failed contacts with a target count only once the host list does not show
+  // it any more. Kept as the baseline that loss detection is measured against.
   bool detect_by_host_list_only = false;
   // Peers to ask while the log cannot be read.
   std::vector<std::string> seed_peers;
