--- a/bench/unavailable_bench.cc
+++ b/bench/unavailable_bench.cc
@@ -144,6 +144,7 @@
   ListTargetsBut(fleet, std::nullopt);
   fleet.PublishAndWait();
   std::vector<double> values;
+  values.reserve(losses);
   for (int n = 0; n < losses; ++n) {
     values.push_back(LoseOnce(fleet, n, freeze, list_lags));
   }
--- a/tests/process/load.h
+++ b/tests/process/load.h
@@ -65,7 +65,7 @@
 // until Stop().
 class Load {
  public:
-  Load(Fleet& fleet, LoadOptions options = {});
+  explicit Load(Fleet& fleet, LoadOptions options = {});
   ~Load();
 
   Load(const Load&) = delete;
