--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -141,7 +141,9 @@
 void Daemon::StartControl() {
   ControllerOptions options = {
       .self = {.id = host_id_,
-               .peer_address = peer_server_->address(),
+               .peer_address = settings_.advertised_peer_address.empty()
+                                   ? peer_server_->address()
+                                   : settings_.advertised_peer_address,
                .caller_address = caller_server_->address(),
                .failure_domain = settings_.failure_domain},
       .terms = settings_.lease};
@@ -336,9 +338,12 @@
 
 void Daemon::Send(const SendGrantAction& action) {
   pool_->Run([this, action] {
-    control_->Post(
-        GrantAnswerEvent{action.grant.target, action.grant.sequence,
-                         targets_.SendGrant(action.address, action.grant)});
+    const TargetAnswer answer =
+        targets_.SendGrant(action.address, action.grant);
+    if (CountsAsSign(action.address, answer)) {
+      control_->Post(
+          GrantAnswerEvent{action.grant.target, action.grant.sequence, answer});
+    }
   });
 }
 
@@ -346,10 +351,25 @@
   pool_->Run([this, action] {
     TargetAnswer answer = targets_.Probe(action.address);
     poison_->OnInstance(action.target, answer.instance);
-    control_->Post(ProbeAnswerEvent{action.target, std::move(answer)});
+    if (CountsAsSign(action.address, answer)) {
+      control_->Post(ProbeAnswerEvent{action.target, std::move(answer)});
+    }
   });
 }
 
+// Returns false for a failed contact that loss detection is not to see, because
+// it waits for the host list and the list still shows the target.
+bool Daemon::CountsAsSign(const std::string& address,
+                          const TargetAnswer& answer) {
+  if (!settings_.detect_by_host_list_only ||
+      answer.result == ContactResult::kOk ||
+      answer.result == ContactResult::kRejected) {
+    return true;
+  }
+  const std::lock_guard<std::mutex> lock(listed_mutex_);
+  return !listed_.contains(address);
+}
+
 std::string Daemon::CallPeer(const std::string& address,
                              const std::string& method,
                              const std::string& params) {
@@ -515,7 +535,9 @@
           .report_signal =
               [this](const core::TargetId& target,
                      core::detection::SignalKind kind) {
-                control_->Post(TrafficSignalEvent{target, kind});
+                if (!settings_.detect_by_host_list_only) {
+                  control_->Post(TrafficSignalEvent{target, kind});
+                }
               },
           .record_attempt =
               [this](const core::request::AttemptKey& key) {
@@ -585,6 +607,13 @@
     auto list = platform::FetchHostList(control_clients_.host_list,
                                         settings_.host_list_address);
     if (list.ok()) {
+      {
+        const std::lock_guard<std::mutex> lock(listed_mutex_);
+        listed_.clear();
+        for (const ListedHost& it : list->hosts) {
+          listed_.insert(it.address);
+        }
+      }
       control_->Post(*std::move(list));
     }
     if (!SleepUnlessStopping(settings_.host_list_interval)) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -68,6 +69,9 @@
   void AfterEvent(const core::control::HostController& controller,
                   core::TimePoint now);
 
+  bool CountsAsSign(const std::string& address,
+                    const core::control::TargetAnswer& answer);
+
   std::string CallPeer(const std::string& address,
                        const std::string& method,
                        const std::string& params);
@@ -111,6 +115,9 @@
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> ended_ = false;
   std::mutex stop_mutex_;
+  std::mutex listed_mutex_;
+  // Addresses on the latest host list.
+  std::set<std::string> listed_;
   std::condition_variable stop_requested_;
   // Last, so that their threads end before what they use.
   std::unique_ptr<WorkPool> request_pool_;
