Show the wait for grants, ballots after outages and cut-off sole voters

Cause: mutations of the released-owner check, of the first ballot of a membership and of the sole voter's log read passed all cases. Change: one case or sub-case for each. Before: no case failed without them. Conclusion: these mechanisms have a case of their own.

--- a/tests/core/control/controller_fixture.cc
+++ b/tests/core/control/controller_fixture.cc
@@ -63,6 +63,9 @@
   After(kCheckInterval, [this] { CheckHosts(); });
   const auto list = std::make_shared<Task>();
   *list = [this, list] {
+    if (before_list_) {
+      std::exchange(before_list_, nullptr)();
+    }
     for (const auto& [address, host] : hosts_) {
       if (host_list_) {
         Deliver(host, HostListEvent{*host_list_});
--- a/tests/core/control/controller_fixture.h
+++ b/tests/core/control/controller_fixture.h
@@ -117,6 +117,8 @@
   void ReleaseAppends();
   // Sets the platform's list; entries that begin with '-' are leaving.
   void SetHostList(std::vector<std::string> addresses);
+  // Runs once just before the hosts get the next list.
+  void OnNextHostList(Task task) { before_list_ = std::move(task); }
   // Sends one request now, whether or not the host may.
   void SendRequest(FakeHost& host,
                    const TargetId& target,
@@ -220,6 +222,7 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   std::map<std::uint64_t, std::function<void(const Action&)>> replies_;
   std::optional<std::vector<ListedHost>> host_list_;
+  Task before_list_;
   std::map<Unit, size_t> last_run_;
   std::mt19937_64 random_;
 };
--- a/tests/core/control/planned_move_test.cc
+++ b/tests/core/control/planned_move_test.cc
@@ -146,6 +146,32 @@
   }
 }
 
+TEST_CASE(
+    "a unit must not get a new owner while the grant of the old one that "
+    "cannot be reached still runs") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  const TargetId id = fleet.Target("t1").id;
+  const Unit unit = fleet.UnitsOf(id).front();
+  const Fence fence = fleet.LastRun(unit)->fence;
+  FakeHost& decider = *fleet.DeciderHost();
+  FakeHost& other = fleet.Host(decider.info.peer_address == "h3" ? "h2" : "h3");
+  fleet.SetHostList({"h1", "h2", "h3", "-t1"});
+  // The move starts right after the target was cut off from the decider, and
+  // another host has passed its lease check long before it sends.
+  fleet.OnNextHostList([&] {
+    fleet.Cut(decider.info.peer_address, "t1");
+    fleet.Pause(other.info.peer_address);
+  });
+  fleet.RunFor(milliseconds(500));
+  for (int n = 0; n < 700; ++n) {
+    fleet.SendRequest(other, id, unit, fence);
+    fleet.RunFor(milliseconds(1));
+  }
+  CHECK(fleet.OwnerOf(unit) != id);
+  CHECK(fleet.Breaches() == "");
+}
+
 TEST_CASE("one bad signal alone must move nothing") {
   Fleet fleet;
   REQUIRE(fleet.StartFleet(3));
--- a/tests/core/control/reform_test.cc
+++ b/tests/core/control/reform_test.cc
@@ -94,6 +94,29 @@
   CHECK(fleet.Breaches() == "");
 }
 
+TEST_CASE(
+    "a membership that is founded after elections in a log outage must "
+    "be followed by targets and hosts that saw those ballots") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  fleet.log.available = false;
+  fleet.RunFor(seconds(1));
+  for (int n = 0; n < 4; ++n) {
+    const std::string decider = fleet.DeciderHost()->info.peer_address;
+    fleet.Pause(decider);
+    fleet.RunFor(seconds(3));
+    fleet.Resume(decider);
+    fleet.RunFor(seconds(3));
+    REQUIRE(fleet.DeciderHost() != nullptr);
+  }
+  fleet.Kill(fleet.DeciderHost()->info.peer_address);
+  fleet.Kill(fleet.LiveHosts().front()->info.peer_address);
+  fleet.SetHostList({fleet.LiveHosts().front()->info.peer_address});
+  fleet.log.available = true;
+  CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(8)));
+  CHECK(fleet.Breaches() == "");
+}
+
 TEST_CASE(
     "a restart of the whole fleet must end in one membership with higher "
     "fences") {
@@ -150,6 +173,10 @@
   SUBCASE("and it cannot reach the log") {
     fleet.Cut(voter, "log");
   }
+  SUBCASE("and it cannot reach the log or the others") {
+    fleet.Cut(voter, "log");
+    fleet.Cut(voter, other);
+  }
   fleet.Resume(voter);
   fleet.RunFor(seconds(6));
   CHECK(fleet.Breaches() == "");
