Split Decider into its office, its moves and its records

Change: decider_moves.cc and decider_records.cc hold the moves and the records of the same class; no behaviour changes. The case on ballots after a log outage now waits until the survivor's lease has ended, since it passed at once before.

--- a/src/core/control/decider.cc
+++ b/src/core/control/decider.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "core/placement/placement.h"
 
 namespace toucandock::core::control {
 namespace {
@@ -12,28 +11,16 @@
 // A host that has not acknowledged a move for this long gets no new serving
 // lease, so that the move waits for it no longer than one lease.
 constexpr Duration kAckGrace = std::chrono::milliseconds(150);
-// A planned move waits this long for requests in flight.
-constexpr Duration kDrainLimit = std::chrono::seconds(10);
+// A host that is no member and has been silent this long is forgotten.
+constexpr Duration kForgetAfter = std::chrono::seconds(10);
 // A voter that answers but gives no support for this long needs an election.
 constexpr Duration kEstrangedAfter = std::chrono::seconds(2);
-constexpr Duration kEvictAfter = std::chrono::seconds(5);
 // Fences that an earlier decider may have used without our knowledge.
 constexpr Fence kFenceSkip = Fence{1} << 16;
 // The same for sequences. Else a host that still sends under an unknown, higher
 // sequence of the earlier decider would seem to send under this one's.
 constexpr std::uint64_t kSequenceSkip = std::uint64_t{1} << 16;
 constexpr int kSequenceBits = 32;
-constexpr size_t kMaxSettled = 1'024;
-constexpr size_t kMaxVoters = 7;
-constexpr std::uint32_t kMaxPlannedMoves = 4;
-constexpr Offset kCheckpointEvery = 1'000;
-// A quiet fleet needs checkpoints as well, since retention passes by time. A
-// third of the shortest retention that we expect, half an hour.
-constexpr Duration kCheckpointInterval = std::chrono::minutes(10);
-
-bool Contains(const std::vector<Unit>& units, const Unit& unit) {
-  return std::find(units.begin(), units.end(), unit) != units.end();
-}
 
 }  // namespace
 
@@ -352,163 +339,6 @@
   }
 }
 
-void Decider::PlaceService(const config::ServiceConfig& service,
-                           TimePoint now,
-                           Actions& out) {
-  placement::PlacementInput input;
-  for (const config::TargetConfig& target : service.targets) {
-    const TargetId id = config::MakeTargetId(service, target);
-    if (!targets_.WasContacted(id)) {
-      // Placing on the first targets to answer would only move units twice.
-      return;
-    }
-    if (targets_.MayOwn(id)) {
-      input.candidates.push_back({id, target.failure_domain,
-                                  targets_.WeightOf(id, now),
-                                  targets_.IsUsable(id)});
-    }
-  }
-  input.max_planned_moves =
-      kMaxPlannedMoves - std::min(kMaxPlannedMoves, PlannedMoves(service.name));
-  for (std::uint64_t n = 0; n < service.shards; ++n) {
-    const Unit unit{service.name, n};
-    const UnitMove* move = replica_.MoveOf(unit);
-    // A move whose new owner was lost must be replaced.
-    const bool moving = move != nullptr && move->phase != MovePhase::kActive &&
-                        targets_.MayOwn(move->to.owner);
-    input.shards.push_back(
-        {.owner = replica_.AssignmentOf(unit).owner, .moving = moving});
-  }
-  for (const placement::ShardMove& it : placement::PlaceShards(input)) {
-    StartMove({service.name, it.shard}, it.to, now, out);
-  }
-}
-
-std::uint32_t Decider::PlannedMoves(const std::string& service) const {
-  return std::count_if(directive_.moves.begin(), directive_.moves.end(),
-                       [&](const UnitMove& it) {
-                         return it.planned && it.unit.service == service &&
-                                it.phase != MovePhase::kActive;
-                       });
-}
-
-void Decider::StartMove(const Unit& unit,
-                        const TargetId& to,
-                        TimePoint now,
-                        Actions& out) {
-  const Assignment current = replica_.AssignmentOf(unit);
-  const UnitMove* replaced = replica_.MoveOf(unit);
-  UnitMove move = {.unit = unit,
-                   .to = {to, next_fence_++},
-                   .from = current.owner,
-                   .since = directive_.sequence + 1};
-  if (replaced != nullptr && replaced->phase == MovePhase::kRevoking) {
-    // The owner that was chosen before never got its grant.
-    move.from = replaced->from;
-  }
-  move.planned = !move.from.empty() && !directive_.lost.contains(move.from);
-  std::erase_if(directive_.moves,
-                [&](const UnitMove& it) { return it.unit == unit; });
-  const char* cause = move.from.empty() ? "had no owner"
-                      : move.planned    ? "rebalanced or drained"
-                                        : "its owner was lost";
-  out.push_back(
-      DecisionAction{absl::StrCat("unit ", ToString(unit), " moves from ",
-                                  move.from.empty() ? "nobody" : move.from,
-                                  " to ", to, ", fence ", move.to.fence),
-                     cause});
-  directive_.moves.push_back(std::move(move));
-  move_started_[unit] = now;
-  changed_ = true;
-}
-
-void Decider::ProgressMoves(TimePoint now, Actions& out) {
-  for (UnitMove& move : directive_.moves) {
-    if (!ProgressMove(move, now)) {
-      continue;
-    }
-    changed_ = true;
-    if (move.phase == MovePhase::kActive) {
-      out.push_back(DecisionAction{
-          absl::StrCat("unit ", ToString(move.unit), " is served by ",
-                       move.to.owner, ", fence ", move.to.fence),
-          "old owner and all hosts gave it up"});
-    }
-  }
-}
-
-// Returns whether the move entered its next phase.
-bool Decider::ProgressMove(UnitMove& move, TimePoint now) {
-  switch (move.phase) {
-    case MovePhase::kRevoking:
-      if (!IsRevokedEverywhere(move, now) || !IsDurable(move, now)) {
-        return false;
-      }
-      move.phase = MovePhase::kGranting;
-      return true;
-    case MovePhase::kGranting:
-      if (!targets_.IsGranted(move.to.owner, {move.unit, move.to.fence})) {
-        return false;
-      }
-      move.phase = MovePhase::kActive;
-      return true;
-    case MovePhase::kActive:
-      return false;
-  }
-  return false;
-}
-
-bool Decider::IsRevokedEverywhere(const UnitMove& move, TimePoint now) const {
-  if (move.since > directive_.sequence || now < earlier_leases_end_) {
-    return false;
-  }
-  const auto earlier = may_hold_.find(move.unit);
-  if (earlier != may_hold_.end() &&
-      !std::all_of(earlier->second.begin(), earlier->second.end(),
-                   [&](const TargetId& id) {
-                     return id == move.to.owner || targets_.IsReleased(id, now);
-                   })) {
-    return false;
-  }
-  const bool drain =
-      move.planned && now - move_started_.at(move.unit) < kDrainLimit;
-  for (const auto& [id, holder] : holders_) {
-    const bool gave_up = holder.acked_sequence >= move.since &&
-                         !(drain && Contains(holder.busy, move.unit));
-    if (!gave_up && now < holder.lease_ends) {
-      return false;
-    }
-  }
-  return move.from.empty() || targets_.IsReleased(move.from, now);
-}
-
-// An assignment counts as acknowledged once a majority of the voters knows it
-// and, unless the log is down or slow, the log has it. The log alone is not
-// enough: a successor may be elected before it has read the log that far.
-bool Decider::IsDurable(const UnitMove& move, TimePoint now) const {
-  return (IsSettled(move) || writer_.IsLogSlow(now)) &&
-         VotersWhoAcked(move.since) >=
-             MajorityOf(Voters(replica_.state()).size());
-}
-
-bool Decider::IsSettled(const UnitMove& move) const {
-  const auto& assignments = replica_.state().assignments;
-  const auto it = assignments.find(move.unit);
-  return it != assignments.end() && it->second.fence >= move.to.fence;
-}
-
-void Decider::DropFinishedMoves() {
-  const size_t n = std::erase_if(directive_.moves, [this](const UnitMove& it) {
-    if (it.phase != MovePhase::kActive || !IsSettled(it)) {
-      return false;
-    }
-    move_started_.erase(it.unit);
-    may_hold_.erase(it.unit);
-    return true;
-  });
-  changed_ = changed_ || n > 0;
-}
-
 void Decider::PublishDirective(TimePoint now, Actions& out) {
   if (!changed_) {
     return;
@@ -539,7 +369,7 @@
 void Decider::ForgetSilentHolders(TimePoint now) {
   std::erase_if(holders_, [&](const auto& it) {
     return it.first != self_.id && now > it.second.lease_ends &&
-           now - it.second.heard_at > 2 * kEvictAfter &&
+           now - it.second.heard_at > kForgetAfter &&
            !replica_.state().members.contains(it.first);
   });
 }
@@ -586,123 +416,4 @@
   WriteNextRecord(now, out);
 }
 
-void Decider::WriteNextRecord(TimePoint now, Actions& out) {
-  if (!writer_.idle()) {
-    return;
-  }
-  std::optional<RecordBody> body = NextRecord(now);
-  if (!body) {
-    return;
-  }
-  writer_.Append(Record{.id = hooks_.new_record_id(),
-                        .author = self_.id,
-                        .ballot = ballot_,
-                        .builds_on = replica_.state().last_decider,
-                        .body = *std::move(body)},
-                 now, out);
-}
-
-std::optional<RecordBody> Decider::NextRecord(TimePoint now) {
-  if (replica_.state().ballot < ballot_) {
-    return TermRecord{};
-  }
-  if (std::optional<RecordBody> body = NextSettle()) {
-    return body;
-  }
-  if (std::optional<RecordBody> body = NextVerdict()) {
-    return body;
-  }
-  if (std::optional<RecordBody> body = NextVoterChange(now)) {
-    return body;
-  }
-  if (IsCheckpointDue(now)) {
-    checkpoint_at_ = replica_.state().next;
-    checkpoint_written_at_ = now;
-    return CheckpointRecord{
-        std::make_shared<const ControlState>(replica_.state())};
-  }
-  return std::nullopt;
-}
-
-// A checkpoint is also due at once when retention has passed the last one that
-// this decider knows of: new hosts cannot start without.
-bool Decider::IsCheckpointDue(TimePoint now) const {
-  return replica_.state().next >= checkpoint_at_ + kCheckpointEvery ||
-         first_retained_ > checkpoint_at_ ||
-         now - checkpoint_written_at_ >= kCheckpointInterval;
-}
-
-std::optional<RecordBody> Decider::NextSettle() const {
-  SettleRecord settle;
-  for (const UnitMove& move : directive_.moves) {
-    if (!IsSettled(move) && settle.assignments.size() < kMaxSettled) {
-      settle.assignments.push_back({move.unit, move.to});
-    }
-  }
-  if (settle.assignments.empty()) {
-    return std::nullopt;
-  }
-  return settle;
-}
-
-// Decides the oldest proposal. The decision is a record, so that hosts of
-// other versions do not have to reach it again.
-std::optional<RecordBody> Decider::NextVerdict() const {
-  const ControlState& state = replica_.state();
-  const auto it =
-      std::min_element(state.proposals.begin(), state.proposals.end(),
-                       [](const auto& a, const auto& b) {
-                         return a.second.offset < b.second.offset;
-                       });
-  if (it == state.proposals.end()) {
-    return std::nullopt;
-  }
-  const auto& [id, proposal] = *it;
-  std::string reason;
-  if (proposal.publish.edited_from != state.config_version) {
-    reason = absl::StrCat("config-conflict: the text was edited from version ",
-                          proposal.publish.edited_from, ", but version ",
-                          state.config_version, " by ", state.config_author,
-                          " is in force");
-  } else if (const auto parsed = hooks_.parse_config(proposal.publish.text);
-             !parsed.ok()) {
-    reason = absl::StrCat("config-invalid: ",
-                          std::string(parsed.status().message()));
-  }
-  if (!reason.empty()) {
-    return RefuseRecord{id, reason};
-  }
-  return AcceptRecord{id, state.config_version + 1};
-}
-
-// Voters change one at a time, and only after a majority knows the change
-// before; so any two majorities of neighbouring memberships share a host. An
-// even number of voters tolerates no more losses than the odd one below it.
-std::optional<RecordBody> Decider::NextVoterChange(TimePoint now) const {
-  const ControlState& state = replica_.state();
-  const std::vector<HostId> voters = Voters(state);
-  if (VotersWhoAcked(voters_sequence_) < MajorityOf(voters.size())) {
-    return std::nullopt;
-  }
-  std::vector<HostId> ready;
-  for (const auto& [id, member] : state.members) {
-    const auto it = holders_.find(id);
-    const bool heard =
-        it != holders_.end() && now - it->second.heard_at < kEvictAfter;
-    if (id != self_.id && (!heard || member.leaving)) {
-      return EvictRecord{id};
-    }
-    if (heard && !member.votes && !it->second.leaving &&
-        it->second.supports_until > now) {
-      ready.push_back(id);
-    }
-  }
-  const bool even = voters.size() % 2 == 0;
-  const size_t wanted = even ? 1 : 2;
-  if (voters.size() < kMaxVoters && ready.size() >= wanted) {
-    return AdmitRecord{ready.front()};
-  }
-  return std::nullopt;
-}
-
 }  // namespace toucandock::core::control
--- /dev/null
+++ b/src/core/control/decider_moves.cc
@@ -0,0 +1,179 @@
+// The part of Decider that moves units between targets.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/control/decider.h"
+#include "core/placement/placement.h"
+
+namespace toucandock::core::control {
+namespace {
+
+// A planned move waits this long for requests in flight.
+constexpr Duration kDrainLimit = std::chrono::seconds(10);
+constexpr std::uint32_t kMaxPlannedMoves = 4;
+
+bool Contains(const std::vector<Unit>& units, const Unit& unit) {
+  return std::find(units.begin(), units.end(), unit) != units.end();
+}
+
+}  // namespace
+
+void Decider::PlaceService(const config::ServiceConfig& service,
+                           TimePoint now,
+                           Actions& out) {
+  placement::PlacementInput input;
+  for (const config::TargetConfig& target : service.targets) {
+    const TargetId id = config::MakeTargetId(service, target);
+    if (!targets_.WasContacted(id)) {
+      // Placing on the first targets to answer would only move units twice.
+      return;
+    }
+    if (targets_.MayOwn(id)) {
+      input.candidates.push_back({id, target.failure_domain,
+                                  targets_.WeightOf(id, now),
+                                  targets_.IsUsable(id)});
+    }
+  }
+  input.max_planned_moves =
+      kMaxPlannedMoves - std::min(kMaxPlannedMoves, PlannedMoves(service.name));
+  for (std::uint64_t n = 0; n < service.shards; ++n) {
+    const Unit unit{service.name, n};
+    const UnitMove* move = replica_.MoveOf(unit);
+    // A move whose new owner was lost must be replaced.
+    const bool moving = move != nullptr && move->phase != MovePhase::kActive &&
+                        targets_.MayOwn(move->to.owner);
+    input.shards.push_back(
+        {.owner = replica_.AssignmentOf(unit).owner, .moving = moving});
+  }
+  for (const placement::ShardMove& it : placement::PlaceShards(input)) {
+    StartMove({service.name, it.shard}, it.to, now, out);
+  }
+}
+
+std::uint32_t Decider::PlannedMoves(const std::string& service) const {
+  return std::count_if(directive_.moves.begin(), directive_.moves.end(),
+                       [&](const UnitMove& it) {
+                         return it.planned && it.unit.service == service &&
+                                it.phase != MovePhase::kActive;
+                       });
+}
+
+void Decider::StartMove(const Unit& unit,
+                        const TargetId& to,
+                        TimePoint now,
+                        Actions& out) {
+  const Assignment current = replica_.AssignmentOf(unit);
+  const UnitMove* replaced = replica_.MoveOf(unit);
+  UnitMove move = {.unit = unit,
+                   .to = {to, next_fence_++},
+                   .from = current.owner,
+                   .since = directive_.sequence + 1};
+  if (replaced != nullptr && replaced->phase == MovePhase::kRevoking) {
+    // The owner that was chosen before never got its grant.
+    move.from = replaced->from;
+  }
+  move.planned = !move.from.empty() && !directive_.lost.contains(move.from);
+  std::erase_if(directive_.moves,
+                [&](const UnitMove& it) { return it.unit == unit; });
+  const char* cause = move.from.empty() ? "had no owner"
+                      : move.planned    ? "rebalanced or drained"
+                                        : "its owner was lost";
+  out.push_back(
+      DecisionAction{absl::StrCat("unit ", ToString(unit), " moves from ",
+                                  move.from.empty() ? "nobody" : move.from,
+                                  " to ", to, ", fence ", move.to.fence),
+                     cause});
+  directive_.moves.push_back(std::move(move));
+  move_started_[unit] = now;
+  changed_ = true;
+}
+
+void Decider::ProgressMoves(TimePoint now, Actions& out) {
+  for (UnitMove& move : directive_.moves) {
+    if (!ProgressMove(move, now)) {
+      continue;
+    }
+    changed_ = true;
+    if (move.phase == MovePhase::kActive) {
+      out.push_back(DecisionAction{
+          absl::StrCat("unit ", ToString(move.unit), " is served by ",
+                       move.to.owner, ", fence ", move.to.fence),
+          "old owner and all hosts gave it up"});
+    }
+  }
+}
+
+// Returns whether the move entered its next phase.
+bool Decider::ProgressMove(UnitMove& move, TimePoint now) {
+  switch (move.phase) {
+    case MovePhase::kRevoking:
+      if (!IsRevokedEverywhere(move, now) || !IsDurable(move, now)) {
+        return false;
+      }
+      move.phase = MovePhase::kGranting;
+      return true;
+    case MovePhase::kGranting:
+      if (!targets_.IsGranted(move.to.owner, {move.unit, move.to.fence})) {
+        return false;
+      }
+      move.phase = MovePhase::kActive;
+      return true;
+    case MovePhase::kActive:
+      return false;
+  }
+  return false;
+}
+
+bool Decider::IsRevokedEverywhere(const UnitMove& move, TimePoint now) const {
+  if (move.since > directive_.sequence || now < earlier_leases_end_) {
+    return false;
+  }
+  const auto earlier = may_hold_.find(move.unit);
+  if (earlier != may_hold_.end() &&
+      !std::all_of(earlier->second.begin(), earlier->second.end(),
+                   [&](const TargetId& id) {
+                     return id == move.to.owner || targets_.IsReleased(id, now);
+                   })) {
+    return false;
+  }
+  const bool drain =
+      move.planned && now - move_started_.at(move.unit) < kDrainLimit;
+  for (const auto& [id, holder] : holders_) {
+    const bool gave_up = holder.acked_sequence >= move.since &&
+                         !(drain && Contains(holder.busy, move.unit));
+    if (!gave_up && now < holder.lease_ends) {
+      return false;
+    }
+  }
+  return move.from.empty() || targets_.IsReleased(move.from, now);
+}
+
+// An assignment counts as acknowledged once a majority of the voters knows it
+// and, unless the log is down or slow, the log has it. The log alone is not
+// enough: a successor may be elected before it has read the log that far.
+bool Decider::IsDurable(const UnitMove& move, TimePoint now) const {
+  return (IsSettled(move) || writer_.IsLogSlow(now)) &&
+         VotersWhoAcked(move.since) >=
+             MajorityOf(Voters(replica_.state()).size());
+}
+
+bool Decider::IsSettled(const UnitMove& move) const {
+  const auto& assignments = replica_.state().assignments;
+  const auto it = assignments.find(move.unit);
+  return it != assignments.end() && it->second.fence >= move.to.fence;
+}
+
+void Decider::DropFinishedMoves() {
+  const size_t n = std::erase_if(directive_.moves, [this](const UnitMove& it) {
+    if (it.phase != MovePhase::kActive || !IsSettled(it)) {
+      return false;
+    }
+    move_started_.erase(it.unit);
+    may_hold_.erase(it.unit);
+    return true;
+  });
+  changed_ = changed_ || n > 0;
+}
+
+}  // namespace toucandock::core::control
--- /dev/null
+++ b/src/core/control/decider_records.cc
@@ -0,0 +1,140 @@
+// The part of Decider that writes records.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/control/decider.h"
+
+namespace toucandock::core::control {
+namespace {
+
+constexpr size_t kMaxSettled = 1'024;
+constexpr size_t kMaxVoters = 7;
+constexpr Offset kCheckpointEvery = 1'000;
+// A quiet fleet needs checkpoints as well, since retention passes by time. A
+// third of the shortest retention that we expect, half an hour.
+constexpr Duration kCheckpointInterval = std::chrono::minutes(10);
+constexpr Duration kEvictAfter = std::chrono::seconds(5);
+
+}  // namespace
+
+void Decider::WriteNextRecord(TimePoint now, Actions& out) {
+  if (!writer_.idle()) {
+    return;
+  }
+  std::optional<RecordBody> body = NextRecord(now);
+  if (!body) {
+    return;
+  }
+  writer_.Append(Record{.id = hooks_.new_record_id(),
+                        .author = self_.id,
+                        .ballot = ballot_,
+                        .builds_on = replica_.state().last_decider,
+                        .body = *std::move(body)},
+                 now, out);
+}
+
+std::optional<RecordBody> Decider::NextRecord(TimePoint now) {
+  if (replica_.state().ballot < ballot_) {
+    return TermRecord{};
+  }
+  if (std::optional<RecordBody> body = NextSettle()) {
+    return body;
+  }
+  if (std::optional<RecordBody> body = NextVerdict()) {
+    return body;
+  }
+  if (std::optional<RecordBody> body = NextVoterChange(now)) {
+    return body;
+  }
+  if (IsCheckpointDue(now)) {
+    checkpoint_at_ = replica_.state().next;
+    checkpoint_written_at_ = now;
+    return CheckpointRecord{
+        std::make_shared<const ControlState>(replica_.state())};
+  }
+  return std::nullopt;
+}
+
+// A checkpoint is also due at once when retention has passed the last one that
+// this decider knows of: new hosts cannot start without.
+bool Decider::IsCheckpointDue(TimePoint now) const {
+  return replica_.state().next >= checkpoint_at_ + kCheckpointEvery ||
+         first_retained_ > checkpoint_at_ ||
+         now - checkpoint_written_at_ >= kCheckpointInterval;
+}
+
+std::optional<RecordBody> Decider::NextSettle() const {
+  SettleRecord settle;
+  for (const UnitMove& move : directive_.moves) {
+    if (!IsSettled(move) && settle.assignments.size() < kMaxSettled) {
+      settle.assignments.push_back({move.unit, move.to});
+    }
+  }
+  if (settle.assignments.empty()) {
+    return std::nullopt;
+  }
+  return settle;
+}
+
+// Decides the oldest proposal. The decision is a record, so that hosts of
+// other versions do not have to reach it again.
+std::optional<RecordBody> Decider::NextVerdict() const {
+  const ControlState& state = replica_.state();
+  const auto it =
+      std::min_element(state.proposals.begin(), state.proposals.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.offset < b.second.offset;
+                       });
+  if (it == state.proposals.end()) {
+    return std::nullopt;
+  }
+  const auto& [id, proposal] = *it;
+  std::string reason;
+  if (proposal.publish.edited_from != state.config_version) {
+    reason = absl::StrCat("config-conflict: the text was edited from version ",
+                          proposal.publish.edited_from, ", but version ",
+                          state.config_version, " by ", state.config_author,
+                          " is in force");
+  } else if (const auto parsed = hooks_.parse_config(proposal.publish.text);
+             !parsed.ok()) {
+    reason = absl::StrCat("config-invalid: ",
+                          std::string(parsed.status().message()));
+  }
+  if (!reason.empty()) {
+    return RefuseRecord{id, reason};
+  }
+  return AcceptRecord{id, state.config_version + 1};
+}
+
+// Voters change one at a time, and only after a majority knows the change
+// before; so any two majorities of neighbouring memberships share a host. An
+// even number of voters tolerates no more losses than the odd one below it.
+std::optional<RecordBody> Decider::NextVoterChange(TimePoint now) const {
+  const ControlState& state = replica_.state();
+  const std::vector<HostId> voters = Voters(state);
+  if (VotersWhoAcked(voters_sequence_) < MajorityOf(voters.size())) {
+    return std::nullopt;
+  }
+  std::vector<HostId> ready;
+  for (const auto& [id, member] : state.members) {
+    const auto it = holders_.find(id);
+    const bool heard =
+        it != holders_.end() && now - it->second.heard_at < kEvictAfter;
+    if (id != self_.id && (!heard || member.leaving)) {
+      return EvictRecord{id};
+    }
+    if (heard && !member.votes && !it->second.leaving &&
+        it->second.supports_until > now) {
+      ready.push_back(id);
+    }
+  }
+  const bool even = voters.size() % 2 == 0;
+  const size_t wanted = even ? 1 : 2;
+  if (voters.size() < kMaxVoters && ready.size() >= wanted) {
+    return AdmitRecord{ready.front()};
+  }
+  return std::nullopt;
+}
+
+}  // namespace toucandock::core::control
--- a/tests/core/control/reform_test.cc
+++ b/tests/core/control/reform_test.cc
@@ -113,7 +113,10 @@
   fleet.Kill(fleet.LiveHosts().front()->info.peer_address);
   fleet.SetHostList({fleet.LiveHosts().front()->info.peer_address});
   fleet.log.available = true;
+  fleet.RunFor(seconds(1));
+  CHECK_FALSE(fleet.IsServing());
   CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(8)));
+  CHECK(CountReforms(fleet) == 1);
   CHECK(fleet.Breaches() == "");
 }
 
