Show that a cut-off host deposes nobody and that a first join waits

Cause: mutations of the promise to a decider and of the wait before a founding join passed all cases. Change: one case and one sub-case for them. Before: no case failed without the mechanisms. Conclusion: each has its own case.

--- a/tests/core/control/decider_loss_test.cc
+++ b/tests/core/control/decider_loss_test.cc
@@ -101,6 +101,25 @@
   }
 }
 
+TEST_CASE("a host that is cut off from the decider alone must not depose it") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(5));
+  const HostId decider = fleet.DeciderHost()->info.id;
+  const std::string address = fleet.DeciderHost()->info.peer_address;
+  const std::string other = OtherAddresses(fleet, address).front();
+  const Ballot before =
+      fleet.DeciderHost()->controller->replica().directive().ballot;
+  fleet.Cut(other, address);
+  fleet.RunFor(seconds(10));
+  REQUIRE(fleet.DeciderHost() != nullptr);
+  CHECK(fleet.DeciderHost()->info.id == decider);
+  CHECK(fleet.DeciderHost()->controller->replica().directive().ballot ==
+        before);
+  fleet.HealLinks();
+  CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(3)));
+  CHECK(fleet.Breaches() == "");
+}
+
 TEST_CASE(
     "an entry host that pauses between its check and its send must not "
     "reach a replaced owner that checks fences") {
--- a/tests/core/control/retention_test.cc
+++ b/tests/core/control/retention_test.cc
@@ -54,6 +54,16 @@
       CHECK(CountCheckpoints(fleet) == 1);
       fleet.StartHost("h4");
     }
+    SUBCASE("and the decider cannot reach the log for a while") {
+      const std::string decider = fleet.DeciderHost()->info.peer_address;
+      fleet.Cut(decider, "log");
+      fleet.StartHost("h4", {"h1", "h2"});
+      fleet.RunFor(seconds(2));
+      CHECK(fleet.Host("h4").controller->replica().state().founded ==
+            fleet.Host("h1").controller->replica().state().founded);
+      CHECK(fleet.log.entries.size() == fleet.log.first_retained);
+      fleet.HealLinks();
+    }
     SUBCASE("and a running host was cut off from the log meanwhile") {
       fleet.Cut("h3", "log");
       fleet.RunFor(seconds(1));
