End the fleet when a test or measurement is interrupted or aborts

Cause: destructors don't run after SIGTERM or an uncaught exception outside a test, and 19 processes of interrupted measurements were left running. Change: a handler for SIGTERM, SIGINT and SIGABRT ends the children by their ids. An id is forgotten before it is collected, so a reused id is never signalled.

--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -5,10 +5,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <cerrno>
 #include <csignal>
 #include <cstdint>
 #include <fstream>
+#include <mutex>
 #include <ratio>
 #include <sstream>
 #include <stdexcept>
@@ -20,6 +23,49 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPoll{5};
+// More than any fleet has processes.
+constexpr size_t kMaxChildren = 256;
+
+// Children that run; 0 marks a free place.
+std::array<std::atomic<pid_t>, kMaxChildren> running = {};
+
+// Ends the children before this process ends by the signal. Without this, a
+// test that is interrupted or aborted would leave its fleet behind.
+void EndChildren(int signal) {
+  for (const std::atomic<pid_t>& it : running) {
+    if (it != 0) {
+      kill(it, SIGKILL);
+    }
+  }
+  std::signal(signal, SIG_DFL);
+  std::raise(signal);
+}
+
+void EndChildrenOnSignals() {
+  static std::once_flag once;
+  std::call_once(once, [] {
+    for (const int signal : {SIGTERM, SIGINT, SIGABRT}) {
+      std::signal(signal, &EndChildren);
+    }
+  });
+}
+
+void Remember(pid_t pid) {
+  for (std::atomic<pid_t>& it : running) {
+    pid_t free = 0;
+    if (it.compare_exchange_strong(free, pid)) {
+      return;
+    }
+  }
+}
+
+// Called before the id is collected and may be used again by the system.
+void Forget(pid_t pid) {
+  for (std::atomic<pid_t>& it : running) {
+    pid_t expected = pid;
+    it.compare_exchange_strong(expected, 0);
+  }
+}
 
 }  // namespace
 
@@ -27,6 +73,7 @@
 // program cannot be started.
 ChildProcess::ChildProcess(const std::vector<std::string>& command,
                            const std::string& output_file) {
+  EndChildrenOnSignals();
   std::vector<char*> words;
   words.reserve(command.size() + 1);
   for (const std::string& it : command) {
@@ -45,6 +92,7 @@
     pid_ = -1;
     throw std::runtime_error(absl::StrCat("cannot start ", command[0]));
   }
+  Remember(pid_);
 }
 
 ChildProcess::~ChildProcess() {
@@ -54,7 +102,12 @@
 std::optional<int> ChildProcess::exit_code() {
   if (!exit_code_) {
     int status = 0;
-    if (waitpid(pid_, &status, WNOHANG) == pid_) {
+    siginfo_t ended = {};
+    if (waitid(P_PID, static_cast<id_t>(pid_), &ended,
+               WEXITED | WNOHANG | WNOWAIT) == 0 &&
+        ended.si_pid == pid_) {
+      Forget(pid_);
+      waitpid(pid_, &status, 0);
       exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
   }
@@ -73,6 +126,7 @@
     return;
   }
   kill(pid_, SIGKILL);
+  Forget(pid_);
   int status = 0;
   while (waitpid(pid_, &status, 0) < 0 && errno == EINTR) {
   }
