--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -116,7 +116,7 @@
       {.address = settings_.peer_address,
        .max_body = kPeerBodyBytes,
        // Forwarded requests carry the caller's headers and more.
-       .max_headers = 2 * settings_.limits.header_bytes,
+       .max_headers = size_t{2} * settings_.limits.header_bytes,
        .max_connections = settings_.limits.peer_connections},
       [this](const http::Request& request) { return ServePeer(request); }));
   if (!status.ok()) {
