Search metric names without std::regex

Cause: GCC 12 warns about std::regex in a build with sanitizers, which is an error here. Change: a plain search.

--- a/tests/docs/operations_test.cc
+++ b/tests/docs/operations_test.cc
@@ -1,7 +1,6 @@
 #include <doctest/doctest.h>
 
 #include <filesystem>
-#include <regex>
 #include <set>
 #include <string>
 
@@ -18,16 +17,16 @@
 
 std::set<std::string> MetricNames() {
   std::set<std::string> names;
-  const std::regex metric("\"(toucandock_[a-z_]+)\"");
+  const std::string start = "\"toucandock_";
   for (const auto& it : fs::recursive_directory_iterator(
            fs::path(TOUCANDOCK_SOURCE_DIR) / "src")) {
     if (it.path().extension() != ".cc") {
       continue;
     }
     const std::string text = support::ReadText(it.path());
-    for (std::sregex_iterator match(text.begin(), text.end(), metric), end;
-         match != end; ++match) {
-      names.insert((*match)[1]);
+    for (size_t n = text.find(start); n != std::string::npos;
+         n = text.find(start, n + 1)) {
+      names.insert(text.substr(n + 1, text.find('"', n + 1) - n - 1));
     }
   }
   return names;
