Elect anew for an estranged member that has lost its vote

Change: the decider looks at all members, not only voters; the silence of a member that joined again starts anew.

--- a/src/core/control/decider.cc
+++ b/src/core/control/decider.cc
@@ -13,7 +13,7 @@
 constexpr Duration kAckGrace = std::chrono::milliseconds(150);
 // A host that is no member and has been silent this long is forgotten.
 constexpr Duration kForgetAfter = std::chrono::seconds(10);
-// A voter that answers but gives no support for this long needs an election.
+// A member that answers but gives no support for this long needs an election.
 constexpr Duration kEstrangedAfter = std::chrono::seconds(2);
 // Fences that an earlier decider may have used without our knowledge.
 constexpr Fence kFenceSkip = Fence{1} << 16;
@@ -119,19 +119,20 @@
   return now - since > terms_.election;
 }
 
-// Returns whether a voter is in contact but has not supported this decider for
+// Returns whether a member is in contact but has not supported this decider for
 // long: it has voted for a candidate that was not elected, and may not follow a
-// lower ballot any more.
-bool Decider::HasEstrangedVoter(TimePoint now) const {
+// lower ballot any more. It may have lost its own vote since.
+bool Decider::HasEstrangedMember(TimePoint now) const {
   if (now - elected_at_ < kEstrangedAfter) {
     return false;
   }
-  const std::vector<HostId> voters = Voters(replica_.state());
-  return std::any_of(voters.begin(), voters.end(), [&](const HostId& id) {
-    const auto it = holders_.find(id);
-    return it != holders_.end() && now - it->second.heard_at < terms_.serving &&
-           now - it->second.supports_until > kEstrangedAfter &&
-           now - it->second.first_heard_at > kEstrangedAfter;
+  const auto& members = replica_.state().members;
+  return std::any_of(holders_.begin(), holders_.end(), [&](const auto& it) {
+    const Holder& holder = it.second;
+    return members.contains(it.first) &&
+           now - holder.heard_at < terms_.serving &&
+           now - holder.supports_until > kEstrangedAfter &&
+           now - holder.first_heard_at > kEstrangedAfter;
   });
 }
 
@@ -280,6 +281,7 @@
       Holder& holder = holders_[id];
       holder.host = member.host;
       holder.heard_at = now;
+      holder.first_heard_at = now;
     }
   }
   members_ = std::move(members);
--- a/src/core/control/decider.h
+++ b/src/core/control/decider.h
@@ -35,7 +35,7 @@
   TimePoint own_lease_until() const { return own_lease_until_; }
   bool IsSuperseded() const;
   bool IsSilenced(TimePoint now) const;
-  bool HasEstrangedVoter(TimePoint now) const;
+  bool HasEstrangedMember(TimePoint now) const;
   bool IsLogSlow(TimePoint now) const { return writer_.IsLogSlow(now); }
 
   RenewReply OnRenew(const RenewRequest& request, TimePoint now);
--- a/src/core/control/host_controller.cc
+++ b/src/core/control/host_controller.cc
@@ -204,8 +204,8 @@
   decider_->Step(now_, out_);
   if (decider_->IsSuperseded()) {
     Resign("there is a later decider");
-  } else if (decider_->HasEstrangedVoter(now_)) {
-    Resign("a voter follows only a higher ballot");
+  } else if (decider_->HasEstrangedMember(now_)) {
+    Resign("a member follows only a higher ballot");
     member_.Campaign(now_, out_);
   } else {
     member_.HoldOffice(decider_->ballot(), decider_->authority_until(),
