Split the front and the daemon; write down decisions and proofs

Change: header rules, the job of a request and its sending are files of their own, as are calls between hosts; decision records 0001, 0002, 0005 and docs/proof.md; the measurement's log uses a valid ballot. Conclusion: no behaviour changed.

--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -72,7 +72,8 @@
                                       .body = std::move(body)}});
     return offset;
   };
-  const Ballot ballot{2, "a"};
+  // Above the ballot that the founding record sets.
+  const Ballot ballot{std::uint64_t{1} << 32, "a"};
   Offset last = add({}, 0, JoinRecord{{.id = "a", .peer_address = "a:1"}});
   last = add(ballot, last, TermRecord{});
   const Offset publish = add({}, 0, PublishRecord{"text", "op", 0});
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,7 +8,6 @@
 #include "absl/strings/str_cat.h"
 #include "codec/config_yaml.h"
 #include "codec/message_json.h"
-#include "codec/relay_json.h"
 #include "codec/target_json.h"
 #include "core/routing/home_host.h"
 #include "core/routing/routing_snapshot.h"
@@ -30,10 +29,6 @@
 constexpr size_t kRequestWorkers = 4;
 constexpr size_t kHistorySize = 10'000;
 constexpr milliseconds kLogRetry{100};
-constexpr int kMaxRelays = 2;
-// Prefix of the methods that other hosts pass on.
-constexpr absl::string_view kRelayedMethods = "attempt_";
-constexpr std::uint32_t kPeerBodyBytes = 64 << 20;
 
 core::TimePoint Now() {
   return std::chrono::steady_clock::now();
@@ -51,6 +46,10 @@
     : settings_(std::move(settings)),
       host_id_(absl::StrCat(settings_.host_name, "-", RandomId().substr(0, 8))),
       control_clients_(metrics_),
+      peers_(control_clients_.peers,
+             duration_cast<milliseconds>(settings_.peer_timeout),
+             {.self = host_id_,
+              .members = [this] { return view_.snapshot()->hosts; }}),
       history_(kHistorySize),
       trace_(settings_),
       ownership_(MakeOwnershipHooks()),
@@ -298,8 +297,8 @@
 void Daemon::Send(const SendRenewAction& action) {
   const core::TimePoint sent_at = Now();
   pool_->Run([this, action, sent_at] {
-    const std::string answer = CallPeer(action.to.peer_address, "renew",
-                                        codec::Encode(action.request));
+    const std::string answer = peers_.Call(action.to.peer_address, "renew",
+                                           codec::Encode(action.request));
     RenewReplyEvent event = {.from = action.to.id, .sent_at = sent_at};
     auto reply = codec::ParseRenewReply(answer);
     if (reply.ok()) {
@@ -311,8 +310,8 @@
 
 void Daemon::Send(const SendVoteAction& action) {
   pool_->Run([this, action] {
-    const std::string answer =
-        CallPeer(action.to.peer_address, "vote", codec::Encode(action.request));
+    const std::string answer = peers_.Call(action.to.peer_address, "vote",
+                                           codec::Encode(action.request));
     VoteReplyEvent event = {.from = action.to.id,
                             .ballot = action.request.ballot};
     auto reply = codec::ParseVoteReply(answer);
@@ -327,7 +326,7 @@
   pool_->Run([this, action] {
     StateReplyEvent event;
     auto reply = codec::ParseStateReply(
-        CallPeer(action.from.peer_address, "state", "{}"));
+        peers_.Call(action.from.peer_address, "state", "{}"));
     if (reply.ok()) {
       event.reply = *std::move(reply);
     }
@@ -337,7 +336,7 @@
 
 void Daemon::Send(const SendNudgeAction& action) {
   pool_->Run(
-      [this, action] { CallPeer(action.to.peer_address, "nudge", "{}"); });
+      [this, action] { peers_.Call(action.to.peer_address, "nudge", "{}"); });
 }
 
 void Daemon::Send(const SendGrantAction& action) {
@@ -374,62 +373,6 @@
   return !listed_.contains(address);
 }
 
-std::string Daemon::CallPeer(const std::string& address,
-                             const std::string& method,
-                             const std::string& params) {
-  const milliseconds timeout =
-      duration_cast<milliseconds>(settings_.peer_timeout);
-  const peer::Transport transport = [&](const std::string& body) {
-    const http::ExchangeResult result = control_clients_.peers.Exchange(
-        address,
-        {.method = "POST",
-         .path = "/rpc",
-         .headers = {{"Content-Type", "application/json"}},
-         .body = body},
-        {.connect_timeout = timeout,
-         .timeout = timeout,
-         .max_body = kPeerBodyBytes});
-    return result.progress == http::Progress::kComplete ? result.response.body
-                                                        : std::string();
-  };
-  return peer::CallMethod(transport, method, params);
-}
-
-// A cut between two hosts that both reach a third must not keep requests from
-// being recorded: then the call goes through other members.
-std::string Daemon::CallPeerOrRelay(const std::string& address,
-                                    const std::string& method,
-                                    const std::string& params) {
-  std::string answer = CallPeer(address, method, params);
-  int relays = 0;
-  for (const HostInfo& it : view_.snapshot()->hosts) {
-    if (!answer.empty() || relays == kMaxRelays) {
-      break;
-    }
-    if (it.id == host_id_ || it.peer_address == address) {
-      continue;
-    }
-    ++relays;
-    answer = CallPeer(it.peer_address, "relay",
-                      codec::EncodeRelay({address, method, params}));
-  }
-  return answer;
-}
-
-// Passes a call on to the member that it is for, once.
-std::string Daemon::Relay(const std::string& params) {
-  const absl::StatusOr<codec::RelayCall> call = codec::ParseRelay(params);
-  if (!call.ok() || !absl::StartsWith(call->method, kRelayedMethods)) {
-    return "";
-  }
-  for (const HostInfo& it : view_.snapshot()->hosts) {
-    if (it.peer_address == call->address) {
-      return CallPeer(call->address, call->method, call->params);
-    }
-  }
-  return "";
-}
-
 std::vector<peer::Method> Daemon::PeerMethods() {
   std::vector<peer::Method> methods = {
       {"renew",
@@ -455,7 +398,8 @@
          const auto reply = control_->State();
          return reply ? codec::Encode(*reply) : "";
        }},
-      {"relay", [this](const std::string& params) { return Relay(params); }},
+      {"relay",
+       [this](const std::string& params) { return peers_.Relay(params); }},
       {"nudge",
        [this](const std::string&) -> std::string {
          control_->Post(NudgeEvent{});
@@ -486,7 +430,7 @@
   const auto call_peer = [this](const std::string& address,
                                 const std::string& method,
                                 const std::string& params) {
-    return CallPeerOrRelay(address, method, params);
+    return peers_.CallOrRelay(address, method, params);
   };
   request_pool_ = std::make_unique<WorkPool>(kRequestWorkers);
   const auto run = [this](std::function<void()> work) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -15,6 +15,7 @@
 #include "daemon/control_loop.h"
 #include "daemon/control_trace.h"
 #include "daemon/operator_front.h"
+#include "daemon/peer_link.h"
 #include "daemon/poison_service.h"
 #include "daemon/work_pool.h"
 #include "http/client.h"
@@ -72,13 +73,6 @@
   bool CountsAsSign(const std::string& address,
                     const core::control::TargetAnswer& answer);
 
-  std::string CallPeer(const std::string& address,
-                       const std::string& method,
-                       const std::string& params);
-  std::string CallPeerOrRelay(const std::string& address,
-                              const std::string& method,
-                              const std::string& params);
-  std::string Relay(const std::string& params);
   std::vector<peer::Method> PeerMethods();
   http::Response ServePeer(const http::Request& request);
   OperatorHooks MakeOperatorHooks();
@@ -95,6 +89,7 @@
   http::Client client_;
   observe::Metrics metrics_;
   ControlClients control_clients_;
+  PeerLink peers_;
   observe::DecisionHistory history_;
   ControlTrace trace_;
   observe::OwnershipWatch ownership_;
--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -1,7 +1,6 @@
 #include "proxy/caller_front.h"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <utility>
 
@@ -12,6 +11,8 @@
 #include "core/request/fingerprint.h"
 #include "core/routing/home_host.h"
 #include "core/routing/target_choice.h"
+#include "proxy/caller_job.h"
+#include "proxy/header_rules.h"
 #include "proxy/problem.h"
 
 namespace toucandock::proxy {
@@ -28,72 +29,10 @@
 using core::request::PoisonVerdict;
 using core::request::RouteResult;
 
-constexpr absl::string_view kControlPrefix = "toucandock-";
-constexpr absl::string_view kNotRun = "not-run";
 constexpr core::Duration kLongestDeadline = std::chrono::hours(1);
 // Half the time for which attempts are remembered, so that no attempt is
 // forgotten while its request may still be sent or run.
 constexpr core::Duration kLongestAttempt = std::chrono::minutes(5);
-// Time after the deadline in which a home host's own report of a timeout
-// arrives.
-constexpr std::chrono::milliseconds kHopAllowance{20};
-constexpr int kServiceUnavailable = 503;
-
-// Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
-// libraries write themselves.
-constexpr std::array<absl::string_view, 11> kConnectionHeaders = {
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "expect",
-    "content-length",
-    "proxy-authorization"};
-
-bool IsPassedOn(absl::string_view name) {
-  if (absl::StartsWithIgnoreCase(name, kControlPrefix)) {
-    return false;
-  }
-  return std::none_of(
-      kConnectionHeaders.begin(), kConnectionHeaders.end(),
-      [&](absl::string_view it) { return absl::EqualsIgnoreCase(it, name); });
-}
-
-bool IsVisibleAscii(absl::string_view text) {
-  return std::all_of(text.begin(), text.end(),
-                     [](char c) { return c > ' ' && c < '\x7f'; });
-}
-
-// Whether the request can be sent to a target as it was received. The client
-// library would take a '#' for the end of the path.
-bool IsForwardable(const http::Request& request) {
-  return request.method != "CONNECT" && !request.path.empty() &&
-         request.path.front() == '/' && IsVisibleAscii(request.path) &&
-         IsVisibleAscii(request.query) &&
-         request.path.find('#') == std::string::npos &&
-         request.query.find('#') == std::string::npos;
-}
-
-http::Headers PassedOnHeaders(const http::Headers& headers) {
-  http::Headers result;
-  for (const auto& it : headers) {
-    if (IsPassedOn(it.first)) {
-      result.push_back(it);
-    }
-  }
-  return result;
-}
-
-std::string HeaderOr(const http::Headers& headers,
-                     absl::string_view name,
-                     const std::string& otherwise) {
-  const std::string* value = http::FindHeader(headers, name);
-  return value == nullptr ? otherwise : *value;
-}
 
 std::uint64_t Random() {
   thread_local std::mt19937_64 generator{std::random_device{}()};
@@ -102,40 +41,6 @@
 
 }  // namespace
 
-// One request on its way through the front.
-struct CallerFront::Job {
-  const http::Request& request;
-  core::TimePoint received;
-  std::string service_name;
-  // Path that the target sees.
-  std::string path;
-  std::string key;
-  std::string request_id;
-  std::string tenant;
-  // A copy, since the snapshot that it comes from may be replaced.
-  core::config::ClassConfig request_class;
-  core::TimePoint deadline;
-
-  PublishedView::Snapshot snapshot;
-  const core::routing::ServiceRoute* service = nullptr;
-  const core::routing::TargetRoute* target = nullptr;
-  core::Unit unit;
-  core::Fence fence = 0;
-  std::vector<core::TargetId> tried;
-  // Another entry host chose the target.
-  bool is_forwarded = false;
-  http::Response answer;
-
-  core::request::AttemptKey attempt;
-  bool recorded = false;
-  core::request::PoisonKey poison_key;
-
-  // Only this host's own requests count when it chooses a target.
-  std::optional<core::TargetId> counted_target() const {
-    return is_forwarded ? std::nullopt : std::optional(target->id);
-  }
-};
-
 CallerFront::CallerFront(const settings::Limits& limits,
                          PublishedView& view,
                          InFlightTable& in_flight,
@@ -420,246 +325,6 @@
   return RouteResult::kReady;
 }
 
-// Returns whether the latest view has the same owner and fence for the key.
-bool CallerFront::IsStillOwner(const Job& job) const {
-  const PublishedView::Snapshot latest = view_.snapshot();
-  if (latest == job.snapshot) {
-    return true;
-  }
-  const core::routing::ServiceRoute* service =
-      core::routing::FindService(*latest, job.service_name);
-  if (service == nullptr || !service->config.keyed) {
-    return false;
-  }
-  const core::routing::KeyRoute route =
-      core::routing::RouteKey(*service, job.key);
-  return route.target != nullptr && route.target->id == job.target->id &&
-         route.fence == job.fence;
-}
-
-// Returns whether the target of a request that has not been sent may get no
-// more work.
-bool CallerFront::IsTargetGone(const Job& job) const {
-  if (job.service->config.keyed) {
-    return !IsStillOwner(job);
-  }
-  const PublishedView::Snapshot latest = view_.snapshot();
-  const core::routing::ServiceRoute* service =
-      core::routing::FindService(*latest, job.service_name);
-  return service == nullptr ||
-         std::none_of(service->targets.begin(), service->targets.end(),
-                      [&](const core::routing::TargetRoute& it) {
-                        return it.id == job.target->id && !it.lost &&
-                               !it.draining;
-                      });
-}
-
-// Attempts that did not reach a target cost it nothing and are not limited by
-// the budget; without them, requests would be refused while a lost owner is
-// replaced.
-bool CallerFront::MayRetry(const Job& job, const AttemptResult& result) {
-  if (result.stage == AttemptStage::kNotConnected) {
-    return true;
-  }
-  if (result.stage == AttemptStage::kComplete && !result.refused_by_target) {
-    return false;
-  }
-  const std::lock_guard<std::mutex> lock(budgets_mutex_);
-  return budgets_.at(job.service_name).TryRetry();
-}
-
-AttemptResult CallerFront::Attempt(Job& job) {
-  job.tried.push_back(job.target->id);
-  const core::control::HostInfo* home = core::routing::HomeHost(
-      *job.snapshot, job.target->id,
-      [this](const core::HostId& id) { return homes_.IsFailing(id); });
-  return home == nullptr || hooks_.is_self(home->id) ? SendInTurn(job)
-                                                     : SendThrough(*home, job);
-}
-
-// Leaves the request to the home host of its target.
-AttemptResult CallerFront::SendThrough(const core::control::HostInfo& home,
-                                       Job& job) {
-  // Only counted, for the choice of targets: the home host has the ticket that
-  // moves of ownership wait for.
-  InFlightTable::Ticket ticket(in_flight_, job.snapshot->sequence,
-                               job.target->id, std::nullopt);
-  ticket.MarkSent();
-  const core::TimePoint start = hooks_.now();
-  const HomeWatch::Ticket watched(homes_, home, start);
-  const core::Duration remaining = job.deadline - start;
-  const http::Request request =
-      EncodeForward({.facts = {.service = job.service_name,
-                               .target = job.target->id,
-                               .key = job.key,
-                               .fence = job.fence,
-                               .request_id = job.request_id,
-                               .tenant = job.tenant,
-                               .remaining = remaining},
-                     .request = TargetRequest(job)});
-  const http::ExchangeOptions options = {
-      .timeout = std::chrono::ceil<std::chrono::milliseconds>(
-          std::max(remaining, core::Duration::zero()) + kHopAllowance),
-      .max_body = limits_.answer_bytes,
-      .fresh_connection = !job.request_class.idempotent,
-      .is_cancelled = [&] { return watched.IsLost(); },
-      .caller_socket = job.request.socket};
-  http::ExchangeResult exchange =
-      client_.Exchange(home.peer_address, request, options);
-  const bool answered = exchange.progress == http::Progress::kComplete;
-  ForwardResult result = ParseForwardResult(std::move(exchange));
-  home_counts_.Set(job.target->id, result.home_count, hooks_.now());
-  if (result.unavailable) {
-    homes_.OnUnavailable(home.id, hooks_.now());
-  } else if (answered) {
-    homes_.OnAnswer(home.id, hooks_.now());
-  }
-  if (!result.unavailable &&
-      result.attempt.stage == AttemptStage::kNotConnected &&
-      !result.attempt.overloaded) {
-    failing_targets_.Add(job.target->id, hooks_.now());
-  }
-  job.answer = std::move(result.answer);
-  return result.attempt;
-}
-
-// Sends the request when the target has a slot for it.
-AttemptResult CallerFront::SendInTurn(Job& job) {
-  const core::TimePoint start = hooks_.now();
-  const observe::RequestLabels labels = {job.service_name,
-                                         job.request_class.name, job.tenant};
-  std::unique_ptr<SlotGate::Slot> slot;
-  {
-    // Only counted, for the choice of targets: nothing is being sent yet.
-    InFlightTable::Ticket waiting(in_flight_, job.snapshot->sequence,
-                                  job.counted_target(), std::nullopt);
-    waiting.MarkSent();
-    slot = hooks_.wait_for_slot(
-        {.target = job.target->id,
-         .slots = job.service->config.slots,
-         .queue = job.service->config.queue,
-         .cold = job.target->cold,
-         .work = {.request_class = job.request_class.name,
-                  .caller = job.tenant,
-                  .length = job.request_class.length,
-                  .deadline = job.deadline},
-         .is_cancelled = [&] { return IsTargetGone(job); }});
-  }
-  const core::TimePoint now = hooks_.now();
-  metrics_.CountQueueTime(labels, now - start);
-  if (slot->result() != SlotResult::kAdmitted) {
-    const bool shed = slot->result() == SlotResult::kShed;
-    if (shed) {
-      metrics_.CountShed(labels);
-    }
-    return {.overloaded = shed};
-  }
-  if (now >= job.deadline) {
-    return {};
-  }
-  const AttemptResult result = Send(job);
-  home_counts_.Set(job.target->id, hooks_.queue_count(job.target->id),
-                   hooks_.now());
-  using core::admission::WorkEnd;
-  if (result.overloaded) {
-    slot->SetEnd(WorkEnd::kRefused);
-  } else if (result.stage == AttemptStage::kComplete &&
-             !result.refused_by_target) {
-    slot->SetEnd(WorkEnd::kRan);
-  }
-  return result;
-}
-
-AttemptResult CallerFront::Send(Job& job) {
-  const bool keyed = job.service->config.keyed;
-  InFlightTable::Ticket ticket(
-      in_flight_, job.snapshot->sequence, job.counted_target(),
-      keyed ? std::optional<core::Unit>(job.unit) : std::nullopt);
-  // The ticket is visible to the control thread now. A view that was published
-  // before is seen here; a later one is not acknowledged before the request
-  // was sent.
-  const core::TimePoint now = hooks_.now();
-  if (keyed && (!IsStillOwner(job) || !view_.HasLease(now))) {
-    return {};
-  }
-  using std::chrono::milliseconds;
-  const http::ExchangeOptions options = {
-      .timeout = std::chrono::ceil<milliseconds>(job.deadline - now),
-      .max_body = limits_.answer_bytes,
-      .fresh_connection = !job.request_class.idempotent,
-      .is_cancelled =
-          [&] { return keyed && !ticket.sent() && !IsStillOwner(job); },
-      .caller_socket = job.request.socket,
-      .on_sent = [&] { ticket.MarkSent(); }};
-  http::ExchangeResult result =
-      client_.Exchange(job.target->address, TargetRequest(job), options);
-  ReportSignal(job, result);
-  NoteRun(job, result);
-  if (result.failure == http::Failure::kRefused) {
-    failing_targets_.Add(job.target->id, hooks_.now());
-  }
-  job.answer = std::move(result.response);
-  const std::string* outcome =
-      http::FindHeader(job.answer.headers, "Toucandock-Outcome");
-  const bool refused =
-      job.answer.status >= 400 && outcome != nullptr && *outcome == kNotRun;
-  return {.stage = StageOf(result.progress),
-          .refused_by_target = refused,
-          .too_large = result.failure == http::Failure::kTooLarge,
-          .caller_gone = result.failure == http::Failure::kCallerGone,
-          .overloaded = refused && job.answer.status == kServiceUnavailable &&
-                        result.progress == http::Progress::kComplete};
-}
-
-http::Request CallerFront::TargetRequest(const Job& job) const {
-  http::Request request = {.method = job.request.method,
-                           .path = job.path,
-                           .query = job.request.query,
-                           .body = job.request.body};
-  for (const auto& [name, value] : job.request.headers) {
-    if (IsPassedOn(name) && !absl::EqualsIgnoreCase(name, "Idempotency-Key")) {
-      request.headers.emplace_back(name, value);
-    }
-  }
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
-  request.headers.emplace_back("Idempotency-Key", job.request_id);
-  request.headers.emplace_back(
-      "Toucandock-Deadline",
-      absl::StrCat(
-          duration_cast<milliseconds>(job.deadline - hooks_.now()).count()));
-  if (job.service->config.keyed) {
-    request.headers.emplace_back("Toucandock-Key", job.key);
-    request.headers.emplace_back("Toucandock-Unit", codec::UnitName(job.unit));
-    request.headers.emplace_back("Toucandock-Fence", absl::StrCat(job.fence));
-  }
-  return request;
-}
-
-void CallerFront::ReportSignal(const Job& job,
-                               const http::ExchangeResult& result) const {
-  if (result.failure == http::Failure::kRefused ||
-      result.failure == http::Failure::kBroken) {
-    hooks_.report_signal(job.target->id, SignalKind::kRefused);
-  } else if (result.failure == http::Failure::kTimeout) {
-    hooks_.report_signal(job.target->id, SignalKind::kTimeout);
-  }
-}
-
-// Feeds the search for requests that crash their targets.
-void CallerFront::NoteRun(const Job& job,
-                          const http::ExchangeResult& result) const {
-  if (result.progress == http::Progress::kComplete) {
-    hooks_.on_answer(job.poison_key);
-  } else if (result.failure == http::Failure::kBroken &&
-             result.progress >= http::Progress::kSending) {
-    hooks_.on_broken({.key = job.poison_key,
-                      .target = job.target->id,
-                      .crash_limit = job.service->config.crash_limit},
-                     job.target->address);
-  }
-}
-
 // An attempt with an unknown outcome stays recorded as started.
 void CallerFront::EndAttempt(const Job& job, const Decision& decision) const {
   if (!job.recorded || decision.outcome == Outcome::kUnknown) {
--- /dev/null
+++ b/src/proxy/header_rules.h
@@ -0,0 +1,21 @@
+#ifndef TOUCANDOCK_PROXY_HEADER_RULES_H_
+#define TOUCANDOCK_PROXY_HEADER_RULES_H_
+
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "http/message.h"
+
+namespace toucandock::proxy {
+
+bool IsPassedOn(absl::string_view name);
+http::Headers PassedOnHeaders(const http::Headers& headers);
+bool IsVisibleAscii(absl::string_view text);
+bool IsForwardable(const http::Request& request);
+std::string HeaderOr(const http::Headers& headers,
+                     absl::string_view name,
+                     const std::string& otherwise);
+
+}  // namespace toucandock::proxy
+
+#endif  // TOUCANDOCK_PROXY_HEADER_RULES_H_
