--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -14,7 +14,7 @@
 #include "codec/record_json.h"
 #include "core/control/control_state.h"
 #include "core/control/host_controller.h"
-#include "core/control/target_book.h"
+#include "core/control/target_table.h"
 #include "core/routing/routing_snapshot.h"
 
 namespace toucandock::bench {
@@ -30,7 +30,7 @@
 constexpr std::uint32_t kSizes[] = {100, 1'000, 8'000};
 // The first placement costs the square of the targets; larger sizes are worked
 // out from these.
-constexpr std::uint32_t kDeciderSizes[] = {50, 100, 200, 400};
+constexpr std::uint32_t kLeaderSizes[] = {50, 100, 200, 400};
 
 double Microseconds(Clock::duration duration) {
   return std::chrono::duration<double, std::micro>(duration).count();
@@ -59,7 +59,7 @@
           .new_record_id = [] { return std::string("id"); }};
 }
 
-// Records of one decider: the founding, a term, a configuration, and one
+// Records of one leader: the founding, a term, a configuration, and one
 // settle record for each thousand units.
 std::vector<LogEntry> MakeLog(const core::config::Config& config) {
   std::vector<LogEntry> entries;
@@ -133,7 +133,7 @@
     snapshot_time.values.push_back(Microseconds(Clock::now() - start));
     snapshot_memory.values.push_back((HeapBytes() - before_snapshot) / units);
 
-    TargetBook book("a", {}, {2, "a"}, core::TimePoint(std::chrono::hours(1)));
+    TargetTable book("a", {}, {2, "a"}, core::TimePoint(std::chrono::hours(1)));
     book.SetTargets(config);
     start = Clock::now();
     book.SetUnits(replica);
@@ -150,7 +150,7 @@
   }
 }
 
-// A single decider with all its targets answering, in virtual time.
+// A single leader with all its targets answering, in virtual time.
 class SingleHost {
  public:
   explicit SingleHost(const core::config::Config& config)
@@ -216,10 +216,10 @@
   std::uint64_t grants_ = 0;
 };
 
-void MeasureDecider(Report& report, std::uint32_t targets) {
+void MeasureLeader(Report& report, std::uint32_t targets) {
   const core::config::Config config = MakeConfig(targets);
   const std::string at = absl::StrCat(", ", targets, " targets");
-  Figure busy = {.name = "decider in a quiet second" + at,
+  Figure busy = {.name = "leader in a quiet second" + at,
                  .unit = "ms/s",
                  .target = "11 ms/s is 1.1% of a core"};
   constexpr std::chrono::milliseconds kTick{20};
@@ -255,7 +255,7 @@
                   .failure_domain = "lk-west-1"};
   RenewReply reply = {.host = request.host.id,
                       .accepted = true,
-                      .decider = request.host,
+                      .leader = request.host,
                       .lease = true};
   const auto size = [](const std::string& text) {
     return static_cast<double>(text.size());
@@ -292,8 +292,8 @@
   for (const std::uint32_t targets : kSizes) {
     MeasureState(report, targets);
   }
-  for (const std::uint32_t targets : kDeciderSizes) {
-    MeasureDecider(report, targets);
+  for (const std::uint32_t targets : kLeaderSizes) {
+    MeasureLeader(report, targets);
   }
   MeasureMessages(report);
 }
--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -111,7 +111,7 @@
   Table() : shards_(kShards) {}
 
   // Hot keys and shards change each other's loads, so both are decided in
-  // turn, as the decider does.
+  // turn, as the leader does.
   void Settle(const std::vector<Candidate>& targets, const Stream& stream) {
     for (int n = 0; n < kRounds; ++n) {
       PlaceShards(targets, stream);
--- a/bench/unavailable_bench.cc
+++ b/bench/unavailable_bench.cc
@@ -129,9 +129,9 @@
   ListTargetsBut(fleet, std::nullopt);
   process::WaitUntil("the target is back", [&] {
     const Json::Value status = fleet.Status(0);
-    const Json::Value decider = fleet.Status(fleet.Decider({0, 1, 2}));
-    return status.isObject() && decider["lost_targets"].empty() &&
-           decider["moves_under_way"].asUInt64() == 0;
+    const Json::Value leader = fleet.Status(fleet.Leader({0, 1, 2}));
+    return status.isObject() && leader["lost_targets"].empty() &&
+           leader["moves_under_way"].asUInt64() == 0;
   });
   return taken;
 }
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -118,7 +118,7 @@
        "and must stay there for 'toucandock publish'.\n",
        ShowConfig},
       {"status", "", "show the state of an entry host (--host)",
-       "Shows what the host knows: the decider, its lease, the version in\n"
+       "Shows what the host knows: the leader, its lease, the version in\n"
        "force, lost targets, and under 'degraded' what is not as it should\n"
        "be.\n",
        ShowStatus},
--- a/src/cli/log_view.cc
+++ b/src/cli/log_view.cc
@@ -73,7 +73,7 @@
     const auto* checkpoint = std::get_if<CheckpointRecord>(&it.record.body);
     if (!started && checkpoint != nullptr) {
       state = *checkpoint->state;
-      state.last_decider = it.offset;
+      state.last_leader_record = it.offset;
       started = true;
     } else if (started) {
       Fold(state, it);
--- a/src/codec/event_json.cc
+++ b/src/codec/event_json.cc
@@ -136,7 +136,7 @@
     out["type"] = "state_reply";
     WriteReply(it.reply);
   }
-  void operator()(const NudgeEvent&) { out["type"] = "nudge"; }
+  void operator()(const NotifyEvent&) { out["type"] = "notify"; }
   void operator()(const GrantAnswerEvent& it) {
     out["type"] = "grant_answer";
     out["target"] = it.target;
@@ -268,7 +268,7 @@
          return StateReplyEvent{
              ParseReply<StateReply>(it, status, ParseStateReply)};
        }},
-      {"nudge", [](ObjectReader&, absl::Status&) { return NudgeEvent{}; }},
+      {"notify", [](ObjectReader&, absl::Status&) { return NotifyEvent{}; }},
       {"grant_answer",
        [](ObjectReader& it, absl::Status& status) {
          return GrantAnswerEvent{it.String("target"), it.Uint("sequence"),
@@ -348,7 +348,7 @@
   };
   put_number("config_version", expected.config_version);
   put("has_lease", expected.has_lease);
-  put("is_decider", expected.is_decider);
+  put("is_leader", expected.is_leader);
   put("log_available", expected.log_available);
   put_number("voters", expected.voters);
   put_number("moves_under_way", expected.moves_under_way);
@@ -375,8 +375,8 @@
       expected.config_version = reader.Uint("config_version");
     } else if (name == "has_lease") {
       expected.has_lease = reader.Bool("has_lease");
-    } else if (name == "is_decider") {
-      expected.is_decider = reader.Bool("is_decider");
+    } else if (name == "is_leader") {
+      expected.is_leader = reader.Bool("is_leader");
     } else if (name == "log_available") {
       expected.log_available = reader.Bool("log_available");
     } else if (name == "voters") {
--- a/src/codec/event_json.h
+++ b/src/codec/event_json.h
@@ -36,7 +36,7 @@
 struct Expectation {
   std::optional<std::uint64_t> config_version;
   std::optional<bool> has_lease;
-  std::optional<bool> is_decider;
+  std::optional<bool> is_leader;
   std::optional<bool> log_available;
   std::optional<std::uint64_t> voters;
   std::optional<std::uint64_t> moves_under_way;
--- a/src/codec/message_json.cc
+++ b/src/codec/message_json.cc
@@ -250,8 +250,8 @@
   value["lease"] = message.lease;
   value["resigned"] = message.resigned;
   value["sequence"] = Uint(message.sequence);
-  if (message.decider) {
-    value["decider"] = ToJson(*message.decider);
+  if (message.leader) {
+    value["leader"] = ToJson(*message.leader);
   }
   if (message.directive) {
     value["directive"] = ToJson(*message.directive);
@@ -337,8 +337,8 @@
   it.lease = reader.Bool("lease");
   it.resigned = reader.Bool("resigned");
   it.sequence = reader.Uint("sequence");
-  if (reader.Has("decider")) {
-    it.decider = ParseHost(reader.Object("decider"), status);
+  if (reader.Has("leader")) {
+    it.leader = ParseHost(reader.Object("leader"), status);
   }
   if (reader.Has("directive")) {
     it.directive = ParseDirective(reader.Object("directive"), status);
--- a/src/codec/record_json.cc
+++ b/src/codec/record_json.cc
@@ -232,7 +232,7 @@
 Json::Value ToJson(const ControlState& state) {
   Json::Value value;
   value["next"] = Uint(state.next);
-  value["last_decider"] = Uint(state.last_decider);
+  value["last_leader_record"] = Uint(state.last_leader_record);
   value["ballot"] = ToJson(state.ballot);
   value["next_fence"] = Uint(state.next_fence);
   value["config_version"] = Uint(state.config_version);
@@ -278,7 +278,7 @@
   ObjectReader reader(value, status);
   ControlState state;
   state.next = reader.Uint("next");
-  state.last_decider = reader.Uint("last_decider");
+  state.last_leader_record = reader.Uint("last_leader_record");
   state.ballot = ParseBallot(reader.Object("ballot"), status);
   state.next_fence = reader.Uint("next_fence");
   state.config_version = reader.Uint("config_version");
--- a/src/codec/status_json.cc
+++ b/src/codec/status_json.cc
@@ -5,8 +5,8 @@
 Json::Value ToJson(const core::control::ControllerStatus& status) {
   Json::Value value;
   value["host"] = status.host;
-  value["decider"] = status.decider;
-  value["is_decider"] = status.is_decider;
+  value["leader"] = status.leader;
+  value["is_leader"] = status.is_leader;
   value["has_lease"] = status.has_lease;
   value["log_available"] = status.log_available;
   value["config_version"] = static_cast<Json::UInt64>(status.config_version);
--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -38,7 +38,7 @@
       return FoldResult::kVoid;
     }
     // The vote is only taken away by an evict record: voters change one at a
-    // time, in the decider's order.
+    // time, in the leader's order.
     if (it->second.votes) {
       it->second.leaving = true;
     } else {
@@ -137,7 +137,7 @@
 
  private:
   // Starts a membership anew. The ballot rises, so that no record of an
-  // earlier decider is valid any more.
+  // earlier leader is valid any more.
   void Found(const std::vector<HostInfo>& voters) {
     std::erase_if(state_.members,
                   [](const auto& it) { return it.second.votes; });
@@ -151,7 +151,7 @@
         ""};
     state_.next_fence =
         std::max(state_.next_fence, FirstFenceOfGeneration(entry_.offset));
-    state_.last_decider = entry_.offset;
+    state_.last_leader_record = entry_.offset;
     state_.voters_changed = entry_.offset;
     state_.founded = entry_.offset;
   }
@@ -175,10 +175,10 @@
 };
 
 bool IsInOrder(const ControlState& state, const Record& record) {
-  if (!IsDeciderRecord(record.body)) {
+  if (!IsLeaderRecord(record.body)) {
     return true;
   }
-  if (record.builds_on != state.last_decider) {
+  if (record.builds_on != state.last_leader_record) {
     return false;
   }
   if (std::holds_alternative<ReformRecord>(record.body)) {
@@ -200,14 +200,14 @@
     return FoldResult::kStale;
   }
   const FoldResult result = std::visit(Folder(state, entry), entry.record.body);
-  if (result == FoldResult::kApplied && IsDeciderRecord(entry.record.body)) {
-    state.last_decider = entry.offset;
+  if (result == FoldResult::kApplied && IsLeaderRecord(entry.record.body)) {
+    state.last_leader_record = entry.offset;
   }
   return result;
 }
 
 // Returns the state after the latest valid checkpoint among consecutive
-// entries. A checkpoint of a replaced decider may land late and be the last
+// entries. A checkpoint of a replaced leader may land late and be the last
 // record; it is void, which shows when the records between its author's
 // position and itself are folded. They have to be among the entries.
 std::optional<ControlState> StateFromCheckpoint(
@@ -245,9 +245,9 @@
   return voters / 2 + 1;
 }
 
-// Returns whether only a decider may write such a record (or, for a reform
-// record, a host that replaces the decider).
-bool IsDeciderRecord(const RecordBody& body) {
+// Returns whether only a leader may write such a record (or, for a reform
+// record, a host that replaces the leader).
+bool IsLeaderRecord(const RecordBody& body) {
   return !std::holds_alternative<JoinRecord>(body) &&
          !std::holds_alternative<LeaveRecord>(body) &&
          !std::holds_alternative<PublishRecord>(body);
--- a/src/core/control/control_state.h
+++ b/src/core/control/control_state.h
@@ -34,8 +34,8 @@
 // The control state after all records below `next`.
 struct ControlState {
   Offset next = 0;
-  // Offset of the last valid record that only a decider may write.
-  Offset last_decider = 0;
+  // Offset of the last valid record that only a leader may write.
+  Offset last_leader_record = 0;
   Ballot ballot;
   Fence next_fence = 1;
   std::map<HostId, MemberState> members;
@@ -54,7 +54,7 @@
 
 enum class FoldResult {
   kApplied,
-  // Written by a decider that was already replaced, or not the next in order.
+  // Written by a leader that was already replaced, or not the next in order.
   kStale,
   // Repeats an earlier record or refers to something that does not exist.
   kVoid,
@@ -69,7 +69,7 @@
 
 size_t MajorityOf(size_t voters);
 
-bool IsDeciderRecord(const RecordBody& body);
+bool IsLeaderRecord(const RecordBody& body);
 
 }  // namespace toucandock::core::control
 
--- a/src/core/control/host_controller.cc
+++ b/src/core/control/host_controller.cc
@@ -12,7 +12,7 @@
 constexpr Duration kLogFresh = std::chrono::seconds(2);
 // A host list that is older says nothing about hosts that it does not name.
 constexpr Duration kListFresh = std::chrono::seconds(10);
-// How long no decider may be found before hosts found a new membership.
+// How long no leader may be found before hosts found a new membership.
 constexpr Duration kReformAfter = std::chrono::seconds(3);
 // Without a lease for this long, a host reads on in the log by itself.
 constexpr Duration kFoldAloneAfter = std::chrono::seconds(1);
@@ -50,8 +50,8 @@
     return;
   }
   writer_.OnLogRead(event, now_, out_);
-  if (decider_) {
-    decider_->OnLogRead(event, now_, out_);
+  if (leader_) {
+    leader_->OnLogRead(event, now_, out_);
     return;
   }
   const bool no_directive =
@@ -64,26 +64,26 @@
 
 void HostController::On(const LogFailedEvent&) {
   writer_.OnLogFailed();
-  if (decider_) {
-    decider_->OnLogFailed();
+  if (leader_) {
+    leader_->OnLogFailed();
   }
 }
 
 void HostController::On(const AppendResultEvent& event) {
   writer_.OnAppendResult(event, now_);
-  if (decider_) {
-    decider_->OnAppendResult(event, now_);
+  if (leader_) {
+    leader_->OnAppendResult(event, now_);
   }
 }
 
 void HostController::On(const RenewRequestEvent& event) {
   RenewReply reply;
-  if (decider_) {
-    reply = decider_->OnRenew(event.request, now_);
+  if (leader_) {
+    reply = leader_->OnRenew(event.request, now_);
   } else {
     reply.host = options_.self.id;
     reply.resigned = stopping_;
-    reply.decider = member_.decider();
+    reply.leader = member_.leader();
   }
   out_.push_back(ReplyRenewAction{event.token, std::move(reply)});
 }
@@ -102,7 +102,7 @@
 
 void HostController::On(const VoteRequestEvent& event) {
   const VoteReply reply = member_.OnVoteRequest(event.request, now_);
-  if (reply.granted && decider_) {
+  if (reply.granted && leader_) {
     Resign("another host asked for votes after this one lost authority");
   }
   out_.push_back(ReplyVoteAction{event.token, reply});
@@ -120,25 +120,25 @@
 }
 
 void HostController::On(const StateReplyEvent& event) {
-  if (event.reply && !decider_) {
+  if (event.reply && !leader_) {
     replica_.Install(*event.reply);
     out_.push_back(PublishViewAction{});
   }
 }
 
-void HostController::On(const NudgeEvent&) {
-  member_.OnNudge();
+void HostController::On(const NotifyEvent&) {
+  member_.OnNotify();
 }
 
 void HostController::On(const GrantAnswerEvent& event) {
-  if (decider_) {
-    decider_->OnGrantAnswer(event, now_);
+  if (leader_) {
+    leader_->OnGrantAnswer(event, now_);
   }
 }
 
 void HostController::On(const ProbeAnswerEvent& event) {
-  if (decider_) {
-    decider_->OnProbeAnswer(event, now_);
+  if (leader_) {
+    leader_->OnProbeAnswer(event, now_);
     return;
   }
   using detection::SignalKind;
@@ -155,8 +155,8 @@
   const detection::Signal signal = {event.target, options_.self.id,
                                     detection::SignalSource::kTraffic,
                                     event.kind};
-  if (decider_) {
-    decider_->OnSignal(signal, now_);
+  if (leader_) {
+    leader_->OnSignal(signal, now_);
   } else {
     member_.AddSignal(signal);
   }
@@ -165,80 +165,80 @@
 void HostController::On(const HostListEvent& event) {
   listed_ = event.hosts;
   listed_at_ = now_;
-  if (decider_) {
-    decider_->OnHostList(event, now_);
+  if (leader_) {
+    leader_->OnHostList(event, now_);
   }
 }
 
 void HostController::On(const StopEvent&) {
   stopping_ = true;
   member_.SetLeaving();
-  if (decider_) {
+  if (leader_) {
     Resign("planned stop");
   }
 }
 
 void HostController::Step() {
-  StepDecider();
+  StepLeader();
   if (const std::optional<Directive> won = member_.Step(now_, out_);
-      won && MayTakeOffice()) {
-    TakeOffice(*won);
+      won && MayBecomeLeader()) {
+    BecomeLeader(*won);
   }
-  const bool lost = !decider_ && now_ >= member_.lease_until();
+  const bool lost = !leader_ && now_ >= member_.lease_until();
   if (!lost) {
-    decider_lost_since_.reset();
-  } else if (!decider_lost_since_) {
-    decider_lost_since_ = now_;
+    leader_lost_since_.reset();
+  } else if (!leader_lost_since_) {
+    leader_lost_since_ = now_;
   }
   WriteOwnRecord();
 }
 
-void HostController::StepDecider() {
-  if (decider_ && decider_->IsSilenced(now_)) {
+void HostController::StepLeader() {
+  if (leader_ && leader_->HasLostQuorum(now_)) {
     Resign("no majority of the voters has supported it");
   }
-  if (!decider_) {
+  if (!leader_) {
     return;
   }
-  decider_->OnOwnAck(member_.acked_sequence(), member_.busy(), now_);
-  decider_->OnRates(options_.self.id, member_.TakeRates(), now_);
-  decider_->Step(now_, out_);
-  if (decider_->IsSuperseded()) {
-    Resign("there is a later decider");
-  } else if (decider_->HasEstrangedMember(now_)) {
+  leader_->OnOwnAck(member_.acked_sequence(), member_.busy(), now_);
+  leader_->OnRates(options_.self.id, member_.TakeRates(), now_);
+  leader_->Step(now_, out_);
+  if (leader_->IsSuperseded()) {
+    Resign("there is a later leader");
+  } else if (leader_->HasMemberWithoutSupport(now_)) {
     Resign("a member follows only a higher ballot");
     member_.Campaign(now_, out_);
   } else {
-    member_.HoldOffice(decider_->ballot(), decider_->authority_until(),
-                       decider_->own_lease_until());
+    member_.ContinueLeading(leader_->ballot(), leader_->authority_until(),
+                            leader_->own_lease_until());
   }
 }
 
 // A fleet's only voter has nobody to tell it that the others founded a new
 // membership while it was paused; the log does.
-bool HostController::MayTakeOffice() const {
-  return Voters(replica_.state()).size() > 1 || !lost_office_at_ ||
-         log_read_sent_at_ > *lost_office_at_;
+bool HostController::MayBecomeLeader() const {
+  return Voters(replica_.state()).size() > 1 || !stopped_leading_at_ ||
+         log_read_sent_at_ > *stopped_leading_at_;
 }
 
-void HostController::TakeOffice(const Directive& inherited) {
+void HostController::BecomeLeader(const Directive& inherited) {
   replica_.FoldAll();
-  decider_.emplace(options_.self, options_.terms, hooks_, replica_,
-                   member_.promised(), inherited, now_);
-  member_.HoldOffice(member_.promised(), now_, now_);
+  leader_.emplace(options_.self, options_.terms, hooks_, replica_,
+                  member_.promised(), inherited, now_);
+  member_.ContinueLeading(member_.promised(), now_, now_);
   out_.push_back(DecisionAction{
-      absl::StrCat("host ", options_.self.id, " is the decider, ballot ",
+      absl::StrCat("host ", options_.self.id, " is the leader, ballot ",
                    member_.promised().number),
       "elected by a majority of the voters"});
 }
 
 void HostController::Resign(const std::string& cause) {
   out_.push_back(DecisionAction{
-      absl::StrCat("host ", options_.self.id, " is no longer the decider"),
+      absl::StrCat("host ", options_.self.id, " is no longer the leader"),
       cause});
-  decider_.reset();
-  lost_office_at_ = now_;
-  member_.LoseOffice(now_);
+  leader_.reset();
+  stopped_leading_at_ = now_;
+  member_.StopLeading(now_);
 }
 
 bool HostController::IsLogReadable() const {
@@ -271,7 +271,7 @@
   writer_.Append(Record{.id = hooks_.new_record_id(),
                         .author = options_.self.id,
                         .ballot = state.ballot,
-                        .builds_on = state.last_decider,
+                        .builds_on = state.last_leader_record,
                         .body = *std::move(body)},
                  now_, out_);
 }
@@ -280,12 +280,12 @@
 // the records of earlier ones, a living fleet first gets time to show itself.
 bool HostController::MayJoin() const {
   return !replica_.state().members.empty() || !log_truncated_ ||
-         (decider_lost_since_ && now_ - *decider_lost_since_ >= kReformAfter);
+         (leader_lost_since_ && now_ - *leader_lost_since_ >= kReformAfter);
 }
 
 // Founds a new membership when the majority of the voters is gone for good.
 std::optional<ReformRecord> HostController::Reform() const {
-  if (!decider_lost_since_ || now_ - *decider_lost_since_ < kReformAfter ||
+  if (!leader_lost_since_ || now_ - *leader_lost_since_ < kReformAfter ||
       replica_.state().next < replica_.log_end()) {
     return std::nullopt;
   }
@@ -364,8 +364,8 @@
   const Directive& directive = replica_.directive();
   ControllerStatus status;
   status.host = options_.self.id;
-  status.is_decider = decider_.has_value();
-  status.decider = member_.decider() ? member_.decider()->id : "";
+  status.is_leader = leader_.has_value();
+  status.leader = member_.leader() ? member_.leader()->id : "";
   status.has_lease = now < member_.lease_until();
   status.log_available = log_read_at_ && now - *log_read_at_ < kLogFresh;
   status.config_version = replica_.config_version();
--- a/src/core/control/host_controller.h
+++ b/src/core/control/host_controller.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "core/control/decider.h"
+#include "core/control/leader.h"
 #include "core/control/log_writer.h"
 #include "core/control/member.h"
 #include "core/control/messages.h"
@@ -26,8 +26,8 @@
 
 struct ControllerStatus {
   HostId host;
-  HostId decider;
-  bool is_decider = false;
+  HostId leader;
+  bool is_leader = false;
   bool has_lease = false;
   bool log_available = false;
   // Unknown until a first configuration is accepted: 0.
@@ -68,7 +68,7 @@
   void On(const VoteReplyEvent& event);
   void On(const StateRequestEvent& event);
   void On(const StateReplyEvent& event);
-  void On(const NudgeEvent& event);
+  void On(const NotifyEvent& event);
   void On(const GrantAnswerEvent& event);
   void On(const ProbeAnswerEvent& event);
   void On(const TrafficSignalEvent& event);
@@ -76,10 +76,10 @@
   void On(const StopEvent& event);
 
   void Step();
-  void StepDecider();
-  void TakeOffice(const Directive& inherited);
+  void StepLeader();
+  void BecomeLeader(const Directive& inherited);
   void Resign(const std::string& cause);
-  bool MayTakeOffice() const;
+  bool MayBecomeLeader() const;
   void WriteOwnRecord();
   bool MayJoin() const;
   bool IsLogReadable() const;
@@ -92,7 +92,7 @@
   const ControlHooks hooks_;
   Replica replica_;
   Member member_;
-  std::optional<Decider> decider_;
+  std::optional<Leader> leader_;
   LogWriter writer_;
   bool stopping_ = false;
 
@@ -102,8 +102,8 @@
   // When the latest successful read was sent.
   TimePoint log_read_sent_at_;
   bool log_truncated_ = false;
-  std::optional<TimePoint> lost_office_at_;
-  std::optional<TimePoint> decider_lost_since_;
+  std::optional<TimePoint> stopped_leading_at_;
+  std::optional<TimePoint> leader_lost_since_;
   // Processes whose address was answered by another process.
   std::set<HostId> replaced_;
   std::map<HostId, TimePoint> unreachable_since_;
--- a/src/core/control/decider.cc
+++ b/src/core/control/leader.cc
@@ -1,4 +1,4 @@
-#include "core/control/decider.h"
+#include "core/control/leader.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,8 +14,8 @@
 // A host that is no member and has been silent this long is forgotten.
 constexpr Duration kForgetAfter = std::chrono::seconds(10);
 // A member that answers but gives no support for this long needs an election.
-constexpr Duration kEstrangedAfter = std::chrono::seconds(2);
-// Fences that an earlier decider may have used without our knowledge.
+constexpr Duration kSupportMissingAfter = std::chrono::seconds(2);
+// Fences that an earlier leader may have used without our knowledge.
 constexpr Fence kFenceSkip = Fence{1} << 16;
 // A member without a lease counts as absent after this silence.
 constexpr Duration kAbsentAfter = std::chrono::seconds(1);
@@ -26,19 +26,19 @@
 // Loads and warming targets are looked at this often without other cause.
 constexpr Duration kPlaceInterval = std::chrono::seconds(1);
 // The same for sequences. Else a host that still sends under an unknown, higher
-// sequence of the earlier decider would seem to send under this one's.
+// sequence of the earlier leader would seem to send under this one's.
 constexpr std::uint64_t kSequenceSkip = std::uint64_t{1} << 16;
 constexpr int kSequenceBits = 32;
 
 }  // namespace
 
-Decider::Decider(const HostInfo& self,
-                 const lease::LeaseTerms& terms,
-                 const ControlHooks& hooks,
-                 Replica& replica,
-                 const Ballot& ballot,
-                 const Directive& inherited,
-                 TimePoint now)
+Leader::Leader(const HostInfo& self,
+               const lease::LeaseTerms& terms,
+               const ControlHooks& hooks,
+               Replica& replica,
+               const Ballot& ballot,
+               const Directive& inherited,
+               TimePoint now)
     : self_(self),
       terms_(terms),
       hooks_(hooks),
@@ -67,7 +67,7 @@
   }
   next_fence_ += kFenceSkip;
   if (founding) {
-    Refence();
+    RaiseFences();
   }
   voters_changed_ = state.voters_changed;
   voters_sequence_ = directive_.sequence + 1;
@@ -87,9 +87,9 @@
   NoteNewMembers(now);
 }
 
-// Phases are run through again: this decider does not know which hosts and
+// Phases are run through again: this leader does not know which hosts and
 // targets its predecessor had heard from.
-void Decider::InheritMoves(TimePoint now) {
+void Leader::InheritMoves(TimePoint now) {
   for (UnitMove& move : directive_.moves) {
     if (move.phase != MovePhase::kActive) {
       move.phase = MovePhase::kRevoking;
@@ -101,9 +101,9 @@
 }
 
 // After the whole membership was lost, nobody knows which assignments an
-// earlier decider had in force beyond the log. All units get fences above
+// earlier leader had in force beyond the log. All units get fences above
 // whatever it may have used.
-void Decider::Refence() {
+void Leader::RaiseFences() {
   for (const auto& [unit, assignment] : replica_.state().assignments) {
     directive_.moves.push_back(UnitMove{.unit = unit,
                                         .to = {assignment.owner, next_fence_++},
@@ -113,25 +113,25 @@
 
 // Returns whether the log or a host shows a higher ballot or another
 // membership.
-bool Decider::IsSuperseded() const {
+bool Leader::IsSuperseded() const {
   return saw_later_ballot_ || replica_.state().founded != directive_.founded ||
          replica_.state().ballot > ballot_;
 }
 
-// Returns whether this decider has been without authority for so long that
+// Returns whether this leader has been without authority for so long that
 // others have begun to elect another. While the log is down, nothing else tells
-// a decider that was cut off that it was replaced.
-bool Decider::IsSilenced(TimePoint now) const {
+// a leader that was cut off that it was replaced.
+bool Leader::HasLostQuorum(TimePoint now) const {
   const TimePoint since =
       std::max({authority_until_, authority_from_, elected_at_});
   return now - since > terms_.election;
 }
 
-// Returns whether a member is in contact but has not supported this decider for
+// Returns whether a member is in contact but has not supported this leader for
 // long: it has voted for a candidate that was not elected, and may not follow a
 // lower ballot any more. It may have lost its own vote since.
-bool Decider::HasEstrangedMember(TimePoint now) const {
-  if (now - elected_at_ < kEstrangedAfter) {
+bool Leader::HasMemberWithoutSupport(TimePoint now) const {
+  if (now - elected_at_ < kSupportMissingAfter) {
     return false;
   }
   const auto& members = replica_.state().members;
@@ -139,16 +139,16 @@
     const Holder& holder = it.second;
     return members.contains(it.first) &&
            now - holder.heard_at < terms_.serving &&
-           now - holder.supports_until > kEstrangedAfter &&
-           now - holder.first_heard_at > kEstrangedAfter;
+           now - holder.supports_until > kSupportMissingAfter &&
+           now - holder.first_heard_at > kSupportMissingAfter;
   });
 }
 
-RenewReply Decider::OnRenew(const RenewRequest& request, TimePoint now) {
+RenewReply Leader::OnRenew(const RenewRequest& request, TimePoint now) {
   RenewReply reply;
   reply.host = self_.id;
   reply.accepted = true;
-  reply.decider = self_;
+  reply.leader = self_;
   reply.ballot = ballot_;
   reply.stamp = now.time_since_epoch();
   reply.sequence = directive_.sequence;
@@ -191,7 +191,7 @@
 }
 
 // Returns whether a move has waited too long for this holder alone.
-bool Decider::IsBlockingMoves(const Holder& holder, TimePoint now) const {
+bool Leader::IsBlockingMoves(const Holder& holder, TimePoint now) const {
   return std::any_of(directive_.moves.begin(), directive_.moves.end(),
                      [&](const UnitMove& move) {
                        return move.phase == MovePhase::kRevoking &&
@@ -201,9 +201,9 @@
                      });
 }
 
-void Decider::OnOwnAck(std::uint64_t acked_sequence,
-                       const std::vector<Unit>& busy,
-                       TimePoint now) {
+void Leader::OnOwnAck(std::uint64_t acked_sequence,
+                      const std::vector<Unit>& busy,
+                      TimePoint now) {
   Holder& own = holders_[self_.id];
   own.acked_sequence = acked_sequence;
   own.busy = busy;
@@ -216,7 +216,7 @@
   own.lease_ends = std::max(own.lease_ends, own_lease_until_);
 }
 
-void Decider::OnRates(
+void Leader::OnRates(
     const HostId& host,
     const std::map<std::string, placement::ServiceRates>& rates,
     TimePoint now) {
@@ -225,34 +225,34 @@
   }
 }
 
-void Decider::OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out) {
+void Leader::OnLogRead(const LogReadEvent& read, TimePoint now, Actions& out) {
   first_retained_ = std::max(first_retained_, read.first_retained);
   writer_.OnLogRead(read, now, out);
 }
 
-void Decider::OnAppendResult(const AppendResultEvent& result, TimePoint now) {
+void Leader::OnAppendResult(const AppendResultEvent& result, TimePoint now) {
   writer_.OnAppendResult(result, now);
 }
 
-void Decider::OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now) {
+void Leader::OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now) {
   targets_.OnGrantAnswer(event, now);
 }
 
-void Decider::OnProbeAnswer(const ProbeAnswerEvent& event, TimePoint now) {
+void Leader::OnProbeAnswer(const ProbeAnswerEvent& event, TimePoint now) {
   targets_.OnProbeAnswer(event, now);
 }
 
-void Decider::OnSignal(const detection::Signal& signal, TimePoint now) {
+void Leader::OnSignal(const detection::Signal& signal, TimePoint now) {
   targets_.OnSignal(signal, now);
 }
 
-void Decider::OnHostList(const HostListEvent& list, TimePoint now) {
+void Leader::OnHostList(const HostListEvent& list, TimePoint now) {
   targets_.OnHostList(list, now);
 }
 
 // Authority lasts as long as a majority of the voters is sure to vote for no
 // other host.
-void Decider::UpdateAuthority(TimePoint now) {
+void Leader::UpdateAuthority(TimePoint now) {
   const std::vector<HostId> voters = Voters(replica_.state());
   std::vector<TimePoint> supports;
   for (const HostId& id : voters) {
@@ -269,7 +269,7 @@
 }
 
 // Folds what was read.
-void Decider::AdvanceEffective(TimePoint now) {
+void Leader::AdvanceEffective(TimePoint now) {
   if (replica_.log_end() <= directive_.effective) {
     return;
   }
@@ -290,8 +290,8 @@
 }
 
 // A host that has just joined, or joined again after it was evicted, may not
-// have found the decider yet: its silence counts from here.
-void Decider::NoteNewMembers(TimePoint now) {
+// have found the leader yet: its silence counts from here.
+void Leader::NoteNewMembers(TimePoint now) {
   std::set<HostId> members;
   for (const auto& [id, member] : replica_.state().members) {
     members.insert(id);
@@ -307,7 +307,7 @@
 
 // An assignment that a predecessor wrote without our knowledge becomes a move,
 // since nobody has waited for its old owner yet.
-void Decider::AdoptEarlySettles(TimePoint now) {
+void Leader::AdoptEarlySettles(TimePoint now) {
   for (const auto& early : replica_.early_settles()) {
     const Unit& unit = early.first;
     const Replica::EarlySettle& settle = early.second;
@@ -340,7 +340,7 @@
   }
 }
 
-void Decider::JudgeTargets(TimePoint now, Actions& out) {
+void Leader::JudgeTargets(TimePoint now, Actions& out) {
   for (const TargetId& id : targets_.Judge(Observers(now), now)) {
     const bool lost = targets_.lost().contains(id);
     out.push_back(DecisionAction{
@@ -359,7 +359,7 @@
   }
 }
 
-void Decider::PublishDirective(TimePoint now, Actions& out) {
+void Leader::PublishDirective(TimePoint now, Actions& out) {
   if (!changed_) {
     return;
   }
@@ -370,12 +370,12 @@
   out.push_back(PublishViewAction{});
   for (const auto& [id, holder] : holders_) {
     if (id != self_.id && now < holder.lease_ends) {
-      out.push_back(SendNudgeAction{holder.host});
+      out.push_back(SendNotifyAction{holder.host});
     }
   }
 }
 
-size_t Decider::VotersWhoAcked(std::uint64_t sequence) const {
+size_t Leader::VotersWhoAcked(std::uint64_t sequence) const {
   size_t n = 0;
   for (const HostId& id : Voters(replica_.state())) {
     const auto it = holders_.find(id);
@@ -386,7 +386,7 @@
   return n;
 }
 
-void Decider::ForgetSilentHolders(TimePoint now) {
+void Leader::ForgetSilentHolders(TimePoint now) {
   loads_.ForgetSilentHosts(now);
   std::erase_if(holders_, [&](const auto& it) {
     return it.first != self_.id && now > it.second.lease_ends &&
@@ -396,7 +396,7 @@
 }
 
 // Hosts that could give a second opinion on a target now.
-size_t Decider::Observers(TimePoint now) const {
+size_t Leader::Observers(TimePoint now) const {
   return std::count_if(holders_.begin(), holders_.end(), [&](const auto& it) {
     return now < it.second.lease_ends;
   });
@@ -404,7 +404,7 @@
 
 // Looks at all targets and units. The work grows with their number, so it is
 // not done for every event.
-void Decider::Review(TimePoint now, Actions& out) {
+void Leader::Review(TimePoint now, Actions& out) {
   if (!changed_ && now < review_at_) {
     return;
   }
@@ -418,7 +418,7 @@
   }
 }
 
-void Decider::JudgeHosts(TimePoint now, Actions& out) {
+void Leader::JudgeHosts(TimePoint now, Actions& out) {
   std::set<HostId> absent;
   for (const auto& [id, member] : replica_.state().members) {
     if (IsAbsent(id, now)) {
@@ -440,7 +440,7 @@
 
 // A host that returns stays absent for a while, so that it learns of its
 // absence before others count on it again.
-bool Decider::IsAbsent(const HostId& id, TimePoint now) const {
+bool Leader::IsAbsent(const HostId& id, TimePoint now) const {
   const auto it = holders_.find(id);
   if (id == self_.id || it == holders_.end()) {
     return false;
@@ -454,7 +454,7 @@
   return now >= holder.lease_ends && now - holder.heard_at > kAbsentAfter;
 }
 
-void Decider::PlaceServices(TimePoint now, Actions& out) {
+void Leader::PlaceServices(TimePoint now, Actions& out) {
   placed_revision_ = targets_.revision();
   placed_sequence_ = directive_.sequence;
   place_at_ = now + kPlaceInterval;
@@ -470,7 +470,7 @@
 
 // Does everything that is due. All work is derived from the state, so that a
 // lost message or a late event only delays it.
-void Decider::Step(TimePoint now, Actions& out) {
+void Leader::Step(TimePoint now, Actions& out) {
   UpdateAuthority(now);
   AdvanceEffective(now);
   if (IsSuperseded()) {
@@ -483,7 +483,7 @@
     changed_ = true;
   }
   if (!HasAuthority(now)) {
-    // Supporters still have to learn of this decider.
+    // Supporters still have to learn of this leader.
     PublishDirective(now, out);
     return;
   }
--- a/src/core/control/decider.h
+++ b/src/core/control/leader.h
@@ -1,5 +1,5 @@
-#ifndef TOUCANDOCK_CORE_CONTROL_DECIDER_H_
-#define TOUCANDOCK_CORE_CONTROL_DECIDER_H_
+#ifndef TOUCANDOCK_CORE_CONTROL_LEADER_H_
+#define TOUCANDOCK_CORE_CONTROL_LEADER_H_
 
 #include <map>
 #include <optional>
@@ -7,29 +7,29 @@
 #include <string>
 #include <vector>
 
-#include "core/control/load_book.h"
+#include "core/control/load_table.h"
 #include "core/control/log_writer.h"
 #include "core/control/messages.h"
 #include "core/control/replica.h"
-#include "core/control/target_book.h"
+#include "core/control/target_table.h"
 #include "core/lease/lease.h"
 #include "core/placement/hot_keys.h"
 #include "core/placement/placement.h"
 
 namespace toucandock::core::control {
 
-// The office of the one host that decides: it counts its supporters, moves
-// units between targets, and writes decider records. It lives as long as the
+// What the one elected host does: it counts its supporters, moves
+// units between targets, and writes leader records. It lives as long as the
 // host's term.
-class Decider {
+class Leader {
  public:
-  Decider(const HostInfo& self,
-          const lease::LeaseTerms& terms,
-          const ControlHooks& hooks,
-          Replica& replica,
-          const Ballot& ballot,
-          const Directive& inherited,
-          TimePoint now);
+  Leader(const HostInfo& self,
+         const lease::LeaseTerms& terms,
+         const ControlHooks& hooks,
+         Replica& replica,
+         const Ballot& ballot,
+         const Directive& inherited,
+         TimePoint now);
 
   const Ballot& ballot() const { return ballot_; }
   TimePoint authority_until() const { return authority_until_; }
@@ -37,8 +37,8 @@
   // Until when this host itself may send to owners of keys.
   TimePoint own_lease_until() const { return own_lease_until_; }
   bool IsSuperseded() const;
-  bool IsSilenced(TimePoint now) const;
-  bool HasEstrangedMember(TimePoint now) const;
+  bool HasLostQuorum(TimePoint now) const;
+  bool HasMemberWithoutSupport(TimePoint now) const;
   bool IsLogSlow(TimePoint now) const { return writer_.IsLogSlow(now); }
 
   RenewReply OnRenew(const RenewRequest& request, TimePoint now);
@@ -59,11 +59,11 @@
   void Step(TimePoint now, Actions& out);
 
  private:
-  // A host that may hold a serving lease from this decider or an earlier one.
+  // A host that may hold a serving lease from this leader or an earlier one.
   struct Holder {
     HostInfo host;
     TimePoint lease_ends;
-    // The host supports this decider until then.
+    // The host supports this leader until then.
     TimePoint supports_until;
     TimePoint heard_at;
     // Start of the present run of renewals without a gap.
@@ -73,7 +73,7 @@
     bool leaving = false;
   };
 
-  void Refence();
+  void RaiseFences();
   void InheritMoves(TimePoint now);
   void AdoptEarlySettles(TimePoint now);
   void NoteNewMembers(TimePoint now);
@@ -136,25 +136,25 @@
   Replica& replica_;
   const Ballot ballot_;
   const TimePoint elected_at_;
-  // No authority before then: leases of an unknown earlier decider may run.
+  // No authority before then: leases of an unknown earlier leader may run.
   TimePoint authority_from_;
   TimePoint authority_until_;
   TimePoint own_lease_until_;
-  // Until then any host may send under a lease of an earlier decider.
+  // Until then any host may send under a lease of an earlier leader.
   TimePoint earlier_leases_end_;
-  // A renewal showed a later decider of this membership.
+  // A renewal showed a later leader of this membership.
   bool saw_later_ballot_ = false;
   Fence next_fence_ = 1;
   Directive directive_;
   bool changed_ = true;
   std::map<Unit, TimePoint> move_started_;
-  // Targets that an earlier decider may have granted the unit while it was
+  // Targets that an earlier leader may have granted the unit while it was
   // moving there.
   std::map<Unit, std::set<TargetId>> may_hold_;
   std::map<HostId, Holder> holders_;
   std::set<HostId> members_;
-  TargetBook targets_;
-  LoadBook loads_;
+  TargetTable targets_;
+  LoadTable loads_;
   TimePoint review_at_;
   // What the last placement of all services was based on.
   std::uint64_t placed_revision_ = 0;
@@ -175,4 +175,4 @@
 
 }  // namespace toucandock::core::control
 
-#endif  // TOUCANDOCK_CORE_CONTROL_DECIDER_H_
+#endif  // TOUCANDOCK_CORE_CONTROL_LEADER_H_
--- a/src/core/control/decider_moves.cc
+++ b/src/core/control/leader_moves.cc
@@ -1,9 +1,9 @@
-// The part of Decider that moves units between targets.
+// The part of Leader that moves units between targets.
 #include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "core/control/decider.h"
+#include "core/control/leader.h"
 
 namespace toucandock::core::control {
 namespace {
@@ -17,14 +17,14 @@
 
 }  // namespace
 
-bool Decider::IsMoving(const Unit& unit) const {
+bool Leader::IsMoving(const Unit& unit) const {
   return std::any_of(directive_.moves.begin(), directive_.moves.end(),
                      [&](const UnitMove& it) {
                        return it.unit == unit && it.phase != MovePhase::kActive;
                      });
 }
 
-std::uint32_t Decider::PlannedMoves(const std::string& service) const {
+std::uint32_t Leader::PlannedMoves(const std::string& service) const {
   return std::count_if(directive_.moves.begin(), directive_.moves.end(),
                        [&](const UnitMove& it) {
                          return it.planned && it.unit.service == service &&
@@ -32,10 +32,10 @@
                        });
 }
 
-UnitMove& Decider::StartMove(const Unit& unit,
-                             const TargetId& to,
-                             TimePoint now,
-                             Actions& out) {
+UnitMove& Leader::StartMove(const Unit& unit,
+                            const TargetId& to,
+                            TimePoint now,
+                            Actions& out) {
   const Assignment current = replica_.AssignmentOf(unit);
   const UnitMove* replaced = replica_.MoveOf(unit);
   UnitMove move = {.unit = unit,
@@ -64,7 +64,7 @@
   return directive_.moves.back();
 }
 
-void Decider::ProgressMoves(TimePoint now, Actions& out) {
+void Leader::ProgressMoves(TimePoint now, Actions& out) {
   for (UnitMove& move : directive_.moves) {
     if (!ProgressMove(move, now)) {
       continue;
@@ -80,7 +80,7 @@
 }
 
 // Returns whether the move entered its next phase.
-bool Decider::ProgressMove(UnitMove& move, TimePoint now) {
+bool Leader::ProgressMove(UnitMove& move, TimePoint now) {
   switch (move.phase) {
     case MovePhase::kRevoking:
       if (!IsRevokedEverywhere(move, now) || !IsDurable(move, now) ||
@@ -102,7 +102,7 @@
   return false;
 }
 
-bool Decider::IsRevokedEverywhere(const UnitMove& move, TimePoint now) const {
+bool Leader::IsRevokedEverywhere(const UnitMove& move, TimePoint now) const {
   if (move.since > directive_.sequence || now < earlier_leases_end_) {
     return false;
   }
@@ -129,13 +129,13 @@
 // An assignment counts as acknowledged once a majority of the voters knows it
 // and, unless the log is down or slow, the log has it. The log alone is not
 // enough: a successor may be elected before it has read the log that far.
-bool Decider::IsDurable(const UnitMove& move, TimePoint now) const {
+bool Leader::IsDurable(const UnitMove& move, TimePoint now) const {
   return (IsSettled(move) || writer_.IsLogSlow(now)) &&
          VotersWhoAcked(move.since) >=
              MajorityOf(Voters(replica_.state()).size());
 }
 
-bool Decider::IsSettled(const UnitMove& move) const {
+bool Leader::IsSettled(const UnitMove& move) const {
   const auto& assignments = replica_.state().assignments;
   const auto it = assignments.find(move.unit);
   if (move.to.owner.empty()) {
@@ -144,7 +144,7 @@
   return it != assignments.end() && it->second.fence >= move.to.fence;
 }
 
-void Decider::DropFinishedMoves() {
+void Leader::DropFinishedMoves() {
   const size_t n = std::erase_if(directive_.moves, [this](const UnitMove& it) {
     if (it.phase != MovePhase::kActive || !IsSettled(it)) {
       return false;
--- a/src/core/control/decider_placement.cc
+++ b/src/core/control/leader_placement.cc
@@ -3,9 +3,9 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "core/control/decider.h"
+#include "core/control/leader.h"
 
-// The decider's placement of units: which targets may own what, and the moves
+// The leader's placement of units: which targets may own what, and the moves
 // that follow from it.
 namespace toucandock::core::control {
 namespace {
@@ -25,9 +25,9 @@
 
 }  // namespace
 
-void Decider::PlaceService(const config::ServiceConfig& service,
-                           TimePoint now,
-                           Actions& out) {
+void Leader::PlaceService(const config::ServiceConfig& service,
+                          TimePoint now,
+                          Actions& out) {
   std::vector<placement::Candidate> candidates;
   for (const config::TargetConfig& target : service.targets) {
     const TargetId id = config::MakeTargetId(service, target);
@@ -50,11 +50,11 @@
   PlaceHotKeys(service, candidates, balance, out, now);
 }
 
-void Decider::PlaceShards(const config::ServiceConfig& service,
-                          const std::vector<placement::Candidate>& candidates,
-                          bool balance,
-                          Actions& out,
-                          TimePoint now) {
+void Leader::PlaceShards(const config::ServiceConfig& service,
+                         const std::vector<placement::Candidate>& candidates,
+                         bool balance,
+                         Actions& out,
+                         TimePoint now) {
   placement::PlacementInput input;
   input.candidates = candidates;
   input.shards.resize(service.shards);
@@ -82,8 +82,8 @@
 
 // Weighs shards by their measured rates, less those of keys that are placed on
 // their own.
-void Decider::AddLoads(const config::ServiceConfig& service,
-                       placement::PlacementInput& input) const {
+void Leader::AddLoads(const config::ServiceConfig& service,
+                      placement::PlacementInput& input) const {
   const placement::ServiceRates rates = loads_.RatesOf(service.name);
   if (rates.shards.size() != service.shards || rates.per_second <= 0) {
     return;
@@ -107,17 +107,17 @@
   }
   const double requests_per_target =
       rates.per_second *
-      std::chrono::duration<double>(LoadBook::kTimeConstant).count() /
+      std::chrono::duration<double>(LoadTable::kTimeConstant).count() /
       static_cast<double>(std::max<size_t>(1, input.candidates.size()));
   input.tolerance =
       std::max(kLeastTolerance, kDeviations / std::sqrt(requests_per_target));
 }
 
-void Decider::PlaceHotKeys(const config::ServiceConfig& service,
-                           const std::vector<placement::Candidate>& candidates,
-                           bool balance,
-                           Actions& out,
-                           TimePoint now) {
+void Leader::PlaceHotKeys(const config::ServiceConfig& service,
+                          const std::vector<placement::Candidate>& candidates,
+                          bool balance,
+                          Actions& out,
+                          TimePoint now) {
   placement::HotKeyInput input;
   input.placed = PlacedHotKeys(service.name);
   if (input.placed.empty() && !balance) {
@@ -148,10 +148,10 @@
 
 // A key that leaves or joins its shard moves together with a new fence for the
 // shard, so that a late request under the shard's old fence is refused.
-void Decider::ChangeHotKey(const config::ServiceConfig& service,
-                           const placement::HotKeyChange& change,
-                           TimePoint now,
-                           Actions& out) {
+void Leader::ChangeHotKey(const config::ServiceConfig& service,
+                          const placement::HotKeyChange& change,
+                          TimePoint now,
+                          Actions& out) {
   const Unit key{service.name, HotKeyNumber(change.key_hash)};
   const Unit shard{service.name, ShardOf(change.key_hash, service.shards)};
   const bool placed = !replica_.AssignmentOf(key).owner.empty();
@@ -167,13 +167,13 @@
   if (placed && !change.to.empty()) {
     return;
   }
-  UnitMove& refence = StartMove(shard, shard_owner, now, out);
+  UnitMove& raised = StartMove(shard, shard_owner, now, out);
   if (change.to.empty()) {
-    refence.after = key;
+    raised.after = key;
   }
 }
 
-std::map<std::uint64_t, TargetId> Decider::PlacedHotKeys(
+std::map<std::uint64_t, TargetId> Leader::PlacedHotKeys(
     const std::string& service) const {
   std::map<std::uint64_t, TargetId> placed;
   const auto& assignments = replica_.state().assignments;
--- a/src/core/control/decider_records.cc
+++ b/src/core/control/leader_records.cc
@@ -1,9 +1,9 @@
-// The part of Decider that writes records.
+// The part of Leader that writes records.
 #include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "core/control/decider.h"
+#include "core/control/leader.h"
 
 namespace toucandock::core::control {
 namespace {
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-void Decider::WriteNextRecord(TimePoint now, Actions& out) {
+void Leader::WriteNextRecord(TimePoint now, Actions& out) {
   if (!writer_.idle()) {
     return;
   }
@@ -29,12 +29,12 @@
   writer_.Append(Record{.id = hooks_.new_record_id(),
                         .author = self_.id,
                         .ballot = ballot_,
-                        .builds_on = replica_.state().last_decider,
+                        .builds_on = replica_.state().last_leader_record,
                         .body = *std::move(body)},
                  now, out);
 }
 
-std::optional<RecordBody> Decider::NextRecord(TimePoint now) {
+std::optional<RecordBody> Leader::NextRecord(TimePoint now) {
   if (replica_.state().ballot < ballot_) {
     return TermRecord{};
   }
@@ -57,14 +57,14 @@
 }
 
 // A checkpoint is also due at once when retention has passed the last one that
-// this decider knows of: new hosts cannot start without.
-bool Decider::IsCheckpointDue(TimePoint now) const {
+// this leader knows of: new hosts cannot start without.
+bool Leader::IsCheckpointDue(TimePoint now) const {
   return replica_.state().next >= checkpoint_at_ + kCheckpointEvery ||
          first_retained_ > checkpoint_at_ ||
          now - checkpoint_written_at_ >= kCheckpointInterval;
 }
 
-std::optional<RecordBody> Decider::NextSettle() const {
+std::optional<RecordBody> Leader::NextSettle() const {
   SettleRecord settle;
   for (const UnitMove& move : directive_.moves) {
     if (!IsSettled(move) && settle.assignments.size() < kMaxSettled) {
@@ -79,7 +79,7 @@
 
 // Decides the oldest proposal. The decision is a record, so that hosts of
 // other versions do not have to reach it again.
-std::optional<RecordBody> Decider::NextVerdict() const {
+std::optional<RecordBody> Leader::NextVerdict() const {
   const ControlState& state = replica_.state();
   const auto it =
       std::min_element(state.proposals.begin(), state.proposals.end(),
@@ -110,7 +110,7 @@
 // Voters change one at a time, and only after a majority knows the change
 // before; so any two majorities of neighbouring memberships share a host. An
 // even number of voters tolerates no more losses than the odd one below it.
-std::optional<RecordBody> Decider::NextVoterChange(TimePoint now) const {
+std::optional<RecordBody> Leader::NextVoterChange(TimePoint now) const {
   const ControlState& state = replica_.state();
   const std::vector<HostId> voters = Voters(state);
   if (VotersWhoAcked(voters_sequence_) < MajorityOf(voters.size())) {
--- a/src/core/control/load_book.cc
+++ b/src/core/control/load_table.cc
@@ -1,4 +1,4 @@
-#include "core/control/load_book.h"
+#include "core/control/load_table.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-void LoadBook::Report(
+void LoadTable::Report(
     const HostId& host,
     const std::map<std::string, placement::ServiceRates>& rates,
     TimePoint now) {
@@ -47,7 +47,7 @@
 }
 
 // Returns the sum over all hosts, with keys in no particular order.
-placement::ServiceRates LoadBook::RatesOf(const std::string& service) const {
+placement::ServiceRates LoadTable::RatesOf(const std::string& service) const {
   placement::ServiceRates sum;
   const auto found = services_.find(service);
   if (found == services_.end()) {
@@ -70,7 +70,7 @@
   return sum;
 }
 
-void LoadBook::ForgetSilentHosts(TimePoint now) {
+void LoadTable::ForgetSilentHosts(TimePoint now) {
   for (auto& [service, hosts] : services_) {
     std::erase_if(hosts, [&](const auto& it) {
       return now - it.second.reported > kSilentAfter;
--- a/src/core/control/load_book.h
+++ b/src/core/control/load_table.h
@@ -1,5 +1,5 @@
-#ifndef TOUCANDOCK_CORE_CONTROL_LOAD_BOOK_H_
-#define TOUCANDOCK_CORE_CONTROL_LOAD_BOOK_H_
+#ifndef TOUCANDOCK_CORE_CONTROL_LOAD_TABLE_H_
+#define TOUCANDOCK_CORE_CONTROL_LOAD_TABLE_H_
 
 #include <map>
 #include <string>
@@ -10,8 +10,8 @@
 
 namespace toucandock::core::control {
 
-// Request rates that the hosts report to the decider, smoothed over time.
-class LoadBook {
+// Request rates that the hosts report to the leader, smoothed over time.
+class LoadTable {
  public:
   // Time after which a step in the rates shows to about two thirds.
   static constexpr Duration kTimeConstant = std::chrono::seconds(10);
@@ -35,4 +35,4 @@
 
 }  // namespace toucandock::core::control
 
-#endif  // TOUCANDOCK_CORE_CONTROL_LOAD_BOOK_H_
+#endif  // TOUCANDOCK_CORE_CONTROL_LOAD_TABLE_H_
--- a/src/core/control/member.cc
+++ b/src/core/control/member.cc
@@ -6,11 +6,11 @@
 namespace toucandock::core::control {
 namespace {
 
-// How long a host waits for its own log reader before it asks the decider.
+// How long a host waits for its own log reader before it asks the leader.
 constexpr Duration kLogLagLimit = std::chrono::milliseconds(200);
-// After this long without an answer from the decider, a host asks others who
+// After this long without an answer from the leader, a host asks others who
 // it is: the one that it knows may be lost and replaced.
-constexpr Duration kDeciderSilence = std::chrono::milliseconds(400);
+constexpr Duration kLeaderSilence = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -94,7 +94,7 @@
 void Member::OnRenewReply(const RenewReplyEvent& event,
                           TimePoint now,
                           Actions& out) {
-  if (!event.reply || in_office_) {
+  if (!event.reply || is_leading_) {
     return;
   }
   const RenewReply& reply = *event.reply;
@@ -110,8 +110,8 @@
   last_contact_ = now;
   echo_ = reply.stamp;
   echo_received_ = now;
-  if (reply.decider) {
-    SetDecider(*reply.decider, now);
+  if (reply.leader) {
+    SetLeader(*reply.leader, now);
   }
   if (reply.directive &&
       reply.directive->Position() > replica_.directive().Position()) {
@@ -121,9 +121,9 @@
     pending_ = reply.directive;
     TryPendingDirective(now, out);
   }
-  // A lease is for sending under the decider's present directive: under an
-  // earlier one, or with records folded that the decider has not put in force,
-  // this host may see owners that the decider has not waited for.
+  // A lease is for sending under the leader's present directive: under an
+  // earlier one, or with records folded that the leader has not put in force,
+  // this host may see owners that the leader has not waited for.
   const Directive& directive = replica_.directive();
   if (reply.lease && directive.ballot == reply.ballot &&
       directive.sequence >= reply.sequence &&
@@ -133,43 +133,43 @@
   Probe(reply.suspects, now, out);
 }
 
-// The host that was asked is not the decider; it may know who is.
+// The host that was asked is not the leader; it may know who is.
 void Member::OnUnaccepted(const RenewReplyEvent& event, TimePoint now) {
   const RenewReply& reply = *event.reply;
-  const bool was_decider = decider_ && decider_->id == event.from;
-  if (was_decider) {
-    ForgetDecider();
+  const bool was_leader = leader_ && leader_->id == event.from;
+  if (was_leader) {
+    ForgetLeader();
   }
-  if (was_decider && reply.resigned && reply.host == event.from) {
-    // The decider has no authority any more, so the promise to it is void. A
-    // host that is stopping but was not this host's decider says nothing about
+  if (was_leader && reply.resigned && reply.host == event.from) {
+    // The leader has no authority any more, so the promise to it is void. A
+    // host that is stopping but was not this host's leader says nothing about
     // that promise.
     support_until_ = now;
     last_contact_ = now - terms_.election;
   }
-  // An earlier process at this host's own address is no decider any more, nor
+  // An earlier process at this host's own address is no leader any more, nor
   // is the host that has just said that it is none.
-  if (!decider_ && reply.decider && reply.decider->id != event.from &&
-      reply.decider->peer_address != self_.peer_address) {
-    SetDecider(*reply.decider, now);
+  if (!leader_ && reply.leader && reply.leader->id != event.from &&
+      reply.leader->peer_address != self_.peer_address) {
+    SetLeader(*reply.leader, now);
     renew_now_ = true;
   }
 }
 
-void Member::SetDecider(const HostInfo& decider, TimePoint now) {
-  decider_ = decider;
-  decider_heard_ = now;
+void Member::SetLeader(const HostInfo& leader, TimePoint now) {
+  leader_ = leader;
+  leader_heard_ = now;
 }
 
-// Without the echo, no renewal supports a decider by mistake: the stamp means
+// Without the echo, no renewal supports a leader by mistake: the stamp means
 // nothing on another host's clock.
-void Member::ForgetDecider() {
-  decider_.reset();
+void Member::ForgetLeader() {
+  leader_.reset();
   echo_.reset();
 }
 
 // Puts the directive in force once the log was read far enough. When the log
-// lags, fetches the state from the decider instead.
+// lags, fetches the state from the leader instead.
 void Member::TryPendingDirective(TimePoint now, Actions& out) {
   if (!pending_) {
     return;
@@ -177,14 +177,14 @@
   if (replica_.Apply(*pending_)) {
     pending_.reset();
     out.push_back(PublishViewAction{});
-  } else if (decider_ && pending_->effective > replica_.log_end() &&
+  } else if (leader_ && pending_->effective > replica_.log_end() &&
              now - pending_since_ >= kLogLagLimit) {
     pending_since_ = now;
-    out.push_back(FetchStateAction{*decider_});
+    out.push_back(FetchStateAction{*leader_});
   }
 }
 
-// Grants a vote only when this host's support of another decider has ended and
+// Grants a vote only when this host's support of another leader has ended and
 // the candidate's membership is not older than this host's.
 VoteReply Member::OnVoteRequest(const VoteRequest& request, TimePoint now) {
   ForgetOldMembership();
@@ -192,10 +192,10 @@
   const ControlState& state = replica_.state();
   const bool current = request.founded == state.founded &&
                        request.voters_changed >= state.voters_changed;
-  // A host that asks for votes again has given up the office that it held.
+  // A host that asks for votes again no longer leads under its earlier ballot.
   const bool free =
-      in_office_ ? now >= authority_until_
-                 : now >= support_until_ || supported_ == request.host.id;
+      is_leading_ ? now >= authority_until_
+                  : now >= support_until_ || supported_ == request.host.id;
   highest_seen_ = std::max(highest_seen_, request.ballot.number);
   // A new process at a voter's address knows nothing of the voter's promises.
   const auto self = state.members.find(self_.id);
@@ -203,7 +203,7 @@
   const bool above_own = !candidacy_ || request.ballot > candidacy_->ballot;
   if (votes && current && free && above_own && request.ballot > promised_) {
     promised_ = request.ballot;
-    ForgetDecider();
+    ForgetLeader();
     last_contact_ = now;
     candidacy_.reset();
     reply.granted = true;
@@ -233,15 +233,15 @@
 
 std::optional<Directive> Member::Step(TimePoint now, Actions& out) {
   ForgetOldMembership();
-  if (in_office_) {
+  if (is_leading_) {
     return std::nullopt;
   }
   TryPendingDirective(now, out);
   if (std::optional<Directive> won = StepCandidacy(now, out)) {
     return won;
   }
-  if (decider_ && now - decider_heard_ >= kDeciderSilence) {
-    ForgetDecider();
+  if (leader_ && now - leader_heard_ >= kLeaderSilence) {
+    ForgetLeader();
   }
   if (renew_now_ || now - last_sent_ >= terms_.renew_interval) {
     SendRenewal(now, out);
@@ -292,7 +292,7 @@
 }
 
 void Member::SendRenewal(TimePoint now, Actions& out) {
-  const std::optional<HostInfo> to = decider_ ? decider_ : NextContact();
+  const std::optional<HostInfo> to = leader_ ? leader_ : NextContact();
   last_sent_ = now;
   renew_now_ = false;
   if (!to) {
@@ -301,22 +301,22 @@
   RenewRequest request;
   request.host = self_;
   request.founded = replica_.state().founded;
-  request.echo = decider_ ? echo_.value_or(Duration::zero()) : Duration::zero();
+  request.echo = leader_ ? echo_.value_or(Duration::zero()) : Duration::zero();
   request.ballot = replica_.directive().ballot;
   request.acked_sequence = acked_sequence_;
   request.config_version = replica_.config_version();
   request.busy = busy_;
   request.leaving = leaving_;
-  if (decider_) {
+  if (leader_) {
     request.rates = TakeRates();
     request.signals = TakeSignals();
   }
-  if (decider_ && echo_) {
-    // The decider counts this renewal from the echoed stamp, which is older
-    // than its receipt here; so this promise lasts longer than the decider
+  if (leader_ && echo_) {
+    // The leader counts this renewal from the echoed stamp, which is older
+    // than its receipt here; so this promise lasts longer than the leader
     // relies on it. Renewals that repeat an echo promise nothing new, else a
-    // host would never stop to support a lost decider.
-    supported_ = decider_->id;
+    // host would never stop to support a lost leader.
+    supported_ = leader_->id;
     support_until_ =
         std::max(support_until_,
                  lease::SurelyEnded(terms_, echo_received_, terms_.support));
@@ -324,7 +324,7 @@
   out.push_back(SendRenewAction{*to, std::move(request)});
 }
 
-// Without a known decider, asks members and seeds in turn who it is.
+// Without a known leader, asks members and seeds in turn who it is.
 std::optional<HostInfo> Member::NextContact() {
   std::vector<HostInfo> contacts;
   for (const auto& [id, member] : replica_.state().members) {
@@ -352,7 +352,7 @@
                          .best = replica_.directive(),
                          .best_from = self_,
                          .started = now};
-  ForgetDecider();
+  ForgetLeader();
   const VoteRequest request = {
       .host = self_,
       .founded = replica_.state().founded,
@@ -375,16 +375,16 @@
   promised_ = Ballot{};
   highest_seen_ = 0;
   pending_.reset();
-  ForgetDecider();
+  ForgetLeader();
   candidacy_.reset();
 }
 
-void Member::HoldOffice(const Ballot& ballot,
-                        TimePoint authority_until,
-                        TimePoint lease_until) {
-  in_office_ = true;
+void Member::ContinueLeading(const Ballot& ballot,
+                             TimePoint authority_until,
+                             TimePoint lease_until) {
+  is_leading_ = true;
   promised_ = std::max(promised_, ballot);
-  decider_ = self_;
+  leader_ = self_;
   authority_until_ = authority_until;
   lease_until_ = lease_until;
 }
@@ -395,9 +395,9 @@
   }
 }
 
-void Member::LoseOffice(TimePoint now) {
-  in_office_ = false;
-  ForgetDecider();
+void Member::StopLeading(TimePoint now) {
+  is_leading_ = false;
+  ForgetLeader();
   last_contact_ = now;
 }
 
--- a/src/core/control/member.h
+++ b/src/core/control/member.h
@@ -12,8 +12,8 @@
 
 namespace toucandock::core::control {
 
-// What a host must do as a member of the fleet: renew with the decider, hold a
-// serving lease, vote, and stand for election when the decider is lost.
+// What a host must do as a member of the fleet: renew with the leader, hold a
+// serving lease, vote, and stand for election when the leader is lost.
 class Member {
  public:
   Member(const HostInfo& self,
@@ -23,7 +23,7 @@
 
   // Until when this host may send to owners of keys.
   TimePoint lease_until() const { return lease_until_; }
-  const std::optional<HostInfo>& decider() const { return decider_; }
+  const std::optional<HostInfo>& leader() const { return leader_; }
   const Ballot& promised() const { return promised_; }
   std::uint64_t acked_sequence() const { return acked_sequence_; }
   const std::vector<Unit>& busy() const { return busy_; }
@@ -33,7 +33,7 @@
   void OnRenewReply(const RenewReplyEvent& event, TimePoint now, Actions& out);
   VoteReply OnVoteRequest(const VoteRequest& request, TimePoint now);
   void OnVoteReply(const VoteReplyEvent& event);
-  void OnNudge() { renew_now_ = true; }
+  void OnNotify() { renew_now_ = true; }
   void AddSignal(const detection::Signal& signal);
   void SetLeaving();
 
@@ -41,11 +41,11 @@
   // has just won an election.
   std::optional<Directive> Step(TimePoint now, Actions& out);
 
-  // Used while this host itself is the decider.
-  void HoldOffice(const Ballot& ballot,
-                  TimePoint authority_until,
-                  TimePoint lease_until);
-  void LoseOffice(TimePoint now);
+  // Used while this host itself is the leader.
+  void ContinueLeading(const Ballot& ballot,
+                       TimePoint authority_until,
+                       TimePoint lease_until);
+  void StopLeading(TimePoint now);
   // Asks for votes without waiting.
   void Campaign(TimePoint now, Actions& out);
 
@@ -70,8 +70,8 @@
   std::optional<Directive> StepCandidacy(TimePoint now, Actions& out);
   void StartCandidacy(TimePoint now, Actions& out);
   void OnUnaccepted(const RenewReplyEvent& event, TimePoint now);
-  void SetDecider(const HostInfo& decider, TimePoint now);
-  void ForgetDecider();
+  void SetLeader(const HostInfo& leader, TimePoint now);
+  void ForgetLeader();
   void ForgetOldMembership();
 
   const HostInfo self_;
@@ -82,21 +82,21 @@
   Offset founded_ = 0;
   // Highest ballot that this host has voted for or followed. Its own
   // candidacies don't count until they are won: a host that was cut off and
-  // asked for votes in vain must be able to follow the present decider.
+  // asked for votes in vain must be able to follow the present leader.
   Ballot promised_;
   // Highest ballot number that any host has mentioned.
   std::uint64_t highest_seen_ = 0;
-  // The decider that `support_until_` was promised to.
+  // The leader that `support_until_` was promised to.
   HostId supported_;
-  std::optional<HostInfo> decider_;
-  // The decider was named or answered at this time for the last time.
-  TimePoint decider_heard_;
+  std::optional<HostInfo> leader_;
+  // The leader was named or answered at this time for the last time.
+  TimePoint leader_heard_;
   std::optional<Duration> echo_;
   TimePoint echo_received_;
-  bool in_office_ = false;
+  bool is_leading_ = false;
   TimePoint authority_until_;
   TimePoint lease_until_;
-  // Until then this host votes for no other decider.
+  // Until then this host votes for no other leader.
   TimePoint support_until_;
   TimePoint last_sent_;
   TimePoint last_contact_;
@@ -109,7 +109,7 @@
   using SignalKey = std::pair<TargetId, detection::SignalSource>;
   // Observations that no renewal has carried yet.
   std::map<SignalKey, detection::Signal> signals_;
-  // Of these, the decider has heard a bad signal last.
+  // Of these, the leader has heard a bad signal last.
   std::set<SignalKey> reported_bad_;
   std::map<TargetId, TimePoint> probed_at_;
   // A directive that needs records this host has not read yet.
--- a/src/core/control/messages.h
+++ b/src/core/control/messages.h
@@ -47,7 +47,7 @@
   bool operator==(const UnitMove&) const = default;
 };
 
-// What the decider has put in force: the folded state up to `effective` and
+// What the leader has put in force: the folded state up to `effective` and
 // the moves on top of it.
 struct Directive {
   // Offset of the record that founded the membership.
@@ -70,7 +70,7 @@
 struct RenewRequest {
   HostInfo host;
   Offset founded = 0;
-  // The decider's clock in its last reply; zero before the first.
+  // The leader's clock in its last reply; zero before the first.
   Duration echo{};
   Ballot ballot;
   // Highest directive under whose predecessors the host sends no more.
@@ -87,15 +87,15 @@
 struct RenewReply {
   // The answering process; differs from the one asked after a restart.
   HostId host;
-  // False: the answering host is not the decider.
+  // False: the answering host is not the leader.
   bool accepted = false;
-  // The decider that the answering host knows, if any.
-  std::optional<HostInfo> decider;
+  // The leader that the answering host knows, if any.
+  std::optional<HostInfo> leader;
   Ballot ballot;
   Duration stamp{};
   // The reply extends the serving lease.
   bool lease = false;
-  // The decider gives up its office; its supporters may vote at once.
+  // The leader steps down; its supporters may vote at once.
   bool resigned = false;
   std::uint64_t sequence = 0;
   // Only when the requester's directive is older.
@@ -207,7 +207,7 @@
 struct StateReplyEvent {
   std::optional<StateReply> reply;
 };
-struct NudgeEvent {};
+struct NotifyEvent {};
 struct GrantAnswerEvent {
   TargetId target;
   std::uint64_t sequence = 0;
@@ -236,7 +236,7 @@
                            VoteReplyEvent,
                            StateRequestEvent,
                            StateReplyEvent,
-                           NudgeEvent,
+                           NotifyEvent,
                            GrantAnswerEvent,
                            ProbeAnswerEvent,
                            TrafficSignalEvent,
@@ -258,7 +258,7 @@
 struct FetchStateAction {
   HostInfo from;
 };
-struct SendNudgeAction {
+struct SendNotifyAction {
   HostInfo to;
 };
 struct SendGrantAction {
@@ -293,7 +293,7 @@
                             SendRenewAction,
                             SendVoteAction,
                             FetchStateAction,
-                            SendNudgeAction,
+                            SendNotifyAction,
                             SendGrantAction,
                             SendProbeAction,
                             ReplyRenewAction,
--- a/src/core/control/records.h
+++ b/src/core/control/records.h
@@ -65,7 +65,7 @@
   HostId host;
 };
 
-// The author of this record is the decider from here on.
+// The author of this record is the leader from here on.
 struct TermRecord {};
 
 // An operator's proposal for the next configuration.
@@ -115,7 +115,7 @@
   std::string id;
   HostId author;
   Ballot ballot;
-  // Offset of the last valid decider record that the author had folded.
+  // Offset of the last valid leader record that the author had folded.
   Offset builds_on = 0;
   RecordBody body;
 };
--- a/src/core/control/replica.cc
+++ b/src/core/control/replica.cc
@@ -14,7 +14,7 @@
 bool Replica::AddEntries(const LogReadEvent& read) {
   const bool gap = read.first_retained > log_end();
   // A host that found an empty part of the log has no members yet. If another
-  // fleet is alive, its decider's checkpoint may follow.
+  // fleet is alive, its leader's checkpoint may follow.
   const bool blank = !started_ || gap || state_.members.empty();
   if (blank && !StartFrom(read) && (!started_ || gap)) {
     return false;
@@ -87,7 +87,7 @@
 }
 
 // Puts a directive in force. Returns false when this host has not read the log
-// far enough yet, or has folded records that the decider has not: their owners
+// far enough yet, or has folded records that the leader has not: their owners
 // would show without the moves that lead to them.
 bool Replica::Apply(const Directive& directive) {
   if (directive.effective > log_end() || directive.effective < state_.next) {
--- a/src/core/control/replica.h
+++ b/src/core/control/replica.h
@@ -25,7 +25,7 @@
 };
 
 // This host's copy of the control state: the folded log up to the offset that
-// the decider put in force, entries beyond it, and the decider's directive.
+// the leader put in force, entries beyond it, and the leader's directive.
 class Replica {
  public:
   explicit Replica(const ControlHooks& hooks) : hooks_(hooks) {}
--- a/src/core/control/target_book.cc
+++ b/src/core/control/target_table.cc
@@ -1,4 +1,4 @@
-#include "core/control/target_book.h"
+#include "core/control/target_table.h"
 
 #include <algorithm>
 
@@ -35,10 +35,10 @@
 
 }  // namespace
 
-TargetBook::TargetBook(const HostId& self,
-                       const lease::LeaseTerms& terms,
-                       const Ballot& ballot,
-                       TimePoint elected_at)
+TargetTable::TargetTable(const HostId& self,
+                         const lease::LeaseTerms& terms,
+                         const Ballot& ballot,
+                         TimePoint elected_at)
     : self_(self),
       terms_(terms),
       ballot_(ballot),
@@ -46,7 +46,7 @@
       detector_(detection::DetectorTerms{}) {}
 
 // Targets that left the configuration stay known until their grant has ended.
-void TargetBook::SetTargets(const config::Config& config) {
+void TargetTable::SetTargets(const config::Config& config) {
   ++revision_;
   next_due_ = TimePoint{};
   for (auto& [id, entry] : entries_) {
@@ -61,7 +61,7 @@
       entry.checks_fences = target.checks_fences;
       entry.configured = true;
       if (added) {
-        // An earlier decider may have granted until its authority ended.
+        // An earlier leader may have granted until its authority ended.
         entry.grant_ends =
             lease::SurelyEnded(terms_, elected_at_, terms_.grant);
         entry.answered_at = elected_at_;
@@ -70,7 +70,7 @@
   }
 }
 
-void TargetBook::SetUnits(const Replica& replica) {
+void TargetTable::SetUnits(const Replica& replica) {
   std::map<TargetId, std::vector<UnitFence>> units;
   const auto add = [&](const Unit& unit) {
     const Assignment assignment = replica.AssignmentOf(unit);
@@ -106,9 +106,9 @@
   }
 }
 
-void TargetBook::OnAnswer(Entry& entry,
-                          const TargetAnswer& answer,
-                          TimePoint now) {
+void TargetTable::OnAnswer(Entry& entry,
+                           const TargetAnswer& answer,
+                           TimePoint now) {
   const bool alive = KindOf(answer.result) == SignalKind::kAlive;
   if (!entry.contacted || alive != entry.alive_since.has_value()) {
     ++revision_;
@@ -138,7 +138,7 @@
   }
 }
 
-void TargetBook::OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now) {
+void TargetTable::OnGrantAnswer(const GrantAnswerEvent& event, TimePoint now) {
   const auto it = entries_.find(event.target);
   if (it == entries_.end()) {
     return;
@@ -158,7 +158,7 @@
   }
 }
 
-void TargetBook::OnProbeAnswer(const ProbeAnswerEvent& event, TimePoint now) {
+void TargetTable::OnProbeAnswer(const ProbeAnswerEvent& event, TimePoint now) {
   const auto it = entries_.find(event.target);
   if (it == entries_.end()) {
     return;
@@ -172,7 +172,7 @@
   OnAnswer(it->second, event.answer, now);
 }
 
-void TargetBook::OnSignal(const Signal& signal, TimePoint now) {
+void TargetTable::OnSignal(const Signal& signal, TimePoint now) {
   if (entries_.contains(signal.target)) {
     detector_.Report(signal, now);
   }
@@ -180,7 +180,7 @@
 
 // A target that was listed and is not any more counts as one bad signal: the
 // list lags and may mislead.
-void TargetBook::OnHostList(const HostListEvent& list, TimePoint now) {
+void TargetTable::OnHostList(const HostListEvent& list, TimePoint now) {
   for (auto& [id, entry] : entries_) {
     const std::string& address = entry.address;
     const auto it = std::find_if(
@@ -200,7 +200,7 @@
   }
 }
 
-std::vector<TargetId> TargetBook::Judge(size_t observers, TimePoint now) {
+std::vector<TargetId> TargetTable::Judge(size_t observers, TimePoint now) {
   std::vector<TargetId> changed;
   for (auto& [id, entry] : entries_) {
     if (entry.checks_fences && entry.clock && entry.grant_ends <= now) {
@@ -224,7 +224,7 @@
   return changed;
 }
 
-void TargetBook::SendDue(TimePoint now, Actions& out) {
+void TargetTable::SendDue(TimePoint now, Actions& out) {
   if (now < next_due_) {
     return;
   }
@@ -250,10 +250,10 @@
   }
 }
 
-void TargetBook::SendGrant(const TargetId& id,
-                           Entry& entry,
-                           TimePoint now,
-                           Actions& out) {
+void TargetTable::SendGrant(const TargetId& id,
+                            Entry& entry,
+                            TimePoint now,
+                            Actions& out) {
   Grant grant = {.target = id,
                  .instance = entry.instance,
                  .ballot = ballot_,
@@ -272,14 +272,14 @@
   out.push_back(SendGrantAction{entry.address, std::move(grant)});
 }
 
-// Returns whether this decider had any result from the target, good or bad.
-bool TargetBook::WasContacted(const TargetId& target) const {
+// Returns whether this leader had any result from the target, good or bad.
+bool TargetTable::WasContacted(const TargetId& target) const {
   const auto it = entries_.find(target);
   return it != entries_.end() && it->second.contacted;
 }
 
 // Returns whether the target may keep the units that it has.
-bool TargetBook::MayOwn(const TargetId& target) const {
+bool TargetTable::MayOwn(const TargetId& target) const {
   const auto it = entries_.find(target);
   if (it == entries_.end()) {
     return false;
@@ -290,12 +290,12 @@
 }
 
 // Returns whether the target may get new units.
-bool TargetBook::IsUsable(const TargetId& target) const {
+bool TargetTable::IsUsable(const TargetId& target) const {
   return MayOwn(target) && entries_.at(target).alive_since.has_value();
 }
 
 // Returns whether the target surely refuses the units that it lost last.
-bool TargetBook::IsReleased(const TargetId& target, TimePoint now) const {
+bool TargetTable::IsReleased(const TargetId& target, TimePoint now) const {
   const auto it = entries_.find(target);
   if (it == entries_.end()) {
     return now >= lease::SurelyEnded(terms_, elected_at_, terms_.grant);
@@ -306,8 +306,8 @@
          entry.grant_ends <= now;
 }
 
-bool TargetBook::IsGranted(const TargetId& target,
-                           const UnitFence& unit) const {
+bool TargetTable::IsGranted(const TargetId& target,
+                            const UnitFence& unit) const {
   const auto it = entries_.find(target);
   if (it == entries_.end()) {
     return false;
@@ -321,7 +321,7 @@
              entry.units.end();
 }
 
-double TargetBook::WeightOf(const TargetId& target, TimePoint now) const {
+double TargetTable::WeightOf(const TargetId& target, TimePoint now) const {
   const auto it = entries_.find(target);
   if (it == entries_.end()) {
     return 0;
@@ -339,8 +339,8 @@
                     kColdWeight, 1.0);
 }
 
-std::vector<TargetId> TargetBook::Suspects(size_t observers,
-                                           TimePoint now) const {
+std::vector<TargetId> TargetTable::Suspects(size_t observers,
+                                            TimePoint now) const {
   std::vector<TargetId> suspects;
   for (const auto& [id, entry] : entries_) {
     if (!entry.lost &&
@@ -351,7 +351,7 @@
   return suspects;
 }
 
-std::set<TargetId> TargetBook::lost() const {
+std::set<TargetId> TargetTable::lost() const {
   std::set<TargetId> result;
   for (const auto& [id, entry] : entries_) {
     if (entry.lost) {
@@ -361,7 +361,7 @@
   return result;
 }
 
-std::set<TargetId> TargetBook::draining() const {
+std::set<TargetId> TargetTable::draining() const {
   std::set<TargetId> result;
   for (const auto& [id, entry] : entries_) {
     if (entry.listed_leaving || entry.health == TargetHealth::kDraining) {
@@ -371,7 +371,7 @@
   return result;
 }
 
-std::set<TargetId> TargetBook::cold(TimePoint now) const {
+std::set<TargetId> TargetTable::cold(TimePoint now) const {
   std::set<TargetId> result;
   for (const auto& [id, entry] : entries_) {
     if (WeightOf(id, now) < 1) {
--- a/src/core/control/target_book.h
+++ b/src/core/control/target_table.h
@@ -1,5 +1,5 @@
-#ifndef TOUCANDOCK_CORE_CONTROL_TARGET_BOOK_H_
-#define TOUCANDOCK_CORE_CONTROL_TARGET_BOOK_H_
+#ifndef TOUCANDOCK_CORE_CONTROL_TARGET_TABLE_H_
+#define TOUCANDOCK_CORE_CONTROL_TARGET_TABLE_H_
 
 #include <map>
 #include <optional>
@@ -15,14 +15,14 @@
 
 namespace toucandock::core::control {
 
-// The decider's knowledge of all targets: their grants, when those surely end,
+// The leader's knowledge of all targets: their grants, when those surely end,
 // and whether they are lost, draining or cold.
-class TargetBook {
+class TargetTable {
  public:
-  TargetBook(const HostId& self,
-             const lease::LeaseTerms& terms,
-             const Ballot& ballot,
-             TimePoint elected_at);
+  TargetTable(const HostId& self,
+              const lease::LeaseTerms& terms,
+              const Ballot& ballot,
+              TimePoint elected_at);
 
   void SetTargets(const config::Config& config);
   // Computes each target's units anew from the replica's view.
@@ -61,7 +61,7 @@
     std::uint64_t sequence = 1;
     std::uint64_t acked_sequence = 0;
     // Sequence from which a unit that left the target is revoked. An earlier
-    // decider may have granted units that this one's first grant leaves out.
+    // leader may have granted units that this one's first grant leaves out.
     std::uint64_t revoked_sequence = 1;
     // Last reading of the target's clock and when it arrived.
     std::optional<Duration> clock;
@@ -98,4 +98,4 @@
 
 }  // namespace toucandock::core::control
 
-#endif  // TOUCANDOCK_CORE_CONTROL_TARGET_BOOK_H_
+#endif  // TOUCANDOCK_CORE_CONTROL_TARGET_TABLE_H_
--- a/src/core/lease/lease.h
+++ b/src/core/lease/lease.h
@@ -12,11 +12,11 @@
   Duration renew_interval = std::chrono::milliseconds(100);
   // An entry host may send to owners of keys.
   Duration serving = std::chrono::milliseconds(400);
-  // A member supports a decider and votes for no other.
+  // A member supports a leader and votes for no other.
   Duration support = std::chrono::milliseconds(400);
   // A target that checks fences may run requests.
   Duration grant = std::chrono::milliseconds(500);
-  // A member without an answer from the decider for this long asks for votes.
+  // A member without an answer from the leader for this long asks for votes.
   Duration election = std::chrono::milliseconds(600);
   // Waited for each rank before a member, so that members don't ask at once.
   Duration election_step = std::chrono::milliseconds(150);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -221,7 +221,7 @@
   observe::LogStateChange("planned stop", "asked for by signal or operator");
   caller_server_->Drain(duration_cast<milliseconds>(settings_.stop_limit));
   control_->Post(StopEvent{});
-  // Time for the leave record and for the peers to elect another decider.
+  // Time for the leave record and for the peers to elect another leader.
   std::this_thread::sleep_for(settings_.lease.election);
   // Requests of other entry hosts that were accepted before the stop.
   peer_server_->Drain(duration_cast<milliseconds>(settings_.stop_limit));
@@ -265,7 +265,7 @@
     view_.Publish(snapshot);
     metrics_.SetConfigVersion(controller.replica().config_version());
     ownership_.Observe(controller.replica(),
-                       controller.Status(Now()).is_decider);
+                       controller.Status(Now()).is_leader);
     client_.WakeAll();
     attempts_->OnMembersChanged();
     poison_->OnMembersChanged();
@@ -278,8 +278,8 @@
     Send(*vote);
   } else if (const auto* fetch = std::get_if<FetchStateAction>(&action)) {
     Send(*fetch);
-  } else if (const auto* nudge = std::get_if<SendNudgeAction>(&action)) {
-    Send(*nudge);
+  } else if (const auto* notify = std::get_if<SendNotifyAction>(&action)) {
+    Send(*notify);
   } else if (const auto* grant = std::get_if<SendGrantAction>(&action)) {
     Send(*grant);
   } else if (const auto* probe = std::get_if<SendProbeAction>(&action)) {
@@ -334,9 +334,9 @@
   });
 }
 
-void Daemon::Send(const SendNudgeAction& action) {
+void Daemon::Send(const SendNotifyAction& action) {
   pool_->Run(
-      [this, action] { peers_.Call(action.to.peer_address, "nudge", "{}"); });
+      [this, action] { peers_.Call(action.to.peer_address, "notify", "{}"); });
 }
 
 void Daemon::Send(const SendGrantAction& action) {
@@ -400,9 +400,9 @@
        }},
       {"relay",
        [this](const std::string& params) { return peers_.Relay(params); }},
-      {"nudge",
+      {"notify",
        [this](const std::string&) -> std::string {
-         control_->Post(NudgeEvent{});
+         control_->Post(NotifyEvent{});
          return "{}";
        }},
   };
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -63,7 +63,7 @@
   void Send(const core::control::SendRenewAction& action);
   void Send(const core::control::SendVoteAction& action);
   void Send(const core::control::FetchStateAction& action);
-  void Send(const core::control::SendNudgeAction& action);
+  void Send(const core::control::SendNotifyAction& action);
   void Send(const core::control::SendGrantAction& action);
   void Send(const core::control::SendProbeAction& action);
   void RecordDecision(const std::string& what, const std::string& cause);
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -63,7 +63,7 @@
       owner_changes_(Build(*registry_,
                            prometheus::BuildCounter(),
                            "toucandock_owner_changes_total",
-                           "Units whose owner changed, seen by the decider")),
+                           "Units whose owner changed, seen by the leader")),
       without_owner_(
           Build(*registry_,
                 prometheus::BuildCounter(),
--- a/src/observe/ownership_watch.cc
+++ b/src/observe/ownership_watch.cc
@@ -33,26 +33,26 @@
 
 // Compares the replica with what it was at the call before. The first call
 // with a configuration reports no decisions, as they were made before.
-void OwnershipWatch::Observe(const Replica& replica, bool is_decider) {
+void OwnershipWatch::Observe(const Replica& replica, bool is_leader) {
   const Directive& directive = replica.directive();
-  if (!is_decider && directive.ballot != ballot_ &&
+  if (!is_leader && directive.ballot != ballot_ &&
       !directive.ballot.host.empty()) {
     hooks_.decided(
-        absl::StrCat("host ", directive.ballot.host, " is the decider, ballot ",
+        absl::StrCat("host ", directive.ballot.host, " is the leader, ballot ",
                      directive.ballot.number),
         "its directive was received");
   }
   ballot_ = directive.ballot;
-  if (!is_decider) {
+  if (!is_leader) {
     ObserveTargets(directive);
   }
   lost_ = directive.lost;
   draining_ = directive.draining;
   for (const auto& [unit, assignment] : replica.state().assignments) {
-    ObserveUnit(replica, unit, is_decider);
+    ObserveUnit(replica, unit, is_leader);
   }
   for (const UnitMove& move : directive.moves) {
-    ObserveUnit(replica, move.unit, is_decider);
+    ObserveUnit(replica, move.unit, is_leader);
   }
   CountWithoutOwner(replica);
   started_ = replica.config() != nullptr;
@@ -60,7 +60,7 @@
 
 void OwnershipWatch::ObserveUnit(const Replica& replica,
                                  const Unit& unit,
-                                 bool is_decider) {
+                                 bool is_leader) {
   const UnitMove* move = replica.MoveOf(unit);
   const core::control::Assignment assignment = replica.AssignmentOf(unit);
   UnitView after = {
@@ -76,7 +76,7 @@
   after.cause = finished ? known.cause : CauseOf(move, replica.directive());
   const TargetId last_owner = known.owner;
   known = std::move(after);
-  if (is_decider) {
+  if (is_leader) {
     if (!last_owner.empty() && last_owner != known.owner) {
       hooks_.owner_changed(unit.service);
     }
--- a/src/observe/ownership_watch.h
+++ b/src/observe/ownership_watch.h
@@ -15,10 +15,10 @@
 
 // Where what was observed goes to.
 struct OwnershipHooks {
-  // A decision of another host, which is the decider.
+  // A decision of another host, which is the leader.
   std::function<void(const std::string& what, const std::string& cause)>
       decided;
-  // Called on the decider only, so that the fleet counts each change once.
+  // Called on the leader only, so that the fleet counts each change once.
   std::function<void(const std::string& service)> owner_changed;
   // Time in which units of the service had no owner, summed over the units.
   std::function<void(const std::string& service, core::Duration)> without_owner;
@@ -31,7 +31,7 @@
  public:
   explicit OwnershipWatch(OwnershipHooks hooks);
 
-  void Observe(const core::control::Replica& replica, bool is_decider);
+  void Observe(const core::control::Replica& replica, bool is_leader);
   void Advance(core::TimePoint now, bool has_lease);
 
  private:
@@ -46,7 +46,7 @@
 
   void ObserveUnit(const core::control::Replica& replica,
                    const core::Unit& unit,
-                   bool is_decider);
+                   bool is_leader);
   void ObserveTargets(const core::control::Directive& directive);
   void CountWithoutOwner(const core::control::Replica& replica);
 
--- a/src/platform/log_client.cc
+++ b/src/platform/log_client.cc
@@ -32,7 +32,7 @@
     const core::Offset offset = entry.Uint("offset");
     absl::StatusOr<Record> record = codec::ParseRecord(entry.String("data"));
     // A record that cannot be read is skipped by every host alike: its
-    // neighbours' chain of decider records does not include it.
+    // neighbours' chain of leader records does not include it.
     if (record.ok()) {
       page.entries.push_back({offset, *std::move(record)});
     }
--- a/src/proxy/target_client.cc
+++ b/src/proxy/target_client.cc
@@ -16,7 +16,7 @@
 
 // A grant for a process that is not known yet has no end on its clock. It is
 // sent as a probe, whose answer brings the clock reading: as a grant it would
-// end the grant of an earlier decider under which the target is serving. The
+// end the grant of an earlier leader under which the target is serving. The
 // result kRejected says that the target has not taken the grant.
 TargetAnswer TargetClient::SendGrant(const std::string& address,
                                      const core::control::Grant& grant) {
--- a/src/replay/replay.cc
+++ b/src/replay/replay.cc
@@ -137,7 +137,7 @@
     Compare(line, "config_version", expected.config_version,
             status.config_version);
     Compare(line, "has_lease", expected.has_lease, status.has_lease);
-    Compare(line, "is_decider", expected.is_decider, status.is_decider);
+    Compare(line, "is_leader", expected.is_leader, status.is_leader);
     Compare(line, "log_available", expected.log_available,
             status.log_available);
     Compare<std::uint64_t>(line, "voters", expected.voters, status.voters);
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -33,7 +33,7 @@
       "      - {address: \"10.0.0.1:80\", failure_domain: a}\n");
 }
 
-// A log with a decider that accepts what was edited from the current version.
+// A log with a leader that accepts what was edited from the current version.
 class FakeLog {
  public:
   FakeLog() {
@@ -66,7 +66,7 @@
     entries_.push_back(
         {offset,
          {id.empty() ? absl::StrCat("r", offset) : id, "a", std::move(ballot),
-          state_.last_decider, std::move(body)}});
+          state_.last_leader_record, std::move(body)}});
     REQUIRE(Fold(state_, entries_.back()) == FoldResult::kApplied);
   }
 
--- a/tests/codec/message_json_test.cc
+++ b/tests/codec/message_json_test.cc
@@ -78,7 +78,7 @@
       const std::string member = kind.good.substr(n + 1, end - n - 1);
       CAPTURE(member);
       // These two may be absent from a renew reply.
-      if (member != "directive" && member != "decider") {
+      if (member != "directive" && member != "leader") {
         CHECK_FALSE(kind.parse(text).ok());
       }
       n = end;
--- a/tests/core/control/controller_fixture.cc
+++ b/tests/core/control/controller_fixture.cc
@@ -351,11 +351,11 @@
     Call(host, *vote);
   } else if (const auto* fetch = std::get_if<FetchStateAction>(&action)) {
     Call(host, *fetch);
-  } else if (const auto* nudge = std::get_if<SendNudgeAction>(&action)) {
-    const HostPtr to = HostAt(nudge->to.peer_address);
+  } else if (const auto* notify = std::get_if<SendNotifyAction>(&action)) {
+    const HostPtr to = HostAt(notify->to.peer_address);
     if (to) {
-      Transmit(host->info.peer_address, nudge->to.peer_address,
-               [this, to] { Deliver(to, NudgeEvent{}); });
+      Transmit(host->info.peer_address, notify->to.peer_address,
+               [this, to] { Deliver(to, NotifyEvent{}); });
     }
   } else if (const auto* grant = std::get_if<SendGrantAction>(&action)) {
     Contact(
@@ -730,11 +730,11 @@
   return live;
 }
 
-// Returns the live host that is in office and holds a lease, or nullptr.
-FakeHost* Fleet::DeciderHost() const {
+// Returns the live host that leads and holds a lease, or nullptr.
+FakeHost* Fleet::LeaderHost() const {
   for (FakeHost* host : LiveHosts()) {
     if (HasLease(*host) &&
-        host->controller->Status(LocalNow(*host)).is_decider) {
+        host->controller->Status(LocalNow(*host)).is_leader) {
       return host;
     }
   }
--- a/tests/core/control/controller_fixture.h
+++ b/tests/core/control/controller_fixture.h
@@ -90,7 +90,7 @@
 // memory and in virtual time. While time passes, every host sends requests for
 // every unit as the proxy does: by its published snapshot and while it holds
 // a serving lease. Violations are judged by the targets' journal and by what
-// hosts would send, not by what a decider believes.
+// hosts would send, not by what a leader believes.
 class Fleet {
  public:
   explicit Fleet(std::uint64_t seed = 1);
@@ -133,7 +133,7 @@
   FakeHost& Host(const std::string& address) const;
   FakeTarget& Target(const std::string& address);
   std::vector<FakeHost*> LiveHosts() const;
-  FakeHost* DeciderHost() const;
+  FakeHost* LeaderHost() const;
   // The target that hosts with a lease would send to; empty when there is none.
   TargetId OwnerOf(const Unit& unit) const;
   std::vector<Unit> Units() const;
--- a/tests/core/control/decider_loss_test.cc
+++ b/tests/core/control/leader_loss_test.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 TEST_CASE(
-    "a lost decider must be replaced, and never decide beside its "
+    "a lost leader must be replaced, and never decide beside its "
     "successor") {
   for (const int hosts : {3, 5}) {
     for (const bool log_up : {true, false}) {
@@ -35,12 +35,12 @@
       SUBCASE(name.c_str()) {
         Fleet fleet;
         REQUIRE(fleet.StartFleet(hosts));
-        const std::string old = fleet.DeciderHost()->info.peer_address;
+        const std::string old = fleet.LeaderHost()->info.peer_address;
         fleet.log.available = log_up;
         fleet.RunFor(milliseconds(500));
         const auto replaced = [&] {
-          const FakeHost* decider = fleet.DeciderHost();
-          return decider != nullptr && decider->info.peer_address != old &&
+          const FakeHost* leader = fleet.LeaderHost();
+          return leader != nullptr && leader->info.peer_address != old &&
                  fleet.IsServing();
         };
 
@@ -52,7 +52,7 @@
 
           SUBCASE("and its successor as well") {
             if (hosts == 5) {
-              fleet.Kill(fleet.DeciderHost()->info.peer_address);
+              fleet.Kill(fleet.LeaderHost()->info.peer_address);
               CHECK(fleet.RunUntil([&] { return fleet.IsServing(); },
                                    seconds(5)));
             }
@@ -73,8 +73,8 @@
           fleet.Isolate(old, OtherAddresses(fleet, old));
           CHECK(fleet.RunUntil(
               [&] {
-                const FakeHost* decider = fleet.DeciderHost();
-                return decider != nullptr && decider->info.peer_address != old;
+                const FakeHost* leader = fleet.LeaderHost();
+                return leader != nullptr && leader->info.peer_address != old;
               },
               seconds(5)));
           CHECK_FALSE(fleet.HasLease(fleet.Host(old)));
@@ -91,7 +91,7 @@
           CHECK_FALSE(fleet.HasLease(fleet.Host(other)));
           fleet.Kill("t1");
           fleet.RunFor(seconds(2));
-          CHECK(fleet.DeciderHost()->info.peer_address == old);
+          CHECK(fleet.LeaderHost()->info.peer_address == old);
           fleet.HealLinks();
           CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(5)));
         }
@@ -101,20 +101,19 @@
   }
 }
 
-TEST_CASE("a host that is cut off from the decider alone must not depose it") {
+TEST_CASE("a host that is cut off from the leader alone must not depose it") {
   Fleet fleet;
   REQUIRE(fleet.StartFleet(5));
-  const HostId decider = fleet.DeciderHost()->info.id;
-  const std::string address = fleet.DeciderHost()->info.peer_address;
+  const HostId leader = fleet.LeaderHost()->info.id;
+  const std::string address = fleet.LeaderHost()->info.peer_address;
   const std::string other = OtherAddresses(fleet, address).front();
   const Ballot before =
-      fleet.DeciderHost()->controller->replica().directive().ballot;
+      fleet.LeaderHost()->controller->replica().directive().ballot;
   fleet.Cut(other, address);
   fleet.RunFor(seconds(10));
-  REQUIRE(fleet.DeciderHost() != nullptr);
-  CHECK(fleet.DeciderHost()->info.id == decider);
-  CHECK(fleet.DeciderHost()->controller->replica().directive().ballot ==
-        before);
+  REQUIRE(fleet.LeaderHost() != nullptr);
+  CHECK(fleet.LeaderHost()->info.id == leader);
+  CHECK(fleet.LeaderHost()->controller->replica().directive().ballot == before);
   fleet.HealLinks();
   CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(3)));
   CHECK(fleet.Breaches() == "");
@@ -129,7 +128,7 @@
   const Unit unit = fleet.UnitsOf(owner).front();
   const Fence fence = fleet.LastRun(unit)->fence;
   const std::string paused =
-      OtherAddresses(fleet, fleet.DeciderHost()->info.peer_address).front();
+      OtherAddresses(fleet, fleet.LeaderHost()->info.peer_address).front();
 
   fleet.Pause(paused);
   fleet.Target("t1").health = TargetHealth::kDraining;
--- a/tests/core/control/log_outage_test.cc
+++ b/tests/core/control/log_outage_test.cc
@@ -51,7 +51,7 @@
 
 }  // namespace
 
-TEST_CASE("decisions of a log outage must survive the loss of the decider") {
+TEST_CASE("decisions of a log outage must survive the loss of the leader") {
   Fleet fleet;
   REQUIRE(fleet.StartFleet(5));
   fleet.log.available = false;
@@ -83,9 +83,9 @@
       }
     }
 
-    SUBCASE("the decider is lost as well") {
-      fleet.Kill(fleet.DeciderHost()->info.peer_address);
-      CHECK(fleet.RunUntil([&] { return fleet.DeciderHost() != nullptr; },
+    SUBCASE("the leader is lost as well") {
+      fleet.Kill(fleet.LeaderHost()->info.peer_address);
+      CHECK(fleet.RunUntil([&] { return fleet.LeaderHost() != nullptr; },
                            seconds(3)));
       CHECK(fleet.RunUntil([&] { return IsServedWithout(fleet, lost); },
                            seconds(3)));
@@ -153,13 +153,13 @@
 }
 
 TEST_CASE(
-    "a settle record of an earlier decider that lands late must not give "
+    "a settle record of an earlier leader that lands late must not give "
     "a unit a second owner") {
   Fleet fleet;
   REQUIRE(fleet.StartFleet(3));
-  const std::string old = fleet.DeciderHost()->info.peer_address;
+  const std::string old = fleet.LeaderHost()->info.peer_address;
   const HostId old_id = fleet.Host(old).info.id;
-  // The decider starts to drain two targets while nobody else hears of it.
+  // The leader starts to drain two targets while nobody else hears of it.
   for (const std::string other : {"h1", "h2", "h3"}) {
     if (other != old) {
       fleet.Cut(old, other);
@@ -171,7 +171,7 @@
 
   SUBCASE("it landed before the election") {
     fleet.RunFor(seconds(4));
-    CHECK(fleet.DeciderHost()->info.id != old_id);
+    CHECK(fleet.LeaderHost()->info.id != old_id);
   }
 
   SUBCASE("its append is delayed") {
@@ -192,13 +192,13 @@
       fleet.log.available = false;
       fleet.Kill(old);
       fleet.RunFor(seconds(3));
-      CHECK(fleet.DeciderHost()->info.id != old_id);
+      CHECK(fleet.LeaderHost()->info.id != old_id);
       fleet.ReleaseAppends();
       fleet.log.available = true;
       fleet.RunFor(seconds(2));
     }
   }
-  CHECK(fleet.RunUntil([&] { return fleet.DeciderHost() != nullptr; },
+  CHECK(fleet.RunUntil([&] { return fleet.LeaderHost() != nullptr; },
                        seconds(3)));
   fleet.RunFor(seconds(2));
   CHECK(fleet.UnitsOf(fleet.Target("t1").id).empty());
--- a/tests/core/control/membership_test.cc
+++ b/tests/core/control/membership_test.cc
@@ -39,7 +39,7 @@
 }
 
 const ControlState& StateOf(const Fleet& fleet) {
-  return fleet.DeciderHost()->controller->replica().state();
+  return fleet.LeaderHost()->controller->replica().state();
 }
 
 }  // namespace
@@ -51,15 +51,15 @@
     fleet.StartHost(it, {"h1"});
   }
   fleet.RunFor(seconds(5));
-  REQUIRE(fleet.DeciderHost() != nullptr);
+  REQUIRE(fleet.LeaderHost() != nullptr);
   CHECK(StateOf(fleet).members.size() == 9);
   CHECK(Voters(StateOf(fleet)).size() == 7);
   CHECK(fleet.IsServing());
 
   SUBCASE("a voter is lost and another host takes its vote") {
-    const std::string decider = fleet.DeciderHost()->info.peer_address;
+    const std::string leader = fleet.LeaderHost()->info.peer_address;
     for (const std::string it : {"h2", "h3"}) {
-      if (it != decider) {
+      if (it != leader) {
         fleet.Kill(it);
         fleet.RunFor(seconds(8));
         CHECK(Voters(StateOf(fleet)).size() == 7);
@@ -70,22 +70,22 @@
 
   SUBCASE("all but three hosts are lost one by one") {
     for (int n = 0; n < 6; ++n) {
-      const std::string decider = fleet.DeciderHost()->info.peer_address;
+      const std::string leader = fleet.LeaderHost()->info.peer_address;
       const std::vector<FakeHost*> live = fleet.LiveHosts();
       const auto it = std::find_if(live.begin(), live.end(), [&](auto* host) {
-        return host->info.peer_address != decider;
+        return host->info.peer_address != leader;
       });
       fleet.Kill((*it)->info.peer_address);
       fleet.RunFor(seconds(8));
-      REQUIRE(fleet.DeciderHost() != nullptr);
+      REQUIRE(fleet.LeaderHost() != nullptr);
       CHECK(fleet.IsServing());
     }
     CHECK(Voters(StateOf(fleet)).size() == 3);
   }
 
   SUBCASE("an evicted host returns") {
-    const std::string decider = fleet.DeciderHost()->info.peer_address;
-    const std::string cut = decider == "h5" ? "h4" : "h5";
+    const std::string leader = fleet.LeaderHost()->info.peer_address;
+    const std::string cut = leader == "h5" ? "h4" : "h5";
     for (const FakeHost* host : fleet.LiveHosts()) {
       if (host->info.peer_address != cut) {
         fleet.Cut(cut, host->info.peer_address);
@@ -101,19 +101,19 @@
     CHECK(fleet.IsServing());
   }
 
-  SUBCASE("the decider's host stops as planned") {
-    const std::string decider = fleet.DeciderHost()->info.peer_address;
-    const HostId id = fleet.Host(decider).info.id;
-    fleet.Stop(decider);
+  SUBCASE("the leader's host stops as planned") {
+    const std::string leader = fleet.LeaderHost()->info.peer_address;
+    const HostId id = fleet.Host(leader).info.id;
+    fleet.Stop(leader);
     const auto taken = fleet.RunUntil(
         [&] {
-          const FakeHost* now = fleet.DeciderHost();
+          const FakeHost* now = fleet.LeaderHost();
           return now != nullptr && now->info.id != id;
         },
         seconds(3));
     REQUIRE(taken.has_value());
     CHECK(*taken <= milliseconds(600));
-    fleet.Kill(decider);
+    fleet.Kill(leader);
     fleet.RunFor(seconds(3));
     CHECK_FALSE(StateOf(fleet).members.contains(id));
     CHECK(Voters(StateOf(fleet)).size() == 7);
@@ -142,24 +142,24 @@
   CHECK(fleet.log.entries.size() == joins);
 }
 
-TEST_CASE("hosts that campaign at once must end with one decider") {
+TEST_CASE("hosts that campaign at once must end with one leader") {
   for (const int delay_ms : {1, 20, 60}) {
     SUBCASE(std::to_string(delay_ms).c_str()) {
       Fleet fleet;
       REQUIRE(fleet.StartFleet(5));
       fleet.link_delay = milliseconds(delay_ms);
       fleet.RunFor(seconds(1));
-      const std::string decider = fleet.DeciderHost()->info.peer_address;
-      // Host n waits n steps of 150 ms longer, so losing the decider earlier
+      const std::string leader = fleet.LeaderHost()->info.peer_address;
+      // Host n waits n steps of 150 ms longer, so losing the leader earlier
       // by as much makes them campaign together.
       const std::vector<std::string> order = {"h5", "h4", "h3", "h2", "h1"};
       for (const std::string& it : order) {
-        if (it != decider) {
-          fleet.Cut(it, decider);
+        if (it != leader) {
+          fleet.Cut(it, leader);
         }
         fleet.RunFor(milliseconds(150));
       }
-      fleet.Kill(decider);
+      fleet.Kill(leader);
       CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(6)));
       fleet.RunFor(seconds(10));
       CHECK(fleet.IsServing());
--- a/tests/core/control/owner_loss_test.cc
+++ b/tests/core/control/owner_loss_test.cc
@@ -95,7 +95,7 @@
 }
 
 TEST_CASE(
-    "requests that are stuck in sending on the decider's host must not "
+    "requests that are stuck in sending on the leader's host must not "
     "keep a lost owner's units unserved") {
   Fleet fleet;
   REQUIRE(fleet.StartFleet(3));
@@ -103,7 +103,7 @@
   const std::vector<Unit> units = fleet.UnitsOf(lost);
   REQUIRE_FALSE(units.empty());
   fleet.work_time = seconds(20);
-  fleet.stuck_sending.insert(fleet.DeciderHost()->info.peer_address);
+  fleet.stuck_sending.insert(fleet.LeaderHost()->info.peer_address);
   fleet.RunFor(milliseconds(100));
   fleet.stuck_sending.clear();
   fleet.work_time = milliseconds(2);
--- a/tests/core/control/planned_move_test.cc
+++ b/tests/core/control/planned_move_test.cc
@@ -107,7 +107,7 @@
   const Unit unit = fleet.UnitsOf(id).front();
   const Fence fence = fleet.LastRun(unit)->fence;
   FakeHost& other =
-      fleet.Host(fleet.DeciderHost()->info.peer_address == "h3" ? "h2" : "h3");
+      fleet.Host(fleet.LeaderHost()->info.peer_address == "h3" ? "h2" : "h3");
   const auto has_owner = [&] {
     return other.snapshot->services.at(unit.service)
                .shards.at(unit.number)
@@ -154,13 +154,13 @@
   const TargetId id = fleet.Target("t1").id;
   const Unit unit = fleet.UnitsOf(id).front();
   const Fence fence = fleet.LastRun(unit)->fence;
-  FakeHost& decider = *fleet.DeciderHost();
-  FakeHost& other = fleet.Host(decider.info.peer_address == "h3" ? "h2" : "h3");
+  FakeHost& leader = *fleet.LeaderHost();
+  FakeHost& other = fleet.Host(leader.info.peer_address == "h3" ? "h2" : "h3");
   fleet.SetHostList({"h1", "h2", "h3", "-t1"});
-  // The move starts right after the target was cut off from the decider, and
+  // The move starts right after the target was cut off from the leader, and
   // another host has passed its lease check long before it sends.
   fleet.OnNextHostList([&] {
-    fleet.Cut(decider.info.peer_address, "t1");
+    fleet.Cut(leader.info.peer_address, "t1");
     fleet.Pause(other.info.peer_address);
   });
   fleet.RunFor(milliseconds(500));
@@ -178,14 +178,14 @@
   fleet.SetHostList({"h1", "h2", "h3", "t1", "t2", "t3", "u1", "u2", "u3"});
   fleet.RunFor(seconds(1));
   const size_t moves = CountMoves(fleet);
-  const std::string decider = fleet.DeciderHost()->info.peer_address;
-  const std::string other = decider == "h3" ? "h2" : "h3";
+  const std::string leader = fleet.LeaderHost()->info.peer_address;
+  const std::string other = leader == "h3" ? "h2" : "h3";
 
-  SUBCASE("one host that is not the decider is cut off from targets") {
+  SUBCASE("one host that is not the leader is cut off from targets") {
     fleet.Isolate(other, {"u1", "t1"});
   }
-  SUBCASE("the decider is cut off from a target that checks no fences") {
-    fleet.Isolate(decider, {"u1"});
+  SUBCASE("the leader is cut off from a target that checks no fences") {
+    fleet.Isolate(leader, {"u1"});
   }
   SUBCASE("the host list omits targets") {
     fleet.SetHostList({"h1", "h2", "h3"});
--- a/tests/core/control/reform_test.cc
+++ b/tests/core/control/reform_test.cc
@@ -102,14 +102,14 @@
   fleet.log.available = false;
   fleet.RunFor(seconds(1));
   for (int n = 0; n < 4; ++n) {
-    const std::string decider = fleet.DeciderHost()->info.peer_address;
-    fleet.Pause(decider);
+    const std::string leader = fleet.LeaderHost()->info.peer_address;
+    fleet.Pause(leader);
     fleet.RunFor(seconds(3));
-    fleet.Resume(decider);
+    fleet.Resume(leader);
     fleet.RunFor(seconds(3));
-    REQUIRE(fleet.DeciderHost() != nullptr);
+    REQUIRE(fleet.LeaderHost() != nullptr);
   }
-  fleet.Kill(fleet.DeciderHost()->info.peer_address);
+  fleet.Kill(fleet.LeaderHost()->info.peer_address);
   fleet.Kill(fleet.LiveHosts().front()->info.peer_address);
   fleet.SetHostList({fleet.LiveHosts().front()->info.peer_address});
   fleet.log.available = true;
@@ -153,12 +153,12 @@
 }
 
 TEST_CASE(
-    "a sole voter that was paused while others replaced it must not take "
-    "up its office again") {
+    "a sole voter that was paused while others replaced it must not lead "
+    "again") {
   Fleet fleet;
   REQUIRE(fleet.StartFleet(2));
   REQUIRE(Voters(fleet.Host("h1").controller->replica().state()).size() == 1);
-  const std::string voter = fleet.DeciderHost()->info.peer_address;
+  const std::string voter = fleet.LeaderHost()->info.peer_address;
   const std::string other = voter == "h1" ? "h2" : "h1";
   fleet.SetHostList({"h1", "h2"});
   fleet.RunFor(seconds(1));
--- a/tests/core/control/retention_test.cc
+++ b/tests/core/control/retention_test.cc
@@ -31,7 +31,7 @@
   const ControlState& y = fleet.Host(b).controller->replica().state();
   return x.next == y.next && x.members == y.members &&
          x.assignments == y.assignments && x.founded == y.founded &&
-         x.last_decider == y.last_decider && x.ballot == y.ballot &&
+         x.last_leader_record == y.last_leader_record && x.ballot == y.ballot &&
          x.config_version == y.config_version;
 }
 
@@ -49,14 +49,14 @@
     SUBCASE("and the host starts at that moment") {
       fleet.StartHost("h4");
     }
-    SUBCASE("and the host starts when the decider has written a checkpoint") {
+    SUBCASE("and the host starts when the leader has written a checkpoint") {
       fleet.RunFor(seconds(1));
       CHECK(CountCheckpoints(fleet) == 1);
       fleet.StartHost("h4");
     }
-    SUBCASE("and the decider cannot reach the log for a while") {
-      const std::string decider = fleet.DeciderHost()->info.peer_address;
-      fleet.Cut(decider, "log");
+    SUBCASE("and the leader cannot reach the log for a while") {
+      const std::string leader = fleet.LeaderHost()->info.peer_address;
+      fleet.Cut(leader, "log");
       fleet.StartHost("h4", {"h1", "h2"});
       fleet.RunFor(seconds(2));
       CHECK(fleet.Host("h4").controller->replica().state().founded ==
@@ -88,7 +88,7 @@
   CHECK(fleet.Breaches() == "");
 }
 
-TEST_CASE("a void checkpoint of a replaced decider must not be used") {
+TEST_CASE("a void checkpoint of a replaced leader must not be used") {
   std::vector<LogEntry> entries;
   ControlState state;
   const auto add = [&](const HostId& author, const Ballot& ballot,
@@ -103,14 +103,14 @@
   };
   add("a", {}, 0, JoinRecord{{.id = "a", .peer_address = "a"}});
   const Ballot first{state.ballot.number + 1, "a"};
-  REQUIRE(add("a", first, state.last_decider, TermRecord{}) ==
+  REQUIRE(add("a", first, state.last_leader_record, TermRecord{}) ==
           FoldResult::kApplied);
   const auto early = std::make_shared<const ControlState>(state);
   const Ballot second{first.number + 1, "b"};
-  const Offset first_term = state.last_decider;
+  const Offset first_term = state.last_leader_record;
   REQUIRE(add("b", second, first_term, TermRecord{}) == FoldResult::kApplied);
   const Unit unit{"callboard", 1};
-  add("b", second, state.last_decider,
+  add("b", second, state.last_leader_record,
       SettleRecord{{{unit, {"callboard/t2", state.next_fence + 5}}}});
 
   SUBCASE("it is the last record") {
@@ -120,14 +120,14 @@
   SUBCASE("it is followed by records of its successor") {
     REQUIRE(add("a", first, first_term, CheckpointRecord{early}) ==
             FoldResult::kStale);
-    add("b", second, state.last_decider,
+    add("b", second, state.last_leader_record,
         SettleRecord{{{unit, {"callboard/t3", state.next_fence + 5}}}});
   }
   SUBCASE("a valid one precedes it, and a join lies between") {
     const auto whole = std::make_shared<const ControlState>(state);
     add("c", {}, 0, JoinRecord{{.id = "c", .peer_address = "c"}});
-    REQUIRE(add("b", second, state.last_decider, CheckpointRecord{whole}) ==
-            FoldResult::kApplied);
+    REQUIRE(add("b", second, state.last_leader_record,
+                CheckpointRecord{whole}) == FoldResult::kApplied);
     add("a", first, first_term, CheckpointRecord{early});
   }
 
@@ -143,7 +143,7 @@
   CHECK(replica.state().ballot == second);
   CHECK(replica.state().assignments == state.assignments);
   CHECK(replica.state().members == state.members);
-  CHECK(replica.state().last_decider == state.last_decider);
+  CHECK(replica.state().last_leader_record == state.last_leader_record);
   CHECK(replica.state().next == state.next);
 }
 
@@ -158,11 +158,11 @@
   CHECK_FALSE(
       fleet.Host("h1").controller->replica().state().members.contains(learner));
 
-  SUBCASE("an owner and then the decider are lost while it serves") {
+  SUBCASE("an owner and then the leader are lost while it serves") {
     fleet.Kill("u1");
     fleet.RunFor(seconds(2));
     CHECK(fleet.IsServing());
-    fleet.Kill(fleet.DeciderHost()->info.peer_address);
+    fleet.Kill(fleet.LeaderHost()->info.peer_address);
     fleet.Kill("u2");
     CHECK(fleet.RunUntil([&] { return fleet.IsServing(); }, seconds(5)));
   }
--- a/tests/docs/operations_test.cc
+++ b/tests/docs/operations_test.cc
@@ -70,7 +70,7 @@
   const std::string page = support::ReadSource("docs/glossary.md");
   for (const char* word :
        {"host, entry host", "failure domain", "caller", "target", "unit",
-        "fence", "grant", "directive", "decider", "serving lease", "ballot",
+        "fence", "grant", "directive", "leader", "serving lease", "ballot",
         "shard", "settle", "reform", "poison request"}) {
     CHECK_MESSAGE(absl::StrContains(page, absl::StrCat("\n| ", word, " | ")),
                   word);
--- a/tests/observe/ownership_watch_test.cc
+++ b/tests/observe/ownership_watch_test.cc
@@ -76,7 +76,7 @@
     watch.Observe(fleet.replica, false);
     REQUIRE(decided.size() == 3);
     CHECK(decided[0] ==
-          "host a is the decider, ballot 2 (its directive was "
+          "host a is the leader, ballot 2 (its directive was "
           "received)");
     CHECK(decided[1] == "target s/t1 lost (directive 1 of host a)");
     CHECK(decided[2] ==
@@ -112,7 +112,7 @@
           "unit s/shard-0 is served by s/t2, fence 12 (its "
           "owner was lost, directive 1 of host a)");
   }
-  SUBCASE("the decider counts the change and leaves reporting to the core") {
+  SUBCASE("the leader counts the change and leaves reporting to the core") {
     fleet.Direct({Move(MovePhase::kActive)});
     watch.Observe(fleet.replica, true);
     CHECK(decided.empty());
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -290,20 +290,20 @@
 }
 
 // Waits until one of the hosts says that it decides.
-size_t Fleet::Decider(const std::vector<size_t>& asked) {
-  size_t decider = 0;
-  WaitUntil("a decider", [&] {
+size_t Fleet::Leader(const std::vector<size_t>& asked) {
+  size_t leader = 0;
+  WaitUntil("a leader", [&] {
     for (const size_t n : asked) {
       const Json::Value status = Status(n);
-      if (status.isObject() && status["is_decider"].asBool() &&
+      if (status.isObject() && status["is_leader"].asBool() &&
           status["has_lease"].asBool()) {
-        decider = n;
+        leader = n;
         return true;
       }
     }
     return false;
   });
-  return decider;
+  return leader;
 }
 
 std::vector<size_t> Fleet::HostsBut(size_t n) const {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -76,7 +76,7 @@
   void WaitUntilReady(const std::vector<size_t>& hosts);
   Json::Value Status(size_t n);
   std::string Metrics(size_t n);
-  size_t Decider(const std::vector<size_t>& asked);
+  size_t Leader(const std::vector<size_t>& asked);
   std::vector<size_t> HostsBut(size_t n) const;
 
   TargetProcess& target(size_t n) { return targets_.at(n); }
--- a/tests/process/host_loss_test.cc
+++ b/tests/process/host_loss_test.cc
@@ -18,16 +18,16 @@
 void FreezeEntryHost(bool checks_fences) {
   Fleet fleet({.checks_fences = checks_fences});
   fleet.PublishAndWait();
-  const size_t decider = fleet.Decider({0, 1, 2});
-  const size_t frozen = fleet.HostsBut(decider).front();
+  const size_t leader = fleet.Leader({0, 1, 2});
+  const size_t frozen = fleet.HostsBut(leader).front();
   Load load(fleet);
   load.WaitForAnswers(frozen, 50);
-  const std::string owner = fleet.OwnerOf(decider, kKey);
+  const std::string owner = fleet.OwnerOf(leader, kKey);
 
   fleet.host(frozen).process->Send(SIGSTOP);
   fleet.SetTargetFault(fleet.TargetNamed(owner), "status=draining");
   WaitUntil("a move of " + std::string(kKey),
-            [&] { return fleet.OwnerOf(decider, kKey) != owner; });
+            [&] { return fleet.OwnerOf(leader, kKey) != owner; });
   fleet.host(frozen).process->Send(SIGCONT);
   WaitForAnswersThrough(load, {0, 1, 2});
   CheckAgainstJournals(fleet, load.Stop(), {.checks_fences = checks_fences});
@@ -44,37 +44,37 @@
   }
 }
 
-TEST_CASE("a lost decider leaves no move half done") {
+TEST_CASE("a lost leader leaves no move half done") {
   Fleet fleet({});
   fleet.PublishAndWait();
-  const size_t decider = fleet.Decider({0, 1, 2});
-  const std::vector<size_t> others = fleet.HostsBut(decider);
+  const size_t leader = fleet.Leader({0, 1, 2});
+  const std::vector<size_t> others = fleet.HostsBut(leader);
   Load load(fleet);
-  load.WaitForAnswers(decider, 50);
+  load.WaitForAnswers(leader, 50);
 
-  SUBCASE("the decider is killed while the units of a frozen owner move") {
-    const std::string owner = fleet.OwnerOf(decider, kKey);
+  SUBCASE("the leader is killed while the units of a frozen owner move") {
+    const std::string owner = fleet.OwnerOf(leader, kKey);
     fleet.target(fleet.TargetNamed(owner)).process->Send(SIGSTOP);
     WaitUntil("a move under way", [&] {
-      return fleet.Status(decider)["moves_under_way"].asUInt64() > 0;
+      return fleet.Status(leader)["moves_under_way"].asUInt64() > 0;
     });
-    fleet.host(decider).process->Kill();
-    fleet.Decider(others);
+    fleet.host(leader).process->Kill();
+    fleet.Leader(others);
     WaitForAnswersThrough(load, others);
     CHECK(fleet.OwnerOf(others[0], kKey) != owner);
     WaitUntil("the end of all moves", [&] {
       return fleet.Status(others[0])["moves_under_way"].asUInt64() == 0;
     });
   }
-  SUBCASE("the decider freezes, another is elected, and it resumes") {
-    fleet.host(decider).process->Send(SIGSTOP);
-    const size_t successor = fleet.Decider(others);
+  SUBCASE("the leader freezes, another is elected, and it resumes") {
+    fleet.host(leader).process->Send(SIGSTOP);
+    const size_t successor = fleet.Leader(others);
     std::this_thread::sleep_for(kFreeze);
-    fleet.host(decider).process->Send(SIGCONT);
-    WaitUntil("the resumed decider knows its successor", [&] {
-      const Json::Value status = fleet.Status(decider);
-      return status.isObject() && !status["is_decider"].asBool() &&
-             status["decider"] == fleet.Status(successor)["host"];
+    fleet.host(leader).process->Send(SIGCONT);
+    WaitUntil("the resumed leader knows its successor", [&] {
+      const Json::Value status = fleet.Status(leader);
+      return status.isObject() && !status["is_leader"].asBool() &&
+             status["leader"] == fleet.Status(successor)["host"];
     });
     WaitForAnswersThrough(load, {0, 1, 2});
   }
@@ -84,13 +84,13 @@
 TEST_CASE("a planned stop cuts no request") {
   Fleet fleet({});
   fleet.PublishAndWait();
-  const size_t decider = fleet.Decider({0, 1, 2});
+  const size_t leader = fleet.Leader({0, 1, 2});
   Load load(fleet, {.threads_per_host = 4, .work = kFreeze / 25});
-  size_t stopped = decider;
+  size_t stopped = leader;
   SUBCASE("of an entry host") {
-    stopped = fleet.HostsBut(decider).front();
+    stopped = fleet.HostsBut(leader).front();
   }
-  SUBCASE("of the decider") {}
+  SUBCASE("of the leader") {}
   load.WaitForAnswers(stopped, 20);
 
   fleet.host(stopped).process->Send(SIGTERM);
--- a/tests/process/log_outage_test.cc
+++ b/tests/process/log_outage_test.cc
@@ -33,8 +33,8 @@
 TEST_CASE("losses during a log outage leave no key without an owner") {
   Fleet fleet({});
   fleet.PublishAndWait();
-  const size_t decider = fleet.Decider({0, 1, 2});
-  const std::vector<size_t> others = fleet.HostsBut(decider);
+  const size_t leader = fleet.Leader({0, 1, 2});
+  const std::vector<size_t> others = fleet.HostsBut(leader);
   Load load(fleet);
   load.WaitForAnswers(0, 50);
 
@@ -44,11 +44,11 @@
     KillOwnerAndWait(fleet, others[0]);
     load.WaitForAnswers(others[0], 100);
   }
-  SUBCASE("the decider and then an owner are lost while the log is down") {
+  SUBCASE("the leader and then an owner are lost while the log is down") {
     fleet.SetLogFault("down=1");
     WaitForLogOutage(fleet, others[0]);
-    fleet.host(decider).process->Kill();
-    fleet.Decider(others);
+    fleet.host(leader).process->Kill();
+    fleet.Leader(others);
     KillOwnerAndWait(fleet, others[0]);
     load.WaitForAnswers(others[0], 100);
   }
@@ -93,7 +93,7 @@
   fleet.PublishAndWait();
   Load load(fleet);
   load.WaitForAnswers(0, 50);
-  // The decider writes a checkpoint every 1,000 records; retention keeps more
+  // The leader writes a checkpoint every 1,000 records; retention keeps more
   // than that, and passes the records that the fleet started with.
   fleet.SetLogFault("retain=1200");
   for (int n = 0; n < 2'600; ++n) {
--- a/tests/process/partition_test.cc
+++ b/tests/process/partition_test.cc
@@ -3,7 +3,7 @@
 namespace toucandock::process {
 namespace {
 
-// Long enough for the host that lost the decider to stand for election.
+// Long enough for the host that lost the leader to stand for election.
 constexpr std::chrono::milliseconds kCut{2'500};
 
 }  // namespace
@@ -11,17 +11,17 @@
 TEST_CASE("a cut between two entry hosts gives no key two owners") {
   Fleet fleet({.relays = true});
   fleet.PublishAndWait();
-  const size_t decider = fleet.Decider({0, 1, 2});
-  const size_t cut_off = fleet.HostsBut(decider)[0];
-  const size_t third = fleet.HostsBut(decider)[1];
+  const size_t leader = fleet.Leader({0, 1, 2});
+  const size_t cut_off = fleet.HostsBut(leader)[0];
+  const size_t third = fleet.HostsBut(leader)[1];
   Load load(fleet, {.deadline = std::chrono::milliseconds(1'000)});
   load.WaitForAnswers(cut_off, 50);
 
   const auto cut = [&](const std::string& mode) {
-    fleet.Cut(decider, cut_off, mode);
+    fleet.Cut(leader, cut_off, mode);
     WaitUntil("one of the two hosts has no lease", [&] {
       return !fleet.Status(cut_off)["has_lease"].asBool() ||
-             !fleet.Status(decider)["has_lease"].asBool();
+             !fleet.Status(leader)["has_lease"].asBool();
     });
     std::this_thread::sleep_for(kCut);
     // Whichever of the two decides, the third reaches it.
@@ -35,7 +35,7 @@
     cut("hold");
   }
   SUBCASE("an owner is lost during the cut") {
-    fleet.Cut(decider, cut_off, "drop");
+    fleet.Cut(leader, cut_off, "drop");
     const std::string owner = fleet.OwnerOf(third, "key-1");
     fleet.target(fleet.TargetNamed(owner)).process->Kill();
     WaitUntil("a successor of " + owner,
@@ -43,7 +43,7 @@
     fleet.Heal();
   }
   fleet.WaitUntilReady({0, 1, 2});
-  for (const size_t n : {decider, cut_off, third}) {
+  for (const size_t n : {leader, cut_off, third}) {
     load.WaitForAnswers(n, 100);
   }
   CheckAgainstJournals(fleet, load.Stop());
--- a/tests/replay/replay_test.cc
+++ b/tests/replay/replay_test.cc
@@ -52,13 +52,13 @@
 
 }  // namespace
 
-// A trace of a decider holds the ids that it drew: when the decider writes
+// A trace of a leader holds the ids that it drew: when the leader writes
 // other records than before, record it again (scripts/record-traces).
 TEST_CASE("a change of the core must not change the outcome of a known trace") {
   CHECK(ReplayFolder("tests/traces") >= 3);
 }
 
-TEST_CASE("a member must stand for election when its decider falls silent") {
+TEST_CASE("a member must stand for election when its leader falls silent") {
   CHECK(ReplayFolder("tests/traces/elections") == 1);
 }
 
@@ -84,7 +84,7 @@
   };
   const std::vector<Case> cases = {
       {"empty", "", "trace:1: the trace is empty"},
-      {"no options", "{\"type\":\"nudge\",\"at\":1}\n",
+      {"no options", "{\"type\":\"notify\",\"at\":1}\n",
        "trace:1: the first line must hold the options"},
       {"options twice", options + options,
        "trace:2: a second line with options"},
@@ -92,10 +92,11 @@
       {"no type", options + "{}", "trace:2: 'type' is not a string"},
       {"an unknown type", options + "{\"type\":\"x\"}",
        "trace:2: unknown line type 'x'"},
-      {"no time", options + "{\"type\":\"nudge\"}",
+      {"no time", options + "{\"type\":\"notify\"}",
        "trace:2: 'at' is not a number of nanoseconds"},
       {"time that goes back",
-       options + "{\"type\":\"nudge\",\"at\":2}\n{\"type\":\"nudge\",\"at\":1}",
+       options +
+           "{\"type\":\"notify\",\"at\":2}\n{\"type\":\"notify\",\"at\":1}",
        "trace:3: the time is before"},
       {"a misspelt outcome",
        options + "{\"type\":\"expect\",\"has_leese\":true}",
@@ -119,7 +120,7 @@
   const support::TemporaryFile file("");
   TraceWriter writer(file.path(), 100);
   const codec::TraceLine line =
-      codec::TracedEvent{core::TimePoint(), core::control::NudgeEvent{}};
+      codec::TracedEvent{core::TimePoint(), core::control::NotifyEvent{}};
   for (int n = 0; n < 20; ++n) {
     writer.Write(line);
   }
