Share the exchange of the fake fleet's three calls

Cause: renewals, votes and state requests repeated the same delivery. Change: one template; the path that tests ask for no longer looks like a folder of the machine.

--- a/bench/overhead_bench.cc
+++ b/bench/overhead_bench.cc
@@ -74,7 +74,7 @@
   Fleet fleet({.hosts = 1, .targets = 1});
   fleet.PublishAndWait();
   fleet.OwnerOf(0, "key-1");
-  const std::string through = absl::StrCat("/", Fleet::kService, "/work");
+  const std::string through = absl::StrCat("/", Fleet::kService, "/jobs");
   Figure median = {.name = "request through one entry host, median",
                    .unit = "ms",
                    .baseline_name = "direct"};
@@ -88,7 +88,7 @@
                  .baseline_name = "per core of the target, direct"};
   for (int n = 0; n < kRuns; ++n) {
     const std::vector<double> direct =
-        Latencies(fleet.client(), fleet.target(0).address, "/work");
+        Latencies(fleet.client(), fleet.target(0).address, "/jobs");
     const std::vector<double> relayed =
         Latencies(fleet.client(), fleet.host(0).caller_address, through);
     if (direct.empty() || relayed.empty()) {
@@ -101,7 +101,7 @@
     added.values.push_back(median.values.back() -
                            median.baseline_values.back());
     rate.baseline_values.push_back(PerCore(fleet.client(),
-                                           fleet.target(0).address, "/work",
+                                           fleet.target(0).address, "/jobs",
                                            *fleet.target(0).process));
     rate.values.push_back(PerCore(fleet.client(), fleet.host(0).caller_address,
                                   through, *fleet.host(0).process));
--- a/tests/core/control/controller_fixture.cc
+++ b/tests/core/control/controller_fixture.cc
@@ -430,13 +430,13 @@
 
 }  // namespace
 
-void Fleet::Call(const HostPtr& host, const SendRenewAction& action) {
-  const TimePoint sent_at = LocalNow(*host);
-  const auto answer =
-      Once<RenewReply>([this, host, action, sent_at](const auto& reply) {
-        Deliver(host, RenewReplyEvent{action.to.id, sent_at, reply});
-      });
-  const HostPtr to = HostAt(action.to.peer_address);
+template <typename ReplyAction, typename Reply>
+void Fleet::Exchange(const HostPtr& host,
+                     const std::string& address,
+                     const std::function<Event(std::uint64_t)>& make_request,
+                     std::function<void(std::optional<Reply>)> deliver) {
+  const auto answer = Once<Reply>(std::move(deliver));
+  const HostPtr to = HostAt(address);
   After(to ? kCallTimeout : link_delay, [answer] { answer(std::nullopt); });
   if (!to) {
     return;
@@ -447,53 +447,43 @@
     const std::uint64_t token = next_token_++;
     replies_[token] = [=, this](const Action& it) {
       Transmit(peer, from,
-               [answer, it] { answer(std::get<ReplyRenewAction>(it).reply); });
+               [answer, it] { answer(std::get<ReplyAction>(it).reply); });
     };
-    Deliver(to, RenewRequestEvent{token, action.request});
+    Deliver(to, make_request(token));
   });
 }
 
+void Fleet::Call(const HostPtr& host, const SendRenewAction& action) {
+  const TimePoint sent_at = LocalNow(*host);
+  Exchange<ReplyRenewAction, RenewReply>(
+      host, action.to.peer_address,
+      [action](std::uint64_t token) {
+        return RenewRequestEvent{token, action.request};
+      },
+      [this, host, action, sent_at](const auto& reply) {
+        Deliver(host, RenewReplyEvent{action.to.id, sent_at, reply});
+      });
+}
+
 void Fleet::Call(const HostPtr& host, const SendVoteAction& action) {
-  const auto answer = Once<VoteReply>([this, host, action](const auto& reply) {
-    Deliver(host, VoteReplyEvent{action.to.id, action.request.ballot, reply});
-  });
-  const HostPtr to = HostAt(action.to.peer_address);
-  After(to ? kCallTimeout : link_delay, [answer] { answer(std::nullopt); });
-  // A vote of another process at the address is not the voter's.
-  if (!to) {
-    return;
-  }
-  const std::string from = host->info.peer_address;
-  const std::string peer = to->info.peer_address;
-  Transmit(from, peer, [=, this] {
-    const std::uint64_t token = next_token_++;
-    replies_[token] = [=, this](const Action& it) {
-      Transmit(peer, from,
-               [answer, it] { answer(std::get<ReplyVoteAction>(it).reply); });
-    };
-    Deliver(to, VoteRequestEvent{token, action.request});
-  });
+  Exchange<ReplyVoteAction, VoteReply>(
+      host, action.to.peer_address,
+      [action](std::uint64_t token) {
+        return VoteRequestEvent{token, action.request};
+      },
+      [this, host, action](const auto& reply) {
+        Deliver(host,
+                VoteReplyEvent{action.to.id, action.request.ballot, reply});
+      });
 }
 
 void Fleet::Call(const HostPtr& host, const FetchStateAction& action) {
-  const auto answer = Once<StateReply>([this, host](const auto& reply) {
-    Deliver(host, StateReplyEvent{reply});
-  });
-  const HostPtr to = HostAt(action.from.peer_address);
-  After(to ? kCallTimeout : link_delay, [answer] { answer(std::nullopt); });
-  if (!to) {
-    return;
-  }
-  const std::string from = host->info.peer_address;
-  const std::string peer = to->info.peer_address;
-  Transmit(from, peer, [=, this] {
-    const std::uint64_t token = next_token_++;
-    replies_[token] = [=, this](const Action& it) {
-      Transmit(peer, from,
-               [answer, it] { answer(std::get<ReplyStateAction>(it).reply); });
-    };
-    Deliver(to, StateRequestEvent{token});
-  });
+  Exchange<ReplyStateAction, StateReply>(
+      host, action.from.peer_address,
+      [](std::uint64_t token) { return StateRequestEvent{token}; },
+      [this, host](const auto& reply) {
+        Deliver(host, StateReplyEvent{reply});
+      });
 }
 
 void Fleet::Contact(const HostPtr& host,
--- a/tests/core/control/controller_fixture.h
+++ b/tests/core/control/controller_fixture.h
@@ -185,6 +185,13 @@
   void Perform(const HostPtr& host, const Action& action);
   void Append(const HostPtr& host, const Record& record);
   void Store(const Record& record);
+  // Sends a request to the process at the address and delivers its reply, or
+  // nothing after a timeout.
+  template <typename ReplyAction, typename Reply>
+  void Exchange(const HostPtr& host,
+                const std::string& address,
+                const std::function<Event(std::uint64_t)>& make_request,
+                std::function<void(std::optional<Reply>)> deliver);
   void Call(const HostPtr& host, const SendRenewAction& action);
   void Call(const HostPtr& host, const SendVoteAction& action);
   void Call(const HostPtr& host, const FetchStateAction& action);
--- a/tests/process/load.cc
+++ b/tests/process/load.cc
@@ -51,7 +51,7 @@
                          .request_id = options.request_id};
   http::Request request = {
       .method = options.method,
-      .path = absl::StrCat("/", Fleet::kService, "/work"),
+      .path = absl::StrCat("/", Fleet::kService, "/jobs"),
       .query = options.query,
       .headers = {
           {"Toucandock-Key", options.key},
--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -14,7 +14,7 @@
   return fleet.client().Exchange(
       fleet.target(target).address,
       {.method = "POST",
-       .path = "/work",
+       .path = "/jobs",
        .headers = {{"Toucandock-Key", earlier.key},
                    {"Toucandock-Unit", earlier.unit},
                    {"Toucandock-Fence", std::to_string(earlier.fence)},
