--- a/tests/core/control/membership_test.cc
+++ b/tests/core/control/membership_test.cc
@@ -168,4 +168,42 @@
   }
 }
 
+TEST_CASE("requests must not wait for a lost host that cannot be evicted") {
+  Fleet fleet;
+  REQUIRE(fleet.StartFleet(3));
+  fleet.RunFor(seconds(3));
+  fleet.log.available = false;
+  const std::string leader = fleet.LeaderHost()->info.peer_address;
+  const std::string lost = leader == "h1" ? "h2" : "h1";
+  const HostId id = fleet.Host(lost).info.id;
+  // Whether every live host that may send counts on the host.
+  const auto is_counted_on = [&] {
+    const std::vector<FakeHost*> live = fleet.LiveHosts();
+    return std::all_of(live.begin(), live.end(), [&](const FakeHost* host) {
+      const auto& hosts = host->snapshot->hosts;
+      return std::any_of(hosts.begin(), hosts.end(),
+                         [&](const HostInfo& it) { return it.id == id; });
+    });
+  };
+  REQUIRE(is_counted_on());
+  fleet.Pause(lost);
+  fleet.RunFor(seconds(2));
+  CHECK_FALSE(is_counted_on());
+  CHECK(fleet.IsServing());
+
+  SUBCASE("it returns and is counted on after it learned of its absence") {
+    fleet.Resume(lost);
+    const auto took = fleet.RunUntil(is_counted_on, seconds(5));
+    REQUIRE(took);
+    CHECK(*took >= seconds(1));
+  }
+
+  SUBCASE("the leader is lost as well: its successor has no majority") {
+    fleet.Kill(leader);
+    fleet.RunFor(seconds(3));
+    CHECK_FALSE(fleet.IsServing());
+    CHECK(fleet.Breaches() == "");
+  }
+}
+
 }  // namespace toucandock::core::control::testing
