--- a/src/proxy/caller_front.cc
+++ b/src/proxy/caller_front.cc
@@ -20,9 +20,7 @@
 
 using core::ErrorKind;
 using core::Outcome;
-using core::detection::SignalKind;
 using core::request::AttemptResult;
-using core::request::AttemptStage;
 using core::request::Decision;
 using core::request::FinishResult;
 using core::request::NextStep;
