--- a/src/codec/json.cc
+++ b/src/codec/json.cc
@@ -46,6 +46,11 @@
   return Json::writeString(builder, value);
 }
 
+// The library has no constructor for the standard type.
+Json::Value Uint(std::uint64_t value) {
+  return Json::Value(static_cast<Json::UInt64>(value));
+}
+
 ObjectReader::ObjectReader(const Json::Value& object, absl::Status& status)
     : object_(object), status_(status) {
   if (!object.isObject()) {
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -16,6 +16,8 @@
 
 std::string WriteJson(const Json::Value& value);
 
+Json::Value Uint(std::uint64_t value);
+
 // Reads members of a JSON object and keeps the first error, so that a parse
 // function checks once at its end.
 class ObjectReader {
--- a/src/codec/message_json.cc
+++ b/src/codec/message_json.cc
@@ -26,10 +26,6 @@
 constexpr std::uint64_t kMaxKind =
     static_cast<std::uint64_t>(SignalKind::kTimeout);
 
-Json::Value Uint(std::uint64_t value) {
-  return Json::Value(static_cast<Json::UInt64>(value));
-}
-
 Json::Value Nanoseconds(core::Duration value) {
   return Json::Value(static_cast<Json::Int64>(value.count()));
 }
--- a/src/codec/record_json.cc
+++ b/src/codec/record_json.cc
@@ -16,10 +16,6 @@
 
 constexpr size_t kMaxRecordSize = 16 << 20;
 
-Json::Value Uint(std::uint64_t value) {
-  return Json::Value(static_cast<Json::UInt64>(value));
-}
-
 Json::Value AssignmentToJson(const Unit& unit, const Assignment& to) {
   Json::Value value = ToJson(unit);
   value["owner"] = to.owner;
