Move the HTTP server and client of toucandockd to Boost.Asio and Beast

Cause: two engines stood side by side. ulfius, libmicrohttpd and libcurl served only toucandockd and the stand-ins, and libulfius-dev could not be installed beside the other packages, so its headers were unpacked by hand. Change: src/http runs on Beast's synchronous functions, one thread for each connection as before; a drain takes the last connections before the listening socket closes and serves for 250 ms more, so that callers are told to close. ulfius, libmicrohttpd, libcurl and the unpacked headers go.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,14 +1,21 @@
 #include "http/client.h"
 
-#include <curl/curl.h>
+#include "net/socket.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <cerrno>
 #include <cstdint>
+#include <optional>
 #include <utility>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -16,88 +23,57 @@
 namespace toucandock::http {
 namespace {
 
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+using Parser = beast_http::response_parser<beast_http::string_body>;
+
 // Kept for each address without a limit of its own; more are closed after use.
 constexpr size_t kMaxIdle = 64;
 // Longest sleep of an exchange between two looks at its state.
-constexpr int kMaxPollMs = 1'000;
+constexpr milliseconds kMaxPoll{1'000};
+// Beast takes header values up to 64 KiB when an answer is passed on.
+constexpr std::uint32_t kMaxHeaderBytes = 60 << 10;
+constexpr size_t kReadBytes = 16 << 10;
 
 constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
+// "HTTP/1.1 200"
+constexpr size_t kStatusOffset = 9;
 constexpr size_t kStatusDigits = 3;
 
-struct Transfer {
-  const ExchangeOptions* options = nullptr;
-  // The status line of the final answer arrived.
-  bool status_seen = false;
-  bool body_seen = false;
-  // What was known before the library gave up, which may reset its counts.
-  Progress furthest = Progress::kNotConnected;
-  bool too_large = false;
-  Response response;
-};
-
-// The library repeats a request by itself when a kept connection breaks before
-// an answer, which hides that the request was sent and may run it twice. The
-// repetition needs another socket.
-curl_socket_t OnOpenSocket(void* user, curlsocktype, curl_sockaddr* address) {
-  long sent_bytes = 0;
-  curl_easy_getinfo(static_cast<CURL*>(user), CURLINFO_REQUEST_SIZE,
-                    &sent_bytes);
-  if (sent_bytes > 0) {
-    return CURL_SOCKET_BAD;
-  }
-  return socket(address->family, address->socktype | SOCK_CLOEXEC,
-                address->protocol);
-}
+enum class SocketState { kQuiet, kReadable, kClosed };
 
-size_t OnHeader(char* data, size_t size, size_t n, void* user) {
-  auto* transfer = static_cast<Transfer*>(user);
-  const absl::string_view line =
-      absl::StripAsciiWhitespace(absl::string_view(data, size * n));
-  if (transfer->body_seen) {
-    // Trailers are not passed on (RFC 9110, section 6.5.1).
-    return size * n;
-  }
-  if (absl::StartsWith(line, "HTTP/")) {
-    transfer->response.headers.clear();
-    // An interim answer (1xx) may come before the final one. It does not say
-    // that the target runs the request.
-    int status = 0;
-    const size_t space = line.find(' ');
-    transfer->status_seen =
-        space != absl::string_view::npos &&
-        absl::SimpleAtoi(line.substr(space + 1, kStatusDigits), &status) &&
-        status >= kFirstFinalStatus;
-    return size * n;
-  }
-  const size_t colon = line.find(':');
-  if (colon != absl::string_view::npos) {
-    transfer->response.headers.emplace_back(
-        line.substr(0, colon),
-        absl::StripAsciiWhitespace(line.substr(colon + 1)));
+// Looks at a connection without taking bytes from it.
+SocketState StateOf(int fd) {
+  char byte = 0;
+  const ssize_t n = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) {
+    return SocketState::kReadable;
   }
-  return size * n;
+  const bool no_news =
+      n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return no_news ? SocketState::kQuiet : SocketState::kClosed;
 }
 
-size_t OnBody(char* data, size_t size, size_t n, void* user) {
-  auto* transfer = static_cast<Transfer*>(user);
-  transfer->body_seen = true;
-  if (transfer->response.body.size() + size * n > transfer->options->max_body) {
-    transfer->too_large = true;
-    return 0;
-  }
-  transfer->response.body.append(data, size * n);
-  return size * n;
+// True when the buffer begins with the status of a final answer. The parser
+// tells the status only when it has seen all headers.
+bool BeginsWithFinalStatus(const boost::beast::flat_buffer& buffer) {
+  const auto data = buffer.cdata();
+  const absl::string_view text(static_cast<const char*>(data.data()),
+                               data.size());
+  int status = 0;
+  return absl::StartsWith(text, "HTTP/1.") &&
+         text.size() >= kStatusOffset + kStatusDigits &&
+         absl::SimpleAtoi(text.substr(kStatusOffset, kStatusDigits), &status) &&
+         status >= kFirstFinalStatus;
 }
 
 // Without a length or chunks, the end of the connection would be taken for the
 // end of the answer, so a cut answer could not be told from a whole one. The
-// library has checked that the last chunk arrived. It removes no other
-// transfer coding than chunks, and it accepts lengths that contradict each
-// other.
-bool IsWhole(const Request& request, const Response& response) {
-  if (response.status < kFirstFinalStatus) {
-    return false;
-  }
+// parser removes no other transfer coding than chunks.
+bool HasClearEnd(const Request& request, const Response& response) {
   if (request.method == "HEAD" || response.status == 204 ||
       response.status == 304) {
     return true;
@@ -111,244 +87,297 @@
       }
       is_chunked = true;
     } else if (absl::EqualsIgnoreCase(key, "Content-Length")) {
-      std::uint64_t length = 0;
-      if (!absl::SimpleAtoi(value, &length) ||
-          (length != response.body.size() && !is_chunked)) {
-        return false;
-      }
       has_length = true;
     }
   }
   return is_chunked || has_length;
 }
 
-enum class SocketState { kQuiet, kReadable, kClosed };
-
-// Looks at a connection without taking bytes from it.
-SocketState StateOf(int fd) {
-  char byte = 0;
-  const ssize_t n = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  if (n > 0) {
-    return SocketState::kReadable;
+std::string Serialize(const std::string& address, const Request& request) {
+  std::string text = absl::StrCat(request.method, " ", request.path,
+                                  request.query.empty() ? "" : "?",
+                                  request.query, " HTTP/1.1\r\n");
+  for (const auto& [key, value] : request.headers) {
+    absl::StrAppend(&text, key, ": ", value, "\r\n");
   }
-  const bool no_news =
-      n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-  return no_news ? SocketState::kQuiet : SocketState::kClosed;
-}
-
-Failure FailureOf(CURLcode code, Progress progress, const Transfer& transfer) {
-  if (transfer.too_large) {
-    return Failure::kTooLarge;
+  if (FindHeader(request.headers, "Host") == nullptr) {
+    absl::StrAppend(&text, "Host: ", address, "\r\n");
   }
-  switch (code) {
-    case CURLE_OK:
-      return Failure::kNone;
-    case CURLE_COULDNT_CONNECT:
-      return progress < Progress::kSending ? Failure::kRefused
-                                           : Failure::kBroken;
-    case CURLE_OPERATION_TIMEDOUT:
-      return Failure::kTimeout;
-    default:
-      return Failure::kBroken;
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT") {
+    absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
   }
+  absl::StrAppend(&text, "\r\n", request.body);
+  return text;
 }
 
 }  // namespace
 
-// One easy handle with the multi handle that drives it; the latter keeps the
-// connection and can be woken from other threads.
+// A connection with the state of the exchange that runs on it. Only Wake() may
+// be called from other threads.
 class Client::Connection {
  public:
-  Connection() : easy_(curl_easy_init()), multi_(curl_multi_init()) {}
+  Connection() : wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
 
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
   ~Connection() {
-    curl_easy_cleanup(easy_);
-    curl_multi_cleanup(multi_);
+    Close();
+    close(wake_fd_);
   }
 
-  void Wake() { curl_multi_wakeup(multi_); }
+  void Wake() const {
+    const std::uint64_t one = 1;
+    // Fails only when a wake-up is pending already.
+    (void)!write(wake_fd_, &one, sizeof(one));
+  }
 
-  bool is_open() const { return socket_ != CURL_SOCKET_BAD; }
+  bool is_open() const { return fd_ >= 0; }
 
   // Returns whether the kept connection is open and nothing arrived on it after
-  // the last answer. The library would take such bytes for the next answer.
-  bool IsQuiet() const { return StateOf(socket_) == SocketState::kQuiet; }
+  // the last answer, which would be taken for the next one.
+  bool IsQuiet() const { return StateOf(fd_) == SocketState::kQuiet; }
 
   ExchangeResult Run(const std::string& address,
                      const Request& request,
                      const ExchangeOptions& options,
                      const ByteCounter& count_bytes) {
-    Transfer transfer;
-    transfer.options = &options;
-    curl_slist* headers = SetUp(address, request, options, transfer);
-    curl_multi_add_handle(multi_, easy_);
-    Failure stopped = Failure::kNone;
-    const CURLcode code = Drive(request, options, transfer, stopped);
-    ExchangeResult result;
-    result.progress =
-        std::max(transfer.furthest, ProgressOf(request, transfer));
-    result.failure = stopped != Failure::kNone
-                         ? stopped
-                         : FailureOf(code, result.progress, transfer);
-    long status = 0;
-    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-    transfer.response.status = static_cast<int>(status);
-    socket_ = CURL_SOCKET_BAD;
-    if (code == CURLE_OK && IsWhole(request, transfer.response)) {
-      result.progress = Progress::kComplete;
-      curl_easy_getinfo(easy_, CURLINFO_ACTIVESOCKET, &socket_);
-    } else if (code == CURLE_OK) {
-      result.failure = Failure::kBroken;
-    }
+    request_ = &request;
+    options_ = &options;
+    result_ = {};
+    sent_bytes_ = 0;
+    received_bytes_ = 0;
+    watches_caller_ = options.caller_socket >= 0;
+    const Clock::time_point began = Clock::now();
+    deadline_ = began + std::max(milliseconds(1), options.timeout);
+    const bool whole =
+        (is_open() || Connect(address, began + options.connect_timeout)) &&
+        Exchange(Serialize(address, request));
     if (count_bytes) {
-      CountBytes(count_bytes);
+      count_bytes(sent_bytes_, received_bytes_);
+    }
+    if (whole) {
+      result_.progress = Progress::kComplete;
+    }
+    // The rest of an unfinished answer would be taken for the next one.
+    if (!whole || !keep_alive_ || buffer_.size() > 0) {
+      Close();
     }
-    // Also closes the connection when the exchange is unfinished.
-    curl_multi_remove_handle(multi_, easy_);
-    curl_slist_free_all(headers);
-    curl_easy_reset(easy_);
-    result.response = std::move(transfer.response);
-    return result;
+    return std::move(result_);
   }
 
  private:
-  curl_slist* SetUp(const std::string& address,
-                    const Request& request,
-                    const ExchangeOptions& options,
-                    Transfer& transfer) {
-    std::string url = absl::StrCat("http://", address, request.path);
-    if (!request.query.empty()) {
-      absl::StrAppend(&url, "?", request.query);
+  enum class ReadState { kOpen, kWhole, kFailed };
+
+  void Close() {
+    if (fd_ >= 0) {
+      close(fd_);
     }
-    curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
-    curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(options.connect_timeout.count()));
-    curl_easy_setopt(
-        easy_, CURLOPT_TIMEOUT_MS,
-        static_cast<long>(std::max<std::int64_t>(1, options.timeout.count())));
-    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
-    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, easy_);
-    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    if (request.method == "HEAD") {
-      curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    fd_ = -1;
+    buffer_.clear();
+  }
+
+  bool Fail(Failure failure) {
+    result_.failure = failure;
+    return false;
+  }
+
+  void Reach(Progress progress) {
+    result_.progress = std::max(result_.progress, progress);
+  }
+
+  bool Connect(const std::string& address, Clock::time_point until) {
+    const auto endpoint = net::ParseEndpoint(address);
+    if (!endpoint.ok()) {
+      return Fail(Failure::kRefused);
     }
-    if (!request.body.empty() || request.method == "POST" ||
-        request.method == "PUT") {
-      curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
-                       static_cast<curl_off_t>(request.body.size()));
-      curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request.body.data());
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (fd_ < 0) {
+      return Fail(Failure::kRefused);
     }
-    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &OnHeader);
-    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, &transfer);
-    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &OnBody);
-    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, &transfer);
-    // Waiting for an interim answer would add a round trip to each request.
-    curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-    if (FindHeader(request.headers, "Content-Type") == nullptr) {
-      headers = curl_slist_append(headers, "Content-Type:");
+    net::SetConnectionOptions(fd_);
+    if (connect(fd_, endpoint->data(),
+                static_cast<socklen_t>(endpoint->size())) == 0) {
+      return true;
     }
-    for (const auto& [key, value] : request.headers) {
-      // The library takes "key:" as an order to leave the header out.
-      const std::string line = value.empty() ? absl::StrCat(key, ";")
-                                             : absl::StrCat(key, ": ", value);
-      headers = curl_slist_append(headers, line.c_str());
+    if (errno != EINPROGRESS) {
+      return Fail(Failure::kRefused);
     }
-    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers);
-    return headers;
+    if (!WaitFor(POLLOUT, std::min(until, deadline_))) {
+      return false;
+    }
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
+    return error == 0 || Fail(Failure::kRefused);
   }
 
-  CURLcode Drive(const Request& request,
-                 const ExchangeOptions& options,
-                 Transfer& transfer,
-                 Failure& stopped) {
-    bool sent = !options.on_sent;
-    bool watches_caller = options.caller_socket >= 0;
-    curl_waitfd caller = {.fd = options.caller_socket,
-                          .events = CURL_WAIT_POLLIN};
-    int running = 1;
-    while (running != 0) {
-      if (options.is_cancelled && options.is_cancelled()) {
-        stopped = Failure::kCancelled;
-        return CURLE_ABORTED_BY_CALLBACK;
+  // Sends and receives at a time: a target may answer before it has read all.
+  bool Exchange(const std::string& text) {
+    Reach(Progress::kConnected);
+    NewParser();
+    bool may_send = true;
+    while (true) {
+      const bool sends = may_send && sent_bytes_ < text.size();
+      if (!WaitFor(static_cast<short>(sends ? POLLIN | POLLOUT : POLLIN),
+                   deadline_)) {
+        return false;
       }
-      if (watches_caller) {
-        const SocketState state = StateOf(caller.fd);
-        if (state == SocketState::kClosed) {
-          stopped = Failure::kCallerGone;
-          return CURLE_ABORTED_BY_CALLBACK;
-        }
-        // The socket stays readable, so waiting for it would spin.
-        watches_caller = state == SocketState::kQuiet;
+      if (sends) {
+        may_send = SendSome(text);
       }
-      if (curl_multi_perform(multi_, &running) != CURLM_OK) {
-        return CURLE_FAILED_INIT;
+      const ReadState state = ReadSome();
+      if (state == ReadState::kWhole) {
+        keep_alive_ = keep_alive_ && sent_bytes_ == text.size();
+        return true;
       }
-      transfer.furthest =
-          std::max(transfer.furthest, ProgressOf(request, transfer));
-      if (!sent && transfer.furthest >= Progress::kSent) {
-        sent = true;
-        options.on_sent();
+      if (state == ReadState::kFailed) {
+        return false;
       }
-      if (running != 0) {
-        curl_multi_poll(multi_, watches_caller ? &caller : nullptr,
-                        watches_caller ? 1 : 0, kMaxPollMs, nullptr);
+    }
+  }
+
+  // Returns false when the connection takes no more; the answer may be there.
+  bool SendSome(const std::string& text) {
+    const ssize_t n =
+        send(fd_, text.data() + sent_bytes_, text.size() - sent_bytes_,
+             MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n < 0) {
+      return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    }
+    sent_bytes_ += static_cast<size_t>(n);
+    Reach(sent_bytes_ < text.size() ? Progress::kSending : Progress::kSent);
+    if (sent_bytes_ == text.size() && options_->on_sent) {
+      options_->on_sent();
+    }
+    return true;
+  }
+
+  ReadState ReadSome() {
+    const auto space = buffer_.prepare(kReadBytes);
+    const ssize_t n = recv(fd_, space.data(), space.size(), MSG_DONTWAIT);
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+      return ReadState::kOpen;
+    }
+    if (n <= 0) {
+      Fail(Failure::kBroken);
+      return ReadState::kFailed;
+    }
+    buffer_.commit(static_cast<size_t>(n));
+    received_bytes_ += static_cast<size_t>(n);
+    return Parse();
+  }
+
+  ReadState Parse() {
+    while (buffer_.size() > 0) {
+      if (!has_headers_ && BeginsWithFinalStatus(buffer_)) {
+        Reach(Progress::kHeadersReceived);
+      }
+      error_code ec;
+      buffer_.consume(parser_->put(buffer_.data(), ec));
+      if (ec == beast_http::error::need_more) {
+        return ReadState::kOpen;
+      }
+      if (ec) {
+        Fail(ec == beast_http::error::body_limit ? Failure::kTooLarge
+                                                 : Failure::kBroken);
+        return ReadState::kFailed;
+      }
+      if (parser_->is_header_done() && !has_headers_ && !TakeHeaders()) {
+        return ReadState::kFailed;
+      }
+      if (parser_->is_done() && has_headers_) {
+        keep_alive_ = parser_->keep_alive();
+        result_.response.body = std::move(parser_->get().body());
+        return ReadState::kWhole;
+      }
+      if (parser_->is_done()) {
+        // An interim answer does not say that the target runs the request.
+        NewParser();
       }
     }
-    int left = 0;
-    const CURLMsg* message = curl_multi_info_read(multi_, &left);
-    return message == nullptr ? CURLE_FAILED_INIT : message->data.result;
+    return ReadState::kOpen;
   }
 
-  void CountBytes(const ByteCounter& count_bytes) {
-    long sent_head = 0;
-    long received_head = 0;
-    curl_off_t sent_body = 0;
-    curl_off_t received_body = 0;
-    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sent_head);
-    curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent_body);
-    curl_easy_getinfo(easy_, CURLINFO_HEADER_SIZE, &received_head);
-    curl_easy_getinfo(easy_, CURLINFO_SIZE_DOWNLOAD_T, &received_body);
-    count_bytes(static_cast<std::uint64_t>(sent_head + sent_body),
-                static_cast<std::uint64_t>(received_head + received_body));
+  void NewParser() {
+    has_headers_ = false;
+    keep_alive_ = false;
+    parser_.emplace();
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(options_->max_body);
+    parser_->skip(request_->method == "HEAD");
   }
 
-  Progress ProgressOf(const Request& request, const Transfer& transfer) {
-    if (transfer.status_seen) {
-      return Progress::kHeadersReceived;
+  // Copies the headers before the body is read: trailers are not passed on
+  // (RFC 9110, section 6.5.1).
+  bool TakeHeaders() {
+    const auto& head = parser_->get();
+    const int status = static_cast<int>(head.result_int());
+    if (status < kFirstFinalStatus) {
+      return status != kSwitchingProtocols || Fail(Failure::kBroken);
     }
-    long header_bytes = 0;
-    curl_off_t body_bytes = 0;
-    curl_off_t connected = 0;
-    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &header_bytes);
-    curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &body_bytes);
-    curl_easy_getinfo(easy_, CURLINFO_PRETRANSFER_TIME_T, &connected);
-    if (header_bytes == 0) {
-      return connected > 0 ? Progress::kConnected : Progress::kNotConnected;
+    has_headers_ = true;
+    Response& response = result_.response;
+    response.status = status;
+    for (const auto& it : head) {
+      response.headers.emplace_back(std::string(it.name_string()),
+                                    std::string(it.value()));
+    }
+    return HasClearEnd(*request_, response) || Fail(Failure::kBroken);
+  }
+
+  // Returns true when the connection is ready, false when the exchange ends.
+  bool WaitFor(short events, Clock::time_point until) {
+    while (true) {
+      if (options_->is_cancelled && options_->is_cancelled()) {
+        return Fail(Failure::kCancelled);
+      }
+      if (watches_caller_) {
+        const SocketState state = StateOf(options_->caller_socket);
+        if (state == SocketState::kClosed) {
+          return Fail(Failure::kCallerGone);
+        }
+        // The socket stays readable, so waiting for it would spin.
+        watches_caller_ = state == SocketState::kQuiet;
+      }
+      const auto left = std::chrono::ceil<milliseconds>(until - Clock::now());
+      if (left <= milliseconds::zero()) {
+        return Fail(Failure::kTimeout);
+      }
+      pollfd polled[] = {{.fd = fd_, .events = events},
+                         {.fd = wake_fd_, .events = POLLIN},
+                         {.fd = options_->caller_socket, .events = POLLIN}};
+      poll(polled, watches_caller_ ? 3 : 2,
+           static_cast<int>(std::min(left, kMaxPoll).count()));
+      if (polled[1].revents != 0) {
+        std::uint64_t count = 0;
+        (void)!read(wake_fd_, &count, sizeof(count));
+      }
+      if (polled[0].revents != 0) {
+        return true;
+      }
     }
-    return body_bytes < static_cast<curl_off_t>(request.body.size())
-               ? Progress::kSending
-               : Progress::kSent;
   }
 
-  CURL* easy_;
-  CURLM* multi_;
-  // Of the connection that was kept after a whole answer.
-  curl_socket_t socket_ = CURL_SOCKET_BAD;
+  const int wake_fd_;
+  int fd_ = -1;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  bool keep_alive_ = false;
+  // The headers of the final answer were taken.
+  bool has_headers_ = false;
+  bool watches_caller_ = false;
+  size_t sent_bytes_ = 0;
+  size_t received_bytes_ = 0;
+  Clock::time_point deadline_{};
+  ExchangeResult result_;
+  const Request* request_ = nullptr;
+  const ExchangeOptions* options_ = nullptr;
 };
 
-Client::Client(ByteCounter count_bytes) : count_bytes_(std::move(count_bytes)) {
-  static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
-  (void)kInitialized;
-}
+Client::Client(ByteCounter count_bytes)
+    : count_bytes_(std::move(count_bytes)) {}
 
 Client::~Client() = default;
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,157 +1,114 @@
 #include "http/server.h"
 
-#include <arpa/inet.h>
-#include <microhttpd.h>
+#include "net/responder.h"
+#include "net/socket.h"
+
 #include <sys/socket.h>
-#include <ulfius.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
-#include <cerrno>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
 #include <condition_variable>
-#include <cstring>
 #include <mutex>
+#include <set>
+#include <thread>
 #include <utility>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "http/blocking_stream.h"
 
 namespace toucandock::http {
 namespace {
 
-constexpr int kListenBacklog = 512;
-
-// Whether this connection's thread has a request that has not ended.
-thread_local bool is_serving = false;
-
-absl::StatusOr<sockaddr_in> ParseAddress(const std::string& address) {
-  const size_t colon = address.rfind(':');
-  sockaddr_in result = {};
-  result.sin_family = AF_INET;
-  std::uint32_t port = 0;
-  if (colon == std::string::npos ||
-      inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr) !=
-          1 ||
-      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port > 65'535) {
-    return absl::InvalidArgumentError(
-        absl::StrCat("'", address, "' is not IP:PORT"));
-  }
-  result.sin_port = htons(static_cast<std::uint16_t>(port));
-  return result;
-}
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+using Parser = beast_http::request_parser<beast_http::string_body>;
+using BeastResponse = beast_http::response<beast_http::string_body>;
 
-absl::Status SocketError(absl::string_view what, const std::string& address) {
-  return absl::UnavailableError(
-      absl::StrCat("cannot ", what, " ", address, ": ", std::strerror(errno)));
-}
+// The other side gets this long to take its last answer before the reset.
+constexpr std::chrono::milliseconds kCloseLinger{500};
+// Callers that got an answer just before a drain send their next request
+// within this time and are then told to close the connection.
+constexpr std::chrono::milliseconds kDrainNotice{250};
 
-// Connection that the current thread serves.
-thread_local int connection_socket = -1;
-
-// The library shows the connection to this callback only; it runs on the
-// connection's thread before the request is handled.
-void* OnUri(void* options, const char* uri, MHD_Connection* connection) {
-  const MHD_ConnectionInfo* info =
-      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  connection_socket = info == nullptr ? -1 : info->connect_fd;
-  return ulfius_uri_logger(options, uri);
-}
-
-Request Convert(const _u_request& from, size_t max_body) {
+Request Convert(Parser& parser, int fd, bool body_too_large) {
+  auto message = parser.release();
   Request request;
-  request.method = from.http_verb;
-  request.socket = connection_socket;
-  const std::string url = from.http_url == nullptr ? "/" : from.http_url;
-  const size_t n = url.find('?');
-  request.path = url.substr(0, n);
+  request.method = std::string(message.method_string());
+  request.socket = fd;
+  const std::string target(message.target());
+  const size_t n = target.find('?');
+  request.path = target.substr(0, n);
   if (n != std::string::npos) {
-    request.query = url.substr(n + 1);
+    request.query = target.substr(n + 1);
   }
-  const char** keys = u_map_enum_keys(from.map_header);
-  for (size_t k = 0; keys != nullptr && keys[k] != nullptr; ++k) {
-    const char* value = u_map_get(from.map_header, keys[k]);
-    request.headers.emplace_back(keys[k], value == nullptr ? "" : value);
+  for (const auto& it : message) {
+    request.headers.emplace_back(std::string(it.name_string()),
+                                 std::string(it.value()));
   }
-  request.body_too_large = from.binary_body_length > max_body;
-  request.body.assign(static_cast<const char*>(from.binary_body),
-                      std::min(from.binary_body_length, max_body));
+  request.body_too_large = body_too_large;
+  request.body = std::move(message.body());
   return request;
 }
 
-// Returns the n-th way to write a name in lower and upper case.
-std::string Spelling(std::string name, unsigned n) {
-  for (char& it : name) {
-    if (absl::ascii_isalpha(it)) {
-      it = n % 2 == 0 ? it : absl::ascii_toupper(it);
-      n /= 2;
-    }
-  }
-  return name;
-}
-
-// Fills a map that keeps one value for each spelling of a name. Values of one
-// name are joined (RFC 9110, section 5.2), except cookies, which cannot be:
-// each gets a spelling of its own.
-void PutHeaders(const Headers& headers, _u_map& map) {
-  unsigned cookies = 0;
+// Values of one name are joined (RFC 9110, section 5.2), except cookies, which
+// cannot be.
+void PutHeaders(const Headers& headers, BeastResponse& response) {
   for (const auto& [key, value] : headers) {
-    if (absl::EqualsIgnoreCase(key, "Set-Cookie")) {
-      u_map_put(&map, Spelling("set-cookie", cookies++).c_str(), value.c_str());
+    const auto earlier = response.find(key);
+    if (earlier == response.end() ||
+        absl::EqualsIgnoreCase(key, "Set-Cookie")) {
+      response.insert(key, value);
       continue;
     }
-    const char* earlier = u_map_get_case(&map, key.c_str());
-    if (earlier == nullptr) {
-      u_map_put(&map, key.c_str(), value.c_str());
-    } else {
-      const std::string joined = absl::StrCat(earlier, ", ", value);
-      u_map_remove_from_key_case(&map, key.c_str());
-      u_map_put(&map, key.c_str(), joined.c_str());
-    }
+    const std::string joined = absl::StrCat(
+        absl::string_view(earlier->value().data(), earlier->value().size()),
+        ", ", value);
+    response.set(key, joined);
   }
 }
 
-class UlfiusServer : public Server {
+bool HasNoBody(int status) {
+  return status == 204 || status == 304;
+}
+
+// Server with a thread for each connection, on Beast's synchronous functions.
+class ThreadedServer : public Server {
  public:
-  UlfiusServer(ServerOptions options, Handler handler)
+  ThreadedServer(ServerOptions options, Handler handler)
       : options_(std::move(options)), handler_(std::move(handler)) {}
 
-  UlfiusServer(const UlfiusServer&) = delete;
-  UlfiusServer& operator=(const UlfiusServer&) = delete;
+  ThreadedServer(const ThreadedServer&) = delete;
+  ThreadedServer& operator=(const ThreadedServer&) = delete;
 
-  ~UlfiusServer() override {
-    if (started_) {
-      ulfius_stop_framework(&instance_);
-    }
-    if (initialized_) {
-      ulfius_clean_instance(&instance_);
+  ~ThreadedServer() override {
+    StopListening();
+    std::unique_lock<std::mutex> lock(mutex_);
+    for (const int fd : connections_) {
+      shutdown(fd, SHUT_RDWR);
     }
+    changed_.wait(lock, [this] { return threads_ == 0; });
   }
 
   absl::Status Init() {
-    absl::StatusOr<sockaddr_in> parsed = ParseAddress(options_.address);
-    if (!parsed.ok()) {
-      return parsed.status();
-    }
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    socklen_t length = sizeof(sockaddr_in);
-    auto* address = reinterpret_cast<sockaddr*>(&*parsed);
-    if (fd < 0 || bind(fd, address, length) != 0 ||
-        listen(fd, kListenBacklog) != 0 ||
-        getsockname(fd, address, &length) != 0) {
-      absl::Status status = SocketError("listen on", options_.address);
-      if (fd >= 0) {
-        close(fd);
-      }
+    absl::Status status = net::OpenAcceptor(acceptor_, options_.address);
+    if (!status.ok()) {
       return status;
     }
-    port_ = ntohs(parsed->sin_port);
-    address_ = absl::StrCat(
-        options_.address.substr(0, options_.address.rfind(':')), ":", port_);
-    return StartOn(fd);
+    const net::Tcp::endpoint bound = acceptor_.local_endpoint();
+    port_ = bound.port();
+    address_ = absl::StrCat(bound.address().to_string(), ":", port_);
+    Accept();
+    listener_ = std::thread([this] { io_.run(); });
+    return absl::OkStatus();
   }
 
   const std::string& address() const override { return address_; }
@@ -160,113 +117,182 @@
   // Accepts no more connections, tells callers to close theirs, and waits
   // until no request is in service. Returns false when the limit passed.
   bool Drain(std::chrono::milliseconds limit) override {
+    const auto began = std::chrono::steady_clock::now();
     draining_ = true;
-    const int fd = MHD_quiesce_daemon(instance_.mhd_daemon);
-    if (fd >= 0) {
-      close(fd);
-    }
+    StopListening();
+    std::this_thread::sleep_for(std::min(kDrainNotice, limit));
     std::unique_lock<std::mutex> lock(mutex_);
-    return idle_.wait_for(lock, limit, [this] { return active_ == 0; });
+    return changed_.wait_until(lock, began + limit,
+                               [this] { return active_ == 0; });
   }
 
  private:
-  absl::Status StartOn(int fd) {
-    if (ulfius_init_instance(&instance_, port_, nullptr, nullptr) != U_OK) {
+  // A connection that the kernel has accepted is reset when the listening
+  // socket closes, so the last ones are taken first. One that is made between
+  // the last accept and the close is still lost.
+  void StopListening() {
+    if (!listener_.joinable()) {
+      return;
+    }
+    boost::asio::post(io_, [this] {
+      error_code ec;
+      acceptor_.non_blocking(true, ec);
+      for (net::Tcp::socket it = acceptor_.accept(ec); !ec;
+           it = acceptor_.accept(ec)) {
+        StartConnection(std::move(it));
+      }
+      acceptor_.close(ec);
+    });
+    listener_.join();
+  }
+
+  void Accept() {
+    acceptor_.async_accept([this](error_code ec, net::Tcp::socket socket) {
+      if (!acceptor_.is_open()) {
+        return;
+      }
+      if (!ec) {
+        StartConnection(std::move(socket));
+      }
+      Accept();
+    });
+  }
+
+  void StartConnection(net::Tcp::socket socket) {
+    net::SetConnectionOptions(socket);
+    error_code ec;
+    const int fd = socket.release(ec);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (ec || connections_.size() >= options_.max_connections) {
       close(fd);
-      return absl::InternalError("cannot set up the HTTP server");
+      return;
     }
-    initialized_ = true;
-    // One byte more than allowed, so that a longer body is noticed.
-    instance_.max_post_body_size = options_.max_body + 1;
-    instance_.check_utf8 = 0;
-    // Bodies are passed on as they are. The library closes the connection
-    // without an answer when it cannot parse a form.
-    instance_.allowed_post_processor = U_POST_PROCESS_NONE;
-    ulfius_set_default_endpoint(&instance_, &UlfiusServer::OnRequest, this);
-    MHD_OptionItem mhd_options[] = {
-        {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<intptr_t>(&UlfiusServer::OnCompleted), this},
-        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(OnUri),
-         nullptr},
-        {MHD_OPTION_LISTEN_SOCKET, fd, nullptr},
-        {MHD_OPTION_CONNECTION_LIMIT,
-         static_cast<intptr_t>(options_.max_connections), nullptr},
-        {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-         static_cast<intptr_t>(options_.max_headers + kMemoryOverhead),
-         nullptr},
-        {MHD_OPTION_CONNECTION_TIMEOUT,
-         static_cast<intptr_t>(options_.idle_timeout.count()), nullptr},
-        {MHD_OPTION_END, 0, nullptr},
-    };
-    if (ulfius_start_framework_with_mhd_options(
-            &instance_,
-            MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
-                MHD_USE_POLL | MHD_USE_ITC,
-            mhd_options) != U_OK) {
+    connections_.insert(fd);
+    ++threads_;
+    std::thread([this, fd] {
+      ServeConnection(fd);
+      const std::lock_guard<std::mutex> end_lock(mutex_);
+      connections_.erase(fd);
       close(fd);
-      return SocketError("serve on", address_);
+      --threads_;
+      changed_.notify_all();
+    }).detach();
+  }
+
+  void ServeConnection(int fd) {
+    BlockingStream stream(fd, options_.idle_timeout);
+    boost::beast::flat_buffer buffer;
+    while (ServeRequest(fd, stream, buffer)) {
+    }
+    // Unread bytes would turn the close into a reset that may overtake the
+    // answer.
+    shutdown(fd, SHUT_WR);
+    BlockingStream rest(fd, kCloseLinger);
+    char unread[4'096];
+    error_code ec;
+    while (!ec) {
+      rest.read_some(boost::asio::buffer(unread), ec);
     }
-    started_ = true;
-    return absl::OkStatus();
   }
 
-  static int OnRequest(const _u_request* request,
-                       _u_response* response,
-                       void* self) {
-    static_cast<UlfiusServer*>(self)->Serve(*request, *response);
-    return U_CALLBACK_COMPLETE;
+  // Returns whether the connection is kept for another request.
+  bool ServeRequest(int fd,
+                    BlockingStream& stream,
+                    boost::beast::flat_buffer& buffer) {
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(options_.max_headers));
+    parser.body_limit(options_.max_body);
+    error_code ec;
+    beast_http::read_header(stream, buffer, parser, ec);
+    if (!ec &&
+        absl::EqualsIgnoreCase(HeaderOf(parser, "Expect"), "100-continue")) {
+      const BeastResponse interim(beast_http::status::continue_, 11);
+      beast_http::write(stream, interim, ec);
+    }
+    const ActiveRequest active(*this);
+    if (!ec) {
+      beast_http::read(stream, buffer, parser, ec);
+    }
+    const bool body_too_large = ec == beast_http::error::body_limit;
+    if (ec && !body_too_large) {
+      RejectUnreadable(stream, ec);
+      return false;
+    }
+    const bool is_head = parser.get().method() == beast_http::verb::head;
+    const bool keep_alive = !body_too_large && parser.keep_alive();
+    const Response answer = handler_(Convert(parser, fd, body_too_large));
+    return Write(stream, answer, is_head, keep_alive && !draining_);
   }
 
-  // Called on the connection's thread when the answer was written or the
-  // connection broke. Only here has a request ended: after its handler has
-  // returned, the answer is still to be written.
-  static void OnCompleted(void* self,
-                          MHD_Connection* connection,
-                          void** state,
-                          MHD_RequestTerminationCode code) {
-    mhd_request_completed(nullptr, connection, state, code);
-    if (is_serving) {
-      is_serving = false;
-      static_cast<UlfiusServer*>(self)->End();
+  static std::string HeaderOf(const Parser& parser, const char* name) {
+    return std::string(parser.get()[name]);
+  }
+
+  static bool Write(BlockingStream& stream,
+                    const Response& answer,
+                    bool is_head,
+                    bool keep_alive) {
+    BeastResponse response;
+    response.version(11);
+    response.result(static_cast<unsigned>(answer.status));
+    PutHeaders(answer.headers, response);
+    response.keep_alive(keep_alive);
+    if (!HasNoBody(answer.status)) {
+      response.content_length(answer.body.size());
+      if (!is_head) {
+        response.body() = answer.body;
+      }
     }
+    error_code ec;
+    beast_http::write(stream, response, ec);
+    return keep_alive && !ec;
   }
 
-  void End() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (--active_ == 0) {
-      idle_.notify_all();
+  static void RejectUnreadable(BlockingStream& stream, const error_code& ec) {
+    const bool is_http_error =
+        ec.category() ==
+        beast_http::make_error_code(beast_http::error::bad_method).category();
+    if (!is_http_error || ec == beast_http::error::end_of_stream ||
+        ec == beast_http::error::partial_message) {
+      return;
     }
+    const int status = ec == beast_http::error::header_limit ? 431 : 400;
+    Write(stream, {.status = status}, false, false);
   }
 
-  void Serve(const _u_request& request, _u_response& response) {
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      ++active_;
+  // A request has ended only when its answer is written.
+  class ActiveRequest {
+   public:
+    explicit ActiveRequest(ThreadedServer& server) : server_(server) {
+      const std::lock_guard<std::mutex> lock(server_.mutex_);
+      ++server_.active_;
     }
-    is_serving = true;
-    const Response answer = handler_(Convert(request, options_.max_body));
-    PutHeaders(answer.headers, *response.map_header);
-    if (draining_) {
-      u_map_put(response.map_header, "Connection", "close");
+    ~ActiveRequest() {
+      const std::lock_guard<std::mutex> lock(server_.mutex_);
+      --server_.active_;
+      server_.changed_.notify_all();
     }
-    ulfius_set_binary_body_response(&response, answer.status,
-                                    answer.body.data(), answer.body.size());
-  }
+    ActiveRequest(const ActiveRequest&) = delete;
+    ActiveRequest& operator=(const ActiveRequest&) = delete;
 
-  // Memory that the library takes for a connection besides its headers.
-  static constexpr size_t kMemoryOverhead = 16 << 10;
+   private:
+    ThreadedServer& server_;
+  };
 
   const ServerOptions options_;
   const Handler handler_;
-  _u_instance instance_ = {};
-  bool initialized_ = false;
-  bool started_ = false;
+  boost::asio::io_context io_{1};
+  net::Tcp::acceptor acceptor_{io_};
+  std::thread listener_;
   std::string address_;
   std::uint16_t port_ = 0;
   std::atomic<bool> draining_ = false;
   std::mutex mutex_;
-  std::condition_variable idle_;
-  int active_ = 0;
+  // A thread or a request has ended.
+  std::condition_variable changed_;
+  std::set<int> connections_;
+  size_t threads_ = 0;
+  size_t active_ = 0;
 };
 
 }  // namespace
@@ -274,7 +300,7 @@
 absl::StatusOr<std::unique_ptr<Server>> Server::Start(
     const ServerOptions& options,
     Handler handler) {
-  auto server = std::make_unique<UlfiusServer>(options, std::move(handler));
+  auto server = std::make_unique<ThreadedServer>(options, std::move(handler));
   if (absl::Status status = server->Init(); !status.ok()) {
     return status;
   }
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -16,10 +16,9 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 
-void SetTcpOption(Tcp::socket& socket, int option, int value) {
+void SetOption(int fd, int level, int option, int value) {
   // Fails only on a socket that is closed already; its next use reports that.
-  setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value,
-             sizeof(value));
+  setsockopt(fd, level, option, &value, sizeof(value));
 }
 
 }  // namespace
@@ -42,14 +41,17 @@
 }
 
 void SetConnectionOptions(Tcp::socket& socket) {
-  boost::system::error_code ec;
-  socket.set_option(Tcp::no_delay(true), ec);
-  socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
-  SetTcpOption(socket, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-  SetTcpOption(socket, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  SetTcpOption(socket, TCP_KEEPCNT, kKeepAliveProbes);
-  SetTcpOption(socket, TCP_USER_TIMEOUT,
-               static_cast<int>(kSilenceLimit.count()));
+  SetConnectionOptions(socket.native_handle());
+}
+
+void SetConnectionOptions(int fd) {
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(kSilenceLimit.count()));
 }
 
 // Closes with a reset, so that bytes still under way are dropped.
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -21,6 +21,8 @@
 absl::StatusOr<Tcp::endpoint> ParseEndpoint(const std::string& address);
 
 void SetConnectionOptions(Tcp::socket& socket);
+// The same for a socket that no context knows.
+void SetConnectionOptions(int fd);
 
 void Reset(Tcp::socket& socket);
 
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -1,6 +1,11 @@
 #include "http/server.h"
 
+#include "net/socket.h"
+
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <mutex>
 #include <string>
@@ -25,8 +30,109 @@
   return values;
 }
 
+// A connection whose bytes the test writes.
+class RawCaller {
+ public:
+  explicit RawCaller(const std::string& address)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const auto endpoint = net::ParseEndpoint(address);
+    REQUIRE(endpoint.ok());
+    REQUIRE(connect(fd_, endpoint->data(),
+                    static_cast<socklen_t>(endpoint->size())) == 0);
+  }
+  ~RawCaller() { close(fd_); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Write(const std::string& text) const {
+    REQUIRE(send(fd_, text.data(), text.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(text.size()));
+  }
+
+  // Everything up to the end of the connection.
+  std::string ReadAll() const {
+    std::string all;
+    char buf[4'096];
+    for (ssize_t n = recv(fd_, buf, sizeof(buf), 0); n > 0;
+         n = recv(fd_, buf, sizeof(buf), 0)) {
+      all.append(buf, static_cast<size_t>(n));
+    }
+    return all;
+  }
+
+ private:
+  const int fd_;
+};
+
 }  // namespace
 
+TEST_CASE("a drain must not reset connections that were made before it") {
+  // Whether the server has accepted a connection by then is left to chance.
+  constexpr int kRounds = 20;
+  for (int n = 0; n < kRounds; ++n) {
+    const auto server =
+        Server::Start({}, [](const Request&) { return Response{}; });
+    REQUIRE(server.ok());
+    const RawCaller caller((*server)->address());
+    caller.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK((*server)->Drain(std::chrono::seconds(5)));
+    const std::string answer = caller.ReadAll();
+    CHECK(absl::StartsWith(answer, "HTTP/1.1 200"));
+    CHECK(absl::StrContains(answer, "Connection: close"));
+  }
+}
+
+TEST_CASE("what a caller sends must be answered in order or refused") {
+  int handled = 0;
+  const auto server =
+      Server::Start({.max_body = 16}, [&](const Request& request) {
+        ++handled;
+        return Response{.status = request.body_too_large ? 413 : 200,
+                        .body = request.path};
+      });
+  REQUIRE(server.ok());
+  const RawCaller caller((*server)->address());
+
+  SUBCASE("requests that do not wait for the answers before them") {
+    caller.Write(
+        "GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: 2\r\n\r\n"
+        "xxGET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string answers = caller.ReadAll();
+    CHECK(answers.find("/1") < answers.find("/2"));
+    CHECK(answers.find("/2") < answers.find("/3"));
+    CHECK(handled == 3);
+  }
+
+  SUBCASE("a body that waits for the server's consent") {
+    caller.Write(
+        "POST /1 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"
+        "Connection: close\r\n\r\n");
+    caller.Write("xx");
+    const std::string answers = caller.ReadAll();
+    CHECK(absl::StartsWith(answers, "HTTP/1.1 100"));
+    CHECK(absl::StrContains(answers, "HTTP/1.1 200"));
+  }
+
+  SUBCASE("a body above the limit, which is not read") {
+    caller.Write("POST /1 HTTP/1.1\r\nContent-Length: 17\r\n\r\n");
+    CHECK(absl::StartsWith(caller.ReadAll(), "HTTP/1.1 413"));
+  }
+
+  SUBCASE("two lengths that contradict each other") {
+    caller.Write(
+        "POST /1 HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n"
+        "xxx");
+    CHECK(absl::StartsWith(caller.ReadAll(), "HTTP/1.1 400"));
+    CHECK(handled == 0);
+  }
+
+  SUBCASE("no HTTP") {
+    caller.Write("HELO x\r\n\r\n");
+    CHECK(absl::StartsWith(caller.ReadAll(), "HTTP/1.1 400"));
+    CHECK(handled == 0);
+  }
+}
+
 TEST_CASE("the server must neither cut nor change what passes through it") {
   std::mutex mutex;
   Request seen;
