Drop targets that left when only this host had lost the store

A host that alone was cut off from the store read a removal through its peer, took it for an entry that lapsed in an outage of the store, and gave it two seconds from its own return. Change: the host that reads the store for all says for how long the store has answered it without a break; a host that has read all it has counts the grace of lapsed entries from there. Ruled out: the 200 ms between ticks alone, which is a tenth of the delay.

--- a/src/core/discovery/target_directory.cc
+++ b/src/core/discovery/target_directory.cc
@@ -36,7 +36,9 @@
   // because the store was away.
   if (InLapseGrace(now) && !it->second.entry.draining) {
     std::optional<TimePoint> end;
-    if (!store_lost_) {
+    if (IsWitnessed(now)) {
+      end = witnessed_since_ + terms_.lapse_grace;
+    } else if (!store_lost_) {
       end = returned_at_ + terms_.lapse_grace;
     }
     lapsed_.emplace(id, end);
@@ -74,9 +76,19 @@
   }
 }
 
+void TargetDirectory::OnStoreWitnessed(TimePoint since, TimePoint now) {
+  witnessed_since_ = since;
+  witnessed_until_ = now + terms_.witness_lifetime;
+  for (auto& [id, end] : lapsed_) {
+    end = std::min(end.value_or(TimePoint::max()), since + terms_.lapse_grace);
+  }
+}
+
 // Returns whether removals took effect.
 bool TargetDirectory::Tick(TimePoint now) {
-  if (lapsed_.empty() || store_lost_ || now < returned_at_ + terms_.read_time) {
+  const bool may_miss_entries =
+      store_lost_ || now < returned_at_ + terms_.read_time;
+  if (lapsed_.empty() || (may_miss_entries && !IsWitnessed(now))) {
     return false;
   }
   return std::erase_if(lapsed_, [this, now](const auto& it) {
@@ -88,7 +100,14 @@
          }) > 0;
 }
 
+bool TargetDirectory::IsWitnessed(TimePoint now) const {
+  return now < witnessed_until_;
+}
+
 bool TargetDirectory::InLapseGrace(TimePoint now) const {
+  if (IsWitnessed(now)) {
+    return now < witnessed_since_ + terms_.lapse_grace;
+  }
   return store_lost_ || now < returned_at_ + terms_.lapse_grace;
 }
 
--- a/src/core/discovery/target_directory.h
+++ b/src/core/discovery/target_directory.h
@@ -51,6 +51,9 @@
   // After each return of the store, nothing is removed for as long as a read of
   // what came back takes.
   Duration read_time = std::chrono::milliseconds(500);
+  // What another host says of the store holds for this long, three times the
+  // interval at which it says so.
+  Duration witness_lifetime = std::chrono::milliseconds(900);
 };
 
 // The targets that are to be used, folded from the entries and removals that
@@ -65,6 +68,9 @@
   bool RetainOnly(const std::vector<std::string>& ids, TimePoint now);
   void OnStoreLost() { store_lost_ = true; }
   void OnStoreReturned(TimePoint now);
+  // Another host, whose records this host has read to the end, says that the
+  // store has answered it without a break since `since`.
+  void OnStoreWitnessed(TimePoint since, TimePoint now);
   bool Tick(TimePoint now);
 
   const std::map<std::string, ListedTarget>& targets() const {
@@ -78,6 +84,7 @@
     bool draining = false;
   };
 
+  bool IsWitnessed(TimePoint now) const;
   bool InLapseGrace(TimePoint now) const;
 
   const DirectoryTerms terms_;
@@ -91,6 +98,10 @@
   bool store_lost_ = false;
   // Far in the past, so that no grace period runs at the start.
   TimePoint returned_at_{Duration::min() / 2};
+  // Since when the store answers another host, and until when that holds. What
+  // this host alone misses is not an outage in which entries lapse.
+  TimePoint witnessed_since_{Duration::min() / 2};
+  TimePoint witnessed_until_{Duration::min() / 2};
 };
 
 }  // namespace toucandock::core::discovery
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -240,6 +240,9 @@
   for (auto& [service, coordinator] : coordinators_) {
     coordinator->OnStoreAnswered(now);
   }
+  if (!store_up_since_) {
+    store_up_since_ = now;
+  }
   if (!store_lost_) {
     return;
   }
@@ -254,6 +257,7 @@
 void Control::OnStoreFailure() {
   if (!store_lost_) {
     store_lost_ = true;
+    store_up_since_ = std::nullopt;
     LogEvent("store_lost", {});
     directory_.OnStoreLost();
   }
@@ -303,11 +307,17 @@
   RunCoordinators();
 }
 
-void Control::Tick() {
+// Entries that lapsed and did not come back take effect.
+void Control::ApplyLapses() {
   if (directory_.Tick(LeaseClockNow())) {
+    LogEvent("lapsed_targets_gone", {});
     OnTargetsChanged();
     MarkChanged();
   }
+}
+
+void Control::Tick() {
+  ApplyLapses();
   RunCoordinators();
   tick_timer_.expires_after(leads_ ? kTickInterval : 5 * kTickInterval);
   tick_timer_.async_wait([this](const error_code& ec) {
@@ -531,6 +541,12 @@
             return addresses;
           },
       .store_lost = [this] { return store_lost_; },
+      .store_up_since = [this] { return store_up_since_; },
+      .on_store_witnessed =
+          [this](core::TimePoint since) {
+            directory_.OnStoreWitnessed(since, LeaseClockNow());
+            ApplyLapses();
+          },
       .on_outage_reported =
           [this] {
             for (auto& [service, coordinator] : coordinators_) {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -53,6 +54,7 @@
   void OnStoreFailure();
   void RenewMembership();
   void OnDuty(const DutyResult& result, core::TimePoint asked);
+  void ApplyLapses();
   void Tick();
   void RunCoordinators();
   void Carry(Coordinator& coordinator, const core::keyspace::Action& action);
@@ -94,6 +96,8 @@
   int peer_hosts_ = 0;
   bool standby_ = true;
   bool store_lost_ = false;
+  // When the store first answered this host after it had not.
+  std::optional<core::TimePoint> store_up_since_;
   bool changed_ = false;
   bool leaving_ = false;
   bool leads_ = false;
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -24,6 +24,9 @@
   return static_cast<Json::ArrayIndex>(lives.size() - 1);
 }
 
+// Longer times count as this one.
+constexpr std::chrono::milliseconds kMostStoreUp{std::chrono::hours(1)};
+
 // A range is a list: first key, last key, owner, whether it serves (1 or 0),
 // and earlier owners that may still hold the keys. Targets are positions in the
 // list of the record.
@@ -187,6 +190,7 @@
     }
     value.append(greeting.hosts);
     value.append(greeting.standby ? 1 : 0);
+    value.append(Json::UInt64(greeting.store_up.count()));
   } else {
     value.append(greeting.store_lost ? 1 : 0);
   }
@@ -199,7 +203,7 @@
     return json.status();
   }
   constexpr Json::ArrayIndex kHelloSize = 1;
-  constexpr Json::ArrayIndex kAnswerSize = 8;
+  constexpr Json::ArrayIndex kAnswerSize = 9;
   if (!json->isArray() ||
       (json->size() != kHelloSize && json->size() != kAnswerSize)) {
     return absl::InvalidArgumentError("not a greeting");
@@ -216,10 +220,13 @@
     return StreamState{.next = (*json)[i].asUInt64(),
                        .fresh = (*json)[i + 1].asUInt64() != 0};
   };
+  const std::uint64_t store_up_ms =
+      std::min<std::uint64_t>((*json)[8].asUInt64(), kMostStoreUp.count());
   return PeerGreeting{.is_answer = true,
                       .config = state(0),
                       .targets = state(2),
                       .ownership = state(4),
+                      .store_up = std::chrono::milliseconds(store_up_ms),
                       .hosts = static_cast<int>((*json)[6].asUInt64()),
                       .standby = (*json)[7].asUInt64() != 0};
 }
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -40,6 +40,9 @@
   StreamState config;
   StreamState targets;
   StreamState ownership;
+  // In an answer: for how long the store has answered the sender without a
+  // break; zero while it does not.
+  std::chrono::milliseconds store_up{0};
   // Hosts that greet the sender, itself included.
   int hosts = 0;
   // The receiver is one of those that stand by to take the duty over.
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -35,6 +35,10 @@
 constexpr milliseconds kPollWait{2'000};
 constexpr milliseconds kSourcePollWait{1'000};
 
+milliseconds ToMilliseconds(core::Duration time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
 constexpr Stream kStreams[] = {Stream::kConfig, Stream::kTargets,
                                Stream::kOwnership};
 
@@ -180,14 +184,18 @@
   if (!hooks_.is_source()) {
     return;
   }
+  const auto up_since = hooks_.store_up_since();
   const auto rank = static_cast<size_t>(
       std::distance(greeters_.begin(), greeters_.find(sender_)));
-  Send(sender_, EncodeGreeting({.is_answer = true,
-                                .config = StateOf(Stream::kConfig),
-                                .targets = StateOf(Stream::kTargets),
-                                .ownership = StateOf(Stream::kOwnership),
-                                .hosts = static_cast<int>(greeters_.size()) + 1,
-                                .standby = rank < kStandbyHosts}));
+  Send(sender_,
+       EncodeGreeting({.is_answer = true,
+                       .config = StateOf(Stream::kConfig),
+                       .targets = StateOf(Stream::kTargets),
+                       .ownership = StateOf(Stream::kOwnership),
+                       .store_up = up_since ? ToMilliseconds(now - *up_since)
+                                            : milliseconds(0),
+                       .hosts = static_cast<int>(greeters_.size()) + 1,
+                       .standby = rank < kStandbyHosts}));
 }
 
 void PeerRelay::OnAnswer(const PeerGreeting& answer) {
@@ -202,6 +210,11 @@
                    {Stream::kTargets, answer.targets},
                    {Stream::kOwnership, answer.ownership}};
   hooks_.on_answer(answer.hosts, answer.standby);
+  const StreamFollower& targets = *followers_[Stream::kTargets];
+  if (answer.store_up > milliseconds(0) && answer.targets.fresh &&
+      targets.has_newest() && targets.next() >= answer.targets.next) {
+    hooks_.on_store_witnessed(source_answered_ - answer.store_up);
+  }
   for (const Stream stream : kStreams) {
     const StreamFollower& follower = *followers_[stream];
     if (follower.has_newest() && follower.next() < source_state_[stream].next) {
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -34,6 +34,11 @@
   std::function<std::set<std::string>()> sources;
   // This host's own calls to the store fail.
   std::function<bool()> store_lost;
+  // Since when the store answers this host; nothing while it does not.
+  std::function<std::optional<core::TimePoint>()> store_up_since;
+  // The store has answered the source without a break since then, and this host
+  // has read all that the source has read of the targets.
+  std::function<void(core::TimePoint since)> on_store_witnessed;
   // Most hosts that greet this one say that theirs fail, too.
   std::function<void()> on_outage_reported;
   // What the source says of the fleet.
--- a/tests/core/discovery/target_directory_test.cc
+++ b/tests/core/discovery/target_directory_test.cc
@@ -82,6 +82,41 @@
     CHECK(directory.Tick(now + milliseconds(1'950)));
   }
 
+  // wds-gateway scale-2 seed 950229649193: a host that alone was cut off from
+  // the store gave targets that had left the grace of an outage.
+  SUBCASE("the store has answered another host all the while") {
+    directory.OnStoreWitnessed(kStart, now);
+    CHECK(directory.Tick(now));
+    CHECK(directory.targets().empty());
+
+    SUBCASE("what is removed from then on goes at once") {
+      directory.Apply(Entry(1, false, "u"), now);
+      CHECK(directory.Remove("u", now));
+    }
+  }
+
+  SUBCASE("it has answered the other host again for a moment only") {
+    directory.OnStoreWitnessed(kStart + milliseconds(8'500), now);
+    CHECK_FALSE(directory.Tick(now));
+    directory.OnStoreWitnessed(kStart + milliseconds(8'500),
+                               now + milliseconds(1'400));
+    CHECK_FALSE(directory.Tick(now + milliseconds(1'400)));
+    CHECK(directory.Tick(now + milliseconds(1'450)));
+  }
+
+  SUBCASE("this host has lost the store, the other one has not") {
+    directory.OnStoreLost();
+    directory.OnStoreWitnessed(kStart, now);
+    CHECK(directory.Tick(now));
+
+    SUBCASE("and is not heard any more: entries may lapse in an outage") {
+      directory.Apply(Entry(1, false, "u"), now);
+      now += milliseconds(1'000);
+      CHECK_FALSE(directory.Remove("u", now));
+      CHECK_FALSE(directory.Tick(now + milliseconds(5'000)));
+    }
+  }
+
   // kc-brama hunt-05da-27: the time was counted from the read.
   SUBCASE("a removal that is read later ends with the same period") {
     directory.Apply(Entry(1, false, "u"), now);
--- a/tests/entry/peer_json_test.cc
+++ b/tests/entry/peer_json_test.cc
@@ -53,6 +53,7 @@
                             .config = {.next = 3, .fresh = true},
                             .targets = {.next = 70},
                             .ownership = {.next = 9, .fresh = true},
+                            .store_up = std::chrono::milliseconds(3'200),
                             .hosts = 12,
                             .standby = true};
   CHECK(*DecodeGreeting(EncodeGreeting(answer)) == answer);
