--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -19,13 +19,10 @@
 using core::keyspace::OrderAnswer;
 using std::chrono::milliseconds;
 
-// A third of the time to live, so that one lost call ends no membership.
-constexpr milliseconds kMembershipInterval{600};
+constexpr core::keyspace::MembershipTerms kMembership;
+// Spreads the renewals of hosts that started together.
+constexpr int kMembershipSpreadMs = 100;
 constexpr milliseconds kTickInterval{40};
-// Entries of targets change in bursts; a leaving target must be out of use
-// within two seconds.
-constexpr milliseconds kTargetsPause{400};
-constexpr milliseconds kConfigPause{200};
 // Spreads the calls of all hosts when the store returns.
 constexpr int kResumeSpreadMs = 150;
 constexpr milliseconds kResolveRetry{300};
@@ -43,6 +40,12 @@
   return terms;
 }
 
+core::relay::SourceTerms SourceTermsFor(const EntrySettings& settings) {
+  core::relay::SourceTerms terms;
+  terms.fleet_starts = settings.fleet_starts;
+  return terms;
+}
+
 template <typename Order>
 void LogFailedOrder(const char* event,
                     const Order& order,
@@ -81,22 +84,25 @@
              settings.ip,
              settings.report_port,
              followers_,
+             SourceTermsFor(settings),
              HooksForRelay()),
       directory_(core::discovery::DirectoryTerms{}) {}
 
 absl::Status Control::Start() {
-  const std::pair<Stream, FollowerTerms> streams[] = {
-      {Stream::kConfig, {.batch_pause = kConfigPause}},
-      {Stream::kTargets, {.batch_pause = kTargetsPause}},
-      {Stream::kOwnership, {}}};
-  for (const auto& [stream, terms] : streams) {
+  for (const Stream stream :
+       {Stream::kConfig, Stream::kTargets, Stream::kOwnership}) {
     followers_[stream] = std::make_shared<StreamFollower>(
-        io_, platform_, stream, terms, HooksFor(stream));
-    followers_[stream]->Start();
+        io_, platform_, stream, FollowerTerms{}, HooksFor(stream));
+  }
+  if (absl::Status status = relay_.Start(); !status.ok()) {
+    return status;
+  }
+  for (const auto& [stream, follower] : followers_) {
+    follower->Start();
   }
   RenewMembership();
   Tick();
-  return relay_.Start();
+  return absl::OkStatus();
 }
 
 FollowerHooks Control::HooksFor(Stream stream) {
@@ -264,24 +270,31 @@
 }
 
 void Control::RenewMembership() {
-  // Enough others stand by to take the duty over.
-  if (relay_.is_relayed() && !standby_ && !active_) {
-    ScheduleMembership();
-    return;
-  }
   const core::TimePoint asked = LeaseClockNow();
-  platform_.renew_membership([this, asked](const DutyResult& result) {
-    if (leaving_) {
-      return;
-    }
-    OnDuty(result, asked);
-    ScheduleMembership();
-  });
+  platform_.renew_membership(
+      std::chrono::duration_cast<milliseconds>(MembershipNow().ttl),
+      [this, asked](const DutyResult& result) {
+        if (leaving_) {
+          return;
+        }
+        const bool had_duty = leads_;
+        OnDuty(result, asked);
+        // The time to live of a host that has the duty counts from now on.
+        ScheduleMembership(leads_ && !had_duty ? core::Duration{}
+                                               : MembershipNow().interval);
+      });
 }
 
-void Control::ScheduleMembership() {
-  const int jitter = static_cast<int>(random_() % 100);
-  membership_timer_.expires_after(kMembershipInterval + milliseconds(jitter));
+core::keyspace::MembershipRenewal Control::MembershipNow() const {
+  return core::keyspace::NextRenewal(
+      {.has_duty = leads_ || active_,
+       .hears_duty_host = relay_.HearsDutyHost()},
+      kMembership);
+}
+
+void Control::ScheduleMembership(core::Duration delay) {
+  membership_timer_.expires_after(
+      delay + milliseconds(random_() % kMembershipSpreadMs));
   membership_timer_.async_wait([this](const error_code& ec) {
     if (!ec) {
       RenewMembership();
@@ -334,9 +347,7 @@
       continue;
     }
     auto coordinator = std::make_unique<Coordinator>(
-        it.name, writer_,
-        absl::StrCat(settings_.ip, ":", settings_.report_port),
-        TermsFor(settings_));
+        it.name, writer_, relay_.address(), TermsFor(settings_));
     const core::TimePoint now = LeaseClockNow();
     const auto table = tables_.find(it.name);
     if (table != tables_.end()) {
@@ -530,6 +541,7 @@
             }
           },
       .is_source = [this] { return IsActive(); },
+      .has_duty = [this] { return leads_; },
       .sources =
           [this] {
             std::set<std::string> addresses;
@@ -554,8 +566,7 @@
             }
           },
       .on_answer =
-          [this](int hosts, bool standby) {
-            standby_ = standby;
+          [this](int hosts) {
             peer_hosts_ = hosts;
             NoteLiveHosts();
           },
@@ -576,7 +587,10 @@
   leaving_ = true;
   membership_timer_.cancel();
   // Leases are renewed until a successor's record is read or the process ends.
-  platform_.leave_membership();
+  // Others are missed by nobody, and leaving would make the store deal anew.
+  if (leads_) {
+    platform_.leave_membership();
+  }
 }
 
 }  // namespace toucandock::entry
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -14,6 +14,7 @@
 
 #include "absl/status/status.h"
 #include "core/discovery/target_directory.h"
+#include "core/keyspace/duty_membership.h"
 #include "core/keyspace/grant_coordinator.h"
 #include "entry/peer_json.h"
 #include "entry/peer_relay.h"
@@ -37,6 +38,8 @@
           PublishView publish);
 
   absl::Status Start();
+  // "IP:PORT" for the other hosts.
+  std::string peer_address() const { return relay_.address(); }
   // Load of this host's own requests; sent on to the host that decides.
   void OnLoad(const core::keyspace::LoadReport& report);
   // Hands the duty on before the process ends.
@@ -68,7 +71,8 @@
   void Publish();
   PeerRelayHooks HooksForRelay();
   void NoteLiveHosts();
-  void ScheduleMembership();
+  core::keyspace::MembershipRenewal MembershipNow() const;
+  void ScheduleMembership(core::Duration delay);
   bool IsActive() const;
 
   boost::asio::io_context& io_;
@@ -94,7 +98,6 @@
   int member_hosts_ = 1;
   // Hosts that greet the one that decides about owners.
   int peer_hosts_ = 0;
-  bool standby_ = true;
   bool store_lost_ = false;
   // When the store first answered this host after it had not.
   std::optional<core::TimePoint> store_up_since_;
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -56,9 +56,7 @@
   return assignment;
 }
 
-}  // namespace
-
-std::string EncodeOwnership(const core::keyspace::OwnershipTable& table) {
+Json::Value ToJson(const core::keyspace::OwnershipTable& table) {
   Json::Value value;
   value["service"] = table.service;
   value["writer"] = table.writer;
@@ -83,18 +81,12 @@
     life.append(Json::Int64(it.born));
     targets.append(std::move(life));
   }
-  return codec::WriteJson(value);
+  return value;
 }
 
-// Decodes a record; its offset is not part of the text.
-absl::StatusOr<core::keyspace::OwnershipTable> DecodeOwnership(
-    const std::string& text) {
-  const absl::StatusOr<Json::Value> json = codec::ParseJson(text);
-  if (!json.ok()) {
-    return json.status();
-  }
-  absl::Status status;
-  ObjectReader fields(*json, status);
+// The ranges need not cover all keys.
+core::keyspace::OwnershipTable ReadTable(ObjectReader& fields,
+                                         absl::Status& status) {
   core::keyspace::OwnershipTable table;
   table.service = fields.String("service");
   table.writer = fields.String("writer");
@@ -104,17 +96,37 @@
     if (!it.isArray() || it.size() != 2 || !it[0].isString() ||
         !it[1].isInt64()) {
       fields.Fail("'targets' are lists of id and time of birth");
-      break;
+      return table;
     }
     lives.push_back({.id = it[0].asString(), .born = it[1].asInt64()});
   }
   for (const Json::Value& it : fields.Array("ranges")) {
     auto range = DecodeRange(it, lives);
     if (!range.ok()) {
-      return range.status();
+      status.Update(range.status());
+      return table;
     }
     table.assignments.push_back(*std::move(range));
   }
+  return table;
+}
+
+}  // namespace
+
+std::string EncodeOwnership(const core::keyspace::OwnershipTable& table) {
+  return codec::WriteJson(ToJson(table));
+}
+
+// Decodes a record; its offset is not part of the text.
+absl::StatusOr<core::keyspace::OwnershipTable> DecodeOwnership(
+    const std::string& text) {
+  const absl::StatusOr<Json::Value> json = codec::ParseJson(text);
+  if (!json.ok()) {
+    return json.status();
+  }
+  absl::Status status;
+  ObjectReader fields(*json, status);
+  core::keyspace::OwnershipTable table = ReadTable(fields, status);
   if (status.ok() && !core::keyspace::CoversAllKeys(table.assignments)) {
     fields.Fail("'ranges' do not cover all keys once");
   }
@@ -124,6 +136,40 @@
   return table;
 }
 
+std::string EncodeOwnershipUpdate(const OwnershipUpdate& update) {
+  Json::Value value;
+  value["end"] = codec::Uint(update.end);
+  Json::Value& deltas = value["deltas"] = Json::Value(Json::arrayValue);
+  for (const core::keyspace::OwnershipDelta& it : update.deltas) {
+    Json::Value delta = ToJson(it.changes);
+    delta["base"] = codec::Uint(it.base);
+    delta["offset"] = codec::Uint(it.changes.offset);
+    deltas.append(std::move(delta));
+  }
+  return codec::WriteJson(value);
+}
+
+absl::StatusOr<OwnershipUpdate> DecodeOwnershipUpdate(const std::string& text) {
+  const absl::StatusOr<Json::Value> json = codec::ParseJson(text);
+  if (!json.ok()) {
+    return json.status();
+  }
+  absl::Status status;
+  ObjectReader fields(*json, status);
+  OwnershipUpdate update{.end = fields.Uint("end")};
+  for (const Json::Value& it : fields.Array("deltas")) {
+    ObjectReader reader(it, status);
+    core::keyspace::OwnershipDelta delta{.base = reader.Uint("base"),
+                                         .changes = ReadTable(reader, status)};
+    delta.changes.offset = reader.Uint("offset");
+    update.deltas.push_back(std::move(delta));
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  return update;
+}
+
 std::string EncodeLoadReport(const core::keyspace::LoadReport& report) {
   Json::Value value;
   value["service"] = report.service;
@@ -189,8 +235,11 @@
       value.append(it.fresh ? 1 : 0);
     }
     value.append(greeting.hosts);
-    value.append(greeting.standby ? 1 : 0);
+    value.append(greeting.has_duty ? 1 : 0);
     value.append(Json::UInt64(greeting.store_up.count()));
+    for (const std::string& it : greeting.substitutes) {
+      value.append(it);
+    }
   } else {
     value.append(greeting.store_lost ? 1 : 0);
   }
@@ -205,12 +254,14 @@
   constexpr Json::ArrayIndex kHelloSize = 1;
   constexpr Json::ArrayIndex kAnswerSize = 9;
   if (!json->isArray() ||
-      (json->size() != kHelloSize && json->size() != kAnswerSize)) {
+      (json->size() != kHelloSize && json->size() < kAnswerSize)) {
     return absl::InvalidArgumentError("not a greeting");
   }
-  for (const Json::Value& it : *json) {
-    if (!it.isUInt64()) {
-      return absl::InvalidArgumentError("a greeting holds whole numbers");
+  for (Json::ArrayIndex i = 0; i < json->size(); ++i) {
+    const Json::Value& it = (*json)[i];
+    if (i < kAnswerSize ? !it.isUInt64() : !it.isString()) {
+      return absl::InvalidArgumentError(
+          "a greeting holds whole numbers, then addresses");
     }
   }
   if (json->size() == kHelloSize) {
@@ -222,13 +273,18 @@
   };
   const std::uint64_t store_up_ms =
       std::min<std::uint64_t>((*json)[8].asUInt64(), kMostStoreUp.count());
+  std::vector<std::string> substitutes;
+  for (Json::ArrayIndex i = kAnswerSize; i < json->size(); ++i) {
+    substitutes.push_back((*json)[i].asString());
+  }
   return PeerGreeting{.is_answer = true,
                       .config = state(0),
                       .targets = state(2),
                       .ownership = state(4),
                       .store_up = std::chrono::milliseconds(store_up_ms),
                       .hosts = static_cast<int>((*json)[6].asUInt64()),
-                      .standby = (*json)[7].asUInt64() != 0};
+                      .has_duty = (*json)[7].asUInt64() != 0,
+                      .substitutes = std::move(substitutes)};
 }
 
 std::string EncodeRecords(const ReadResult& result) {
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -2,10 +2,12 @@
 #define TOUCANDOCK_ENTRY_PEER_JSON_H_
 
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "core/keyspace/key_samples.h"
 #include "core/keyspace/ownership.h"
+#include "core/keyspace/ownership_delta.h"
 #include "entry/platform_hooks.h"
 
 namespace toucandock::entry {
@@ -15,6 +17,17 @@
 absl::StatusOr<core::keyspace::OwnershipTable> DecodeOwnership(
     const std::string& text);
 
+// The changes that bring the tables of a host up to date.
+struct OwnershipUpdate {
+  // Offset of the next record.
+  core::Offset end = 0;
+  std::vector<core::keyspace::OwnershipDelta> deltas;
+};
+
+std::string EncodeOwnershipUpdate(const OwnershipUpdate& update);
+
+absl::StatusOr<OwnershipUpdate> DecodeOwnershipUpdate(const std::string& text);
+
 std::string EncodeLoadReport(const core::keyspace::LoadReport& report);
 
 absl::StatusOr<core::keyspace::LoadReport> DecodeLoadReport(
@@ -45,8 +58,11 @@
   std::chrono::milliseconds store_up{0};
   // Hosts that greet the sender, itself included.
   int hosts = 0;
-  // The receiver is one of those that stand by to take the duty over.
-  bool standby = false;
+  // In an answer: the sender has the duty; otherwise it is a substitute.
+  bool has_duty = false;
+  // In an answer of the host that has the duty: the addresses of those that
+  // read the store when it is lost.
+  std::vector<std::string> substitutes;
 
   bool operator==(const PeerGreeting&) const = default;
 };
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -19,21 +19,27 @@
 constexpr milliseconds kGreetingInterval{300};
 // A host that has not greeted for this long is taken to be gone.
 constexpr milliseconds kGreetingMemory{2'000};
-// Without an answer for this long, a host reads the store itself. With the time
-// below it is well within the time in which changes must be in force.
-constexpr milliseconds kAnswerLifetime{900};
-// The source's reads are held by the store for a second at most.
-constexpr milliseconds kFreshAnswer{1'400};
+// The store holds reads of a source for less than this.
+constexpr milliseconds kFreshAnswer{1'000};
 constexpr milliseconds kFetchTimeout{500};
-// After a failed fetch, a host reads the store itself for this long.
-constexpr milliseconds kMistrust{2'000};
+// Of records that a peer hands out at a time. A host with a slow link that
+// hands more to a whole fleet would be busy for seconds; the store is faster.
+constexpr size_t kMostFetchedBytes = 16'384;
+constexpr char kRecordsPath[] = "/records?stream=";
+constexpr char kFromParameter[] = "&from=";
+constexpr char kRegardlessOfSize[] = "&any_size=1";
 // The store counts as down for all when this part of the other hosts says so.
 constexpr double kOutagePart = 0.75;
-// Hosts that stand by to take the duty over.
-constexpr size_t kStandbyHosts = 6;
+constexpr size_t kSubstitutes = 4;
 // The store holds a read that finds nothing new for this long.
 constexpr milliseconds kPollWait{2'000};
-constexpr milliseconds kSourcePollWait{1'000};
+constexpr milliseconds kSourcePollWait{700};
+// Records that come in a burst are read by one call. Well below the time in
+// which changes must be in force; a leaving target must be out of use within
+// two seconds.
+constexpr milliseconds kConfigPause{200};
+constexpr milliseconds kTargetsPause{400};
+constexpr milliseconds kOwnershipPause{100};
 
 milliseconds ToMilliseconds(core::Duration time) {
   return std::chrono::duration_cast<milliseconds>(time);
@@ -48,6 +54,7 @@
                      std::string ip,
                      std::uint16_t port,
                      Followers& followers,
+                     const core::relay::SourceTerms& terms,
                      PeerRelayHooks hooks)
     : io_(io),
       ip_(std::move(ip)),
@@ -56,24 +63,44 @@
       hooks_(std::move(hooks)),
       socket_(io),
       timer_(io),
-      responder_(io, [this](const net::HttpRequest& request) {
-        return Serve(request);
-      }) {}
+      responder_(
+          io,
+          [this](const net::HttpRequest& request) { return Serve(request); }),
+      tracker_(terms, LeaseClockNow()) {}
 
 // Opens the peer port, for datagrams and for fetches of records.
 absl::Status PeerRelay::Start() {
+  // A port that the kernel chose for one protocol may be taken in the other.
+  constexpr int kMostTries = 16;
+  const bool any_port = port_ == 0;
+  absl::Status status = OpenPort();
+  for (int n = 1; n < kMostTries && any_port && !status.ok(); ++n) {
+    error_code ec;
+    socket_.close(ec);
+    port_ = 0;
+    status = OpenPort();
+  }
+  if (status.ok()) {
+    Receive();
+    Greet();
+  }
+  return status;
+}
+
+absl::Status PeerRelay::OpenPort() {
   error_code ec;
   socket_.open(udp::v4(), ec);
   if (!ec) {
     socket_.bind({boost::asio::ip::make_address_v4(ip_), port_}, ec);
   }
+  if (!ec) {
+    port_ = socket_.local_endpoint(ec).port();
+  }
   if (ec) {
     return absl::UnavailableError(
         absl::StrCat("cannot open the peer port ", port_, ": ", ec.message()));
   }
-  Receive();
-  Greet();
-  return responder_.Listen(absl::StrCat(ip_, ":", port_));
+  return responder_.Listen(address());
 }
 
 // Datagrams may get lost; each is followed by others within a second.
@@ -92,13 +119,29 @@
 void PeerRelay::NoteRecords(Stream stream,
                             const ReadResult& result,
                             bool complete) {
+  if (stream == Stream::kOwnership) {
+    for (const StoredRecord& it : result.records) {
+      NoteTable(it);
+    }
+  }
   if (complete) {
     caches_[stream].StartAt(result.end);
+    UpdateFollowers();
   } else {
     caches_[stream].Add(result);
   }
 }
 
+void PeerRelay::NoteTable(const StoredRecord& record) {
+  auto table = DecodeOwnership(record.value);
+  if (record.removed || !table.ok()) {
+    // Also reported by the reader of the record, which ignores it.
+    return;
+  }
+  table->offset = record.offset;
+  tables_.Add(*std::move(table));
+}
+
 void PeerRelay::NoteAnswer(Stream stream) {
   answered_[stream] = LeaseClockNow();
 }
@@ -111,22 +154,22 @@
                    LeaseClockNow() - answered->second <= kFreshAnswer};
 }
 
+std::string PeerRelay::address() const {
+  return absl::StrCat(ip_, ":", port_);
+}
+
+bool PeerRelay::HearsDutyHost() const {
+  return !tracker_.IsDutyHostLost(LeaseClockNow());
+}
+
 void PeerRelay::Greet() {
-  const core::TimePoint now = LeaseClockNow();
-  const bool is_source = hooks_.is_source();
-  const bool trusted = !is_source && now >= mistrusted_until_ &&
-                       now - source_answered_ <= kAnswerLifetime;
-  is_relayed_ = trusted;
-  for (auto& [stream, follower] : followers_) {
-    follower->SetPollWait(is_source ? kSourcePollWait : kPollWait);
-    const bool relayed = trusted && source_state_[stream].fresh;
-    follower->SetRelayed(relayed);
-    is_relayed_ = is_relayed_ && relayed;
-  }
+  UpdateFollowers();
   for (const std::string& address : hooks_.sources()) {
-    if (const auto to = net::ParseEndpoint(address); to.ok()) {
-      Send({to->address(), to->port()},
-           EncodeGreeting({.store_lost = hooks_.store_lost()}));
+    SendGreeting(address);
+  }
+  if (tracker_.IsDutyHostLost(LeaseClockNow()) && !tracker_.is_substitute()) {
+    for (const std::string& address : substitutes_) {
+      SendGreeting(address);
     }
   }
   timer_.expires_after(kGreetingInterval);
@@ -137,6 +180,32 @@
   });
 }
 
+void PeerRelay::SendGreeting(const std::string& address) {
+  if (const auto to = net::ParseEndpoint(address); to.ok()) {
+    Send({to->address(), to->port()},
+         EncodeGreeting({.store_lost = hooks_.store_lost()}));
+  }
+}
+
+// Lets each stream be read from the store or taken from a peer.
+void PeerRelay::UpdateFollowers() {
+  const core::TimePoint now = LeaseClockNow();
+  const bool has_duty = hooks_.has_duty() || hooks_.is_source();
+  const bool relayed = !has_duty && tracker_.IsRelayed(now);
+  const bool is_read_for_others = has_duty || tracker_.is_substitute();
+  for (auto& [stream, follower] : followers_) {
+    follower->SetPollWait(is_read_for_others ? kSourcePollWait : kPollWait);
+    // The address of a duty host is learned from the records about owners.
+    const bool waits =
+        !has_duty && stream != Stream::kOwnership && tracker_.IsStarting(now);
+    follower->SetRelayed(relayed || waits);
+  }
+  followers_.at(Stream::kConfig)->SetBatchPause(kConfigPause);
+  followers_.at(Stream::kTargets)->SetBatchPause(kTargetsPause);
+  followers_.at(Stream::kOwnership)
+      ->SetBatchPause(has_duty ? milliseconds(0) : kOwnershipPause);
+}
+
 void PeerRelay::Receive() {
   socket_.async_receive_from(
       boost::asio::buffer(buffer_), sender_,
@@ -181,43 +250,79 @@
       kOutagePart * static_cast<double>(greeters_.size())) {
     hooks_.on_outage_reported();
   }
-  if (!hooks_.is_source()) {
+  const bool has_duty = hooks_.is_source();
+  if (!has_duty && !tracker_.is_substitute()) {
     return;
   }
   const auto up_since = hooks_.store_up_since();
-  const auto rank = static_cast<size_t>(
-      std::distance(greeters_.begin(), greeters_.find(sender_)));
-  Send(sender_,
-       EncodeGreeting({.is_answer = true,
-                       .config = StateOf(Stream::kConfig),
-                       .targets = StateOf(Stream::kTargets),
-                       .ownership = StateOf(Stream::kOwnership),
-                       .store_up = up_since ? ToMilliseconds(now - *up_since)
-                                            : milliseconds(0),
-                       .hosts = static_cast<int>(greeters_.size()) + 1,
-                       .standby = rank < kStandbyHosts}));
+  PeerGreeting answer{.is_answer = true,
+                      .config = StateOf(Stream::kConfig),
+                      .targets = StateOf(Stream::kTargets),
+                      .ownership = StateOf(Stream::kOwnership),
+                      .hosts = static_cast<int>(greeters_.size()) + 1,
+                      .has_duty = has_duty};
+  if (up_since) {
+    answer.store_up = ToMilliseconds(now - *up_since);
+  }
+  if (has_duty) {
+    answer.substitutes = ChooseSubstitutes();
+  }
+  Send(sender_, EncodeGreeting(answer));
+}
+
+std::vector<std::string> PeerRelay::ChooseSubstitutes() const {
+  std::vector<std::string> chosen;
+  for (const auto& [endpoint, greeter] : greeters_) {
+    if (chosen.size() < kSubstitutes && !greeter.store_lost) {
+      chosen.push_back(
+          absl::StrCat(endpoint.address().to_string(), ":", endpoint.port()));
+    }
+  }
+  return chosen;
 }
 
 void PeerRelay::OnAnswer(const PeerGreeting& answer) {
+  const core::TimePoint now = LeaseClockNow();
+  const bool fresh =
+      answer.config.fresh && answer.targets.fresh && answer.ownership.fresh;
+  tracker_.OnAnswer(answer.has_duty ? core::relay::SourceKind::kDutyHost
+                                    : core::relay::SourceKind::kSubstitute,
+                    fresh, now);
+  if (answer.has_duty) {
+    substitutes_ = answer.substitutes;
+    tracker_.SetSubstitute(std::find(substitutes_.begin(), substitutes_.end(),
+                                     address()) != substitutes_.end());
+    hooks_.on_answer(answer.hosts);
+  }
+  // Of the two kinds, the duty host goes first.
+  if (fresh && (answer.has_duty || tracker_.IsDutyHostLost(now))) {
+    UseSource(answer);
+  }
+  UpdateFollowers();
+}
+
+// Takes what the sender of the answer has read and this host has not.
+void PeerRelay::UseSource(const PeerGreeting& answer) {
   if (!source_ || *source_ != sender_) {
     source_ = sender_;
     source_client_ = std::make_unique<net::HttpClient>(
         io_, net::Tcp::endpoint(sender_.address(), sender_.port()));
     fetching_.clear();
   }
-  source_answered_ = LeaseClockNow();
   source_state_ = {{Stream::kConfig, answer.config},
                    {Stream::kTargets, answer.targets},
                    {Stream::kOwnership, answer.ownership}};
-  hooks_.on_answer(answer.hosts, answer.standby);
   const StreamFollower& targets = *followers_[Stream::kTargets];
-  if (answer.store_up > milliseconds(0) && answer.targets.fresh &&
-      targets.has_newest() && targets.next() >= answer.targets.next) {
-    hooks_.on_store_witnessed(source_answered_ - answer.store_up);
+  if (answer.store_up > milliseconds(0) && targets.has_newest() &&
+      targets.next() >= answer.targets.next) {
+    hooks_.on_store_witnessed(LeaseClockNow() - answer.store_up);
   }
   for (const Stream stream : kStreams) {
     const StreamFollower& follower = *followers_[stream];
-    if (follower.has_newest() && follower.next() < source_state_[stream].next) {
+    const bool waits =
+        stream != Stream::kOwnership && tracker_.IsStarting(LeaseClockNow());
+    if (follower.has_newest() && !waits &&
+        follower.next() < source_state_[stream].next) {
       Fetch(stream);
     }
   }
@@ -230,46 +335,92 @@
   fetching_[stream] = true;
   net::HttpRequest request{
       http::verb::get,
-      absl::StrCat("/records?stream=", static_cast<int>(stream),
-                   "&from=", followers_[stream]->next()),
+      absl::StrCat(kRecordsPath, static_cast<int>(stream), kFromParameter,
+                   followers_[stream]->next(),
+                   hooks_.store_lost() ? kRegardlessOfSize : ""),
       11};
   request.set(http::field::host, ip_);
   source_client_->Call(
       std::move(request), kFetchTimeout,
-      [this, stream, source = *source_](net::CallAnswer answer) {
-        if (source_ != source) {
-          return;
-        }
-        fetching_[stream] = false;
-        if (answer.result == net::CallResult::kAnswered &&
-            answer.response.result() == http::status::ok) {
-          const auto records = DecodeRecords(answer.response.body());
-          if (records.ok()) {
-            followers_[stream]->Deliver(*records);
-            return;
-          }
+      [this, stream, source = *source_](const net::CallAnswer& answer) {
+        if (source_ == source) {
+          fetching_[stream] = false;
+          OnFetched(stream, answer);
         }
-        LogEvent("fetch_failed", {{"stream", static_cast<int>(stream)},
-                                  {"next", followers_[stream]->next()}});
-        mistrusted_until_ = LeaseClockNow() + kMistrust;
       });
 }
 
-// GET /records?stream=N&from=OFFSET
+void PeerRelay::OnFetched(Stream stream, const net::CallAnswer& answer) {
+  const bool answered = answer.result == net::CallResult::kAnswered;
+  if (answered && answer.response.result() == http::status::payload_too_large) {
+    followers_[stream]->ReadOnce();
+    return;
+  }
+  if (answered && answer.response.result() == http::status::ok) {
+    if (stream == Stream::kOwnership && DeliverUpdate(answer.response.body())) {
+      return;
+    }
+    const auto records = DecodeRecords(answer.response.body());
+    if (records.ok()) {
+      followers_[stream]->Deliver(*records);
+      return;
+    }
+  }
+  LogEvent("fetch_failed", {{"stream", static_cast<int>(stream)},
+                            {"next", followers_[stream]->next()}});
+  tracker_.OnFetchFailed(LeaseClockNow());
+  UpdateFollowers();
+}
+
+// Returns false when the text is no update that this host can apply.
+bool PeerRelay::DeliverUpdate(const std::string& text) {
+  const auto update = DecodeOwnershipUpdate(text);
+  if (!update.ok()) {
+    return false;
+  }
+  ReadResult result{.status = StoreStatus::kOk, .end = update->end};
+  for (const core::keyspace::OwnershipDelta& it : update->deltas) {
+    const auto table = tables_.Apply(it);
+    if (!table) {
+      followers_[Stream::kOwnership]->ReadOnce();
+      return true;
+    }
+    result.records.push_back({.offset = table->offset,
+                              .key = table->service,
+                              .value = EncodeOwnership(*table)});
+  }
+  std::sort(result.records.begin(), result.records.end(),
+            [](const StoredRecord& a, const StoredRecord& b) {
+              return a.offset < b.offset;
+            });
+  followers_[Stream::kOwnership]->Deliver(result);
+  return true;
+}
+
+// GET /records?stream=N&from=OFFSET[&any_size=1]
 net::HttpResponse PeerRelay::Serve(const net::HttpRequest& request) const {
   net::HttpResponse response;
   response.result(http::status::not_found);
-  const std::string target(request.target());
-  const std::string kPath = "/records?stream=";
-  const size_t from = target.find("&from=");
+  std::string target(request.target());
+  const size_t suffix = target.find(kRegardlessOfSize);
+  const bool any_size = suffix != std::string::npos;
+  if (any_size) {
+    target.resize(suffix);
+  }
+  const size_t path_size = absl::string_view(kRecordsPath).size();
+  const size_t from = target.find(kFromParameter);
   int stream = 0;
   core::Offset offset = 0;
-  if (target.rfind(kPath, 0) != 0 || from == std::string::npos ||
-      !absl::SimpleAtoi(target.substr(kPath.size(), from - kPath.size()),
-                        &stream) ||
-      !absl::SimpleAtoi(target.substr(from + 6), &offset)) {
+  if (target.rfind(kRecordsPath, 0) != 0 || from == std::string::npos ||
+      !absl::SimpleAtoi(target.substr(path_size, from - path_size), &stream) ||
+      !absl::SimpleAtoi(
+          target.substr(from + absl::string_view(kFromParameter).size()),
+          &offset)) {
     return response;
   }
+  if (static_cast<Stream>(stream) == Stream::kOwnership && !any_size) {
+    return ServeOwnership(offset);
+  }
   const auto cache = caches_.find(static_cast<Stream>(stream));
   if (cache == caches_.end()) {
     return response;
@@ -279,9 +430,30 @@
     response.result(http::status::gone);
     return response;
   }
+  std::string body = EncodeRecords(*records);
+  if (body.size() > kMostFetchedBytes && !any_size) {
+    response.result(http::status::payload_too_large);
+    return response;
+  }
+  response.result(http::status::ok);
+  response.set(http::field::content_type, "application/json");
+  response.body() = std::move(body);
+  return response;
+}
+
+net::HttpResponse PeerRelay::ServeOwnership(core::Offset from) const {
+  net::HttpResponse response;
+  const auto cache = caches_.find(Stream::kOwnership);
+  const auto update = cache == caches_.end()
+                          ? std::nullopt
+                          : tables_.UpdateFrom(from, cache->second.next());
+  if (!update) {
+    response.result(http::status::payload_too_large);
+    return response;
+  }
   response.result(http::status::ok);
   response.set(http::field::content_type, "application/json");
-  response.body() = EncodeRecords(*records);
+  response.body() = EncodeOwnershipUpdate(*update);
   return response;
 }
 
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -14,13 +14,16 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "core/keyspace/key_samples.h"
+#include "core/relay/source_tracker.h"
 #include "core/time.h"
 #include "entry/peer_json.h"
 #include "entry/record_cache.h"
 #include "entry/stream_follower.h"
+#include "entry/table_history.h"
 
 namespace toucandock::entry {
 
@@ -30,6 +33,8 @@
   std::function<void(const core::keyspace::LoadReport&)> on_load;
   // This host decides about owners, so that others take records from it.
   std::function<bool()> is_source;
+  // The store has given this host the duty, though it may not decide yet.
+  std::function<bool()> has_duty;
   // Addresses of the other hosts that decide about owners.
   std::function<std::set<std::string>()> sources;
   // This host's own calls to the store fail.
@@ -42,43 +47,57 @@
   // Most hosts that greet this one say that theirs fail, too.
   std::function<void()> on_outage_reported;
   // What the source says of the fleet.
-  std::function<void(int hosts, bool standby)> on_answer;
+  std::function<void(int hosts)> on_answer;
 };
 
-// Lets one host read the store for all. Each host greets the source; the answer
-// says how far the source has read, and records are fetched from it. A host
-// reads the store itself when the source is silent or not up to date.
+// Lets one host read the store for all. Each host greets the one that has the
+// duty; the answer says how far that has read, and records are fetched from it.
+// When it is silent or not up to date, a few substitutes read the store for the
+// others, and without them each host does.
 class PeerRelay {
  public:
   PeerRelay(boost::asio::io_context& io,
             std::string ip,
             std::uint16_t port,
             Followers& followers,
+            const core::relay::SourceTerms& terms,
             PeerRelayHooks hooks);
 
   absl::Status Start();
+  // "IP:PORT" of the peer port.
+  std::string address() const;
   void SendLoad(const std::string& address,
                 const core::keyspace::LoadReport& report);
   // This host has read records itself or from the source.
   void NoteRecords(Stream stream, const ReadResult& result, bool complete);
   // The store has answered a read of this host.
   void NoteAnswer(Stream stream);
-  bool is_relayed() const { return is_relayed_; }
+  // The host that has the duty answers this one.
+  bool HearsDutyHost() const;
 
  private:
+  void NoteTable(const StoredRecord& record);
   void Greet();
   void Receive();
   void OnDatagram(const std::string& text);
   void OnGreeting(const PeerGreeting& greeting);
   void OnAnswer(const PeerGreeting& answer);
+  void UseSource(const PeerGreeting& answer);
+  void SendGreeting(const std::string& address);
+  std::vector<std::string> ChooseSubstitutes() const;
+  void UpdateFollowers();
+  absl::Status OpenPort();
   void Send(const boost::asio::ip::udp::endpoint& to, const std::string& text);
   StreamState StateOf(Stream stream) const;
   void Fetch(Stream stream);
+  void OnFetched(Stream stream, const net::CallAnswer& answer);
+  bool DeliverUpdate(const std::string& text);
   net::HttpResponse Serve(const net::HttpRequest& request) const;
+  net::HttpResponse ServeOwnership(core::Offset from) const;
 
   boost::asio::io_context& io_;
   const std::string ip_;
-  const std::uint16_t port_;
+  std::uint16_t port_;
   Followers& followers_;
   const PeerRelayHooks hooks_;
   boost::asio::ip::udp::socket socket_;
@@ -87,6 +106,7 @@
   boost::asio::steady_timer timer_;
   net::Responder responder_;
   std::map<Stream, RecordCache> caches_;
+  TableHistory tables_;
   std::map<Stream, core::TimePoint> answered_;
   // Hosts that greet this one, and when they last did.
   struct Greeter {
@@ -98,9 +118,9 @@
   std::unique_ptr<net::HttpClient> source_client_;
   std::map<Stream, StreamState> source_state_;
   std::map<Stream, bool> fetching_;
-  core::TimePoint source_answered_{};
-  core::TimePoint mistrusted_until_{};
-  bool is_relayed_ = false;
+  core::relay::SourceTracker tracker_;
+  // Hosts that read the store when the one that has the duty is lost.
+  std::vector<std::string> substitutes_;
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/platform_hooks.h
+++ b/src/entry/platform_hooks.h
@@ -78,7 +78,10 @@
                      const std::string& value,
                      std::function<void(AppendResult)>)>
       append;
-  std::function<void(std::function<void(DutyResult)>)> renew_membership;
+  // The membership ends when it is not renewed within the time to live.
+  std::function<void(std::chrono::milliseconds ttl,
+                     std::function<void(DutyResult)>)>
+      renew_membership;
   std::function<void()> leave_membership;
 
   std::function<absl::StatusOr<core::routing::RouteConfig>(const std::string&)>
--- a/src/entry/record_cache.h
+++ b/src/entry/record_cache.h
@@ -17,6 +17,8 @@
   void StartAt(core::Offset next);
   // Records from an offset on; nothing if some of them are not kept.
   std::optional<ReadResult> From(core::Offset offset) const;
+  // Where the stream was read to.
+  core::Offset next() const { return next_; }
 
  private:
   std::deque<StoredRecord> records_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -42,10 +42,12 @@
     map.Read("store_address", settings.store_address);
     map.Read("report_port", report_port);
     map.Read("metrics_port", metrics_port);
+    map.Read("address_file", settings.address_file);
     map.Read("longest_lease", settings.longest_lease);
     map.Read("stop_limit", settings.stop_limit);
     map.Read("shortest_membership", settings.shortest_membership);
     map.Read("store_partitions", settings.store_partitions);
+    map.Read("fleet_starts", settings.fleet_starts);
     map.ReadMap("retries", [&settings](codec::YamlMap& retries) {
       ReadRetries(retries, settings.retries);
     });
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -20,16 +20,20 @@
   std::string caller_address;
   std::string readiness_address;
   std::string store_address;
-  // Takes load reports of the other hosts (UDP).
+  // For the other hosts, by UDP and TCP. 0: the kernel chooses.
   std::uint16_t report_port = 0;
   // 0: no metrics.
   std::uint16_t metrics_port = 0;
+  // File that the addresses are written to; empty: none.
+  std::string address_file;
   // Longest lease that targets accept.
   core::Duration longest_lease = std::chrono::seconds(10);
   // A stopping process is killed after this time.
   core::Duration stop_limit = std::chrono::seconds(6);
   core::Duration shortest_membership = std::chrono::seconds(1);
   int store_partitions = 24;
+  // The whole fleet starts for the first time.
+  bool fleet_starts = false;
   core::balance::RetryWindowTerms retries;
 };
 
--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -1,5 +1,6 @@
 #include "entry/stream_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace toucandock::entry {
@@ -29,8 +30,11 @@
 }
 
 void StreamFollower::ReadOn() {
+  const auto wait = std::exchange(read_at_once_, false)
+                        ? std::chrono::milliseconds(0)
+                        : poll_wait_;
   platform_.read(
-      stream_, next_, poll_wait_,
+      stream_, next_, wait,
       [self = shared_from_this(), read = ++read_](const ReadResult& result) {
         if (read == self->read_) {
           self->OnRead(result);
@@ -48,8 +52,8 @@
   // An answer that ends before what was read already is a stale one.
   if (result.end >= next_) {
     next_ = result.end;
-    hooks_.on_newest(result);
     has_newest_ = true;
+    hooks_.on_newest(result);
     Continue(std::chrono::milliseconds(0));
     return;
   }
@@ -77,7 +81,7 @@
   }
   next_ = std::max(next_, result.records.back().offset + 1);
   hooks_.on_records(result);
-  Continue(terms_.batch_pause);
+  Continue(batch_pause_);
 }
 
 void StreamFollower::PauseAfterFailure() {
@@ -100,26 +104,35 @@
     timer_.cancel();
     return;
   }
+  read_at_once_ = true;
   Restart(std::chrono::milliseconds(0));
 }
 
 void StreamFollower::Deliver(const ReadResult& result) {
-  if (result.records.empty() || result.records.back().offset < next_) {
-    return;
+  const bool has_news =
+      !result.records.empty() && result.records.back().offset >= next_;
+  next_ = std::max(next_, result.end);
+  if (has_news) {
+    hooks_.on_records(result);
   }
-  next_ = result.records.back().offset + 1;
-  hooks_.on_records(result);
 }
 
-void StreamFollower::Restart(std::chrono::milliseconds delay) {
-  if (relayed_) {
-    return;
+void StreamFollower::ReadOnce() {
+  if (has_newest_) {
+    read_at_once_ = true;
+    ReadOn();
   }
+}
+
+void StreamFollower::Restart(std::chrono::milliseconds delay) {
   ++read_;
   Continue(delay);
 }
 
 void StreamFollower::Continue(std::chrono::milliseconds delay) {
+  if (relayed_) {
+    return;
+  }
   timer_.expires_after(delay);
   timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& ec) {
--- a/src/entry/stream_follower.h
+++ b/src/entry/stream_follower.h
@@ -23,9 +23,6 @@
 };
 
 struct FollowerTerms {
-  // Pause after records arrived, so that several are read by one call. Well
-  // below the time in which changes must be in force.
-  std::chrono::milliseconds batch_pause{0};
   // After a single failure, such as a connection that broke.
   std::chrono::milliseconds first_retry{100};
   // After further ones the follower waits for Restart(), at most this long.
@@ -46,10 +43,14 @@
   // Gives up the read under way and starts another: it may never be answered.
   void Restart(std::chrono::milliseconds delay);
   void SetPollWait(std::chrono::milliseconds wait) { poll_wait_ = wait; }
+  // Shortest time between two reads that bring records.
+  void SetBatchPause(std::chrono::milliseconds pause) { batch_pause_ = pause; }
   // While relayed, records come from a peer by Deliver() and the store is not
   // read.
   void SetRelayed(bool relayed);
   void Deliver(const ReadResult& result);
+  // Reads what is there from the store once, also while relayed.
+  void ReadOnce();
   bool has_newest() const { return has_newest_; }
   // Offset of the next record to be read.
   core::Offset next() const { return next_; }
@@ -67,6 +68,9 @@
   const FollowerTerms terms_;
   const FollowerHooks hooks_;
   boost::asio::steady_timer timer_;
+  std::chrono::milliseconds batch_pause_{0};
+  // The next read is not held, so that its answer shows how old the rest is.
+  bool read_at_once_ = false;
   // How long the store may hold a read that finds nothing new.
   std::chrono::milliseconds poll_wait_{8'000};
   bool has_newest_ = false;
--- /dev/null
+++ b/src/entry/table_history.cc
@@ -0,0 +1,53 @@
+#include "entry/table_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucandock::entry {
+namespace {
+
+// Hosts ask several times a second, and a table is written at most eight times.
+constexpr size_t kMostTables = 12;
+
+}  // namespace
+
+void TableHistory::Add(core::keyspace::OwnershipTable table) {
+  auto& tables = tables_[table.service];
+  if (!tables.empty() && tables.back().offset >= table.offset) {
+    return;
+  }
+  tables.push_back(std::move(table));
+  if (tables.size() > kMostTables) {
+    tables.pop_front();
+  }
+}
+
+std::optional<OwnershipUpdate> TableHistory::UpdateFrom(
+    core::Offset from,
+    core::Offset end) const {
+  OwnershipUpdate update{.end = end};
+  for (const auto& [service, tables] : tables_) {
+    if (tables.back().offset < from) {
+      continue;
+    }
+    const auto base =
+        std::find_if(tables.rbegin(), tables.rend(),
+                     [from](const auto& table) { return table.offset < from; });
+    if (base == tables.rend()) {
+      return std::nullopt;
+    }
+    update.deltas.push_back(core::keyspace::ComputeDelta(*base, tables.back()));
+  }
+  return update;
+}
+
+std::optional<core::keyspace::OwnershipTable> TableHistory::Apply(
+    const core::keyspace::OwnershipDelta& delta) const {
+  const auto tables = tables_.find(delta.changes.service);
+  if (tables == tables_.end()) {
+    return std::nullopt;
+  }
+  return core::keyspace::ApplyDelta(tables->second.back(), delta);
+}
+
+}  // namespace toucandock::entry
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -21,6 +21,10 @@
 // Closed connections are forgotten when this many more are known.
 constexpr size_t kForgetStep = 256;
 
+std::string ToString(const net::Tcp::endpoint& endpoint) {
+  return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
 }  // namespace
 
 Traffic::Traffic(boost::asio::io_context& io,
@@ -75,6 +79,19 @@
   return status;
 }
 
+std::string Traffic::caller_address() const {
+  error_code ec;
+  return ToString(acceptor_.local_endpoint(ec));
+}
+
+std::string Traffic::readiness_address() const {
+  return ToString(readiness_.endpoint());
+}
+
+std::string Traffic::metrics_address() const {
+  return ToString(metrics_.endpoint());
+}
+
 void Traffic::SetView(std::shared_ptr<const RoutingView> view) {
   const bool ready = view->complete;
   dispatcher_.SetView(std::move(view));
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -26,6 +26,10 @@
           ReportLoad report_load);
 
   absl::Status Listen();
+  // "IP:PORT" of the ports that were bound.
+  std::string caller_address() const;
+  std::string readiness_address() const;
+  std::string metrics_address() const;
   void SetView(std::shared_ptr<const RoutingView> view);
   // Ends what runs and then calls `stopped`, before the stop limit.
   void Stop(std::function<void()> stopped);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -236,9 +236,17 @@
     response.version(11);
     response.result(static_cast<unsigned>(answer.status));
     PutHeaders(answer.headers, response);
+    const bool has_own_length =
+        response.find(beast_http::field::content_length) != response.end();
+    if (has_own_length) {
+      // Perhaps another length than the body's: nothing may follow.
+      keep_alive = false;
+    }
     response.keep_alive(keep_alive);
     if (!HasNoBody(answer.status)) {
-      response.content_length(answer.body.size());
+      if (!has_own_length) {
+        response.content_length(answer.body.size());
+      }
       if (!is_head) {
         response.body() = answer.body;
       }
--- a/src/net/responder.cc
+++ b/src/net/responder.cc
@@ -103,6 +103,11 @@
   return status;
 }
 
+Tcp::endpoint Responder::endpoint() const {
+  error_code ec;
+  return acceptor_.local_endpoint(ec);
+}
+
 void Responder::Accept() {
   auto session = std::make_shared<Session>(io_, respond_);
   acceptor_.async_accept(session->socket, [this, session](error_code ec) {
--- a/src/net/responder.h
+++ b/src/net/responder.h
@@ -20,6 +20,8 @@
   Responder(boost::asio::io_context& io, Respond respond);
 
   absl::Status Listen(const std::string& address);
+  // Of the port that was bound.
+  Tcp::endpoint endpoint() const;
 
  private:
   void Accept();
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -17,6 +17,7 @@
 #include "codec/record_json.h"
 #include "core/control/control_state.h"
 #include "http/server.h"
+#include "platform/log_protocol.h"
 #include "support/fake_server.h"
 #include "support/files.h"
 #include "util/command_flags.h"
@@ -86,26 +87,26 @@
   http::Response Serve(const http::Request& request) {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (request.method == "POST") {
-      const auto record = codec::ParseRecord(request.body);
+      bool is_cut = false;
+      const auto records = platform::DecodeFrames(request.body, is_cut);
+      REQUIRE(records.size() == 1);
+      const auto record = codec::ParseRecord(records[0]);
       REQUIRE(record.ok());
       Decide(*record);
       return http::JsonResponse(200, "{\"offset\":0}");
     }
     std::uint64_t from = 0;
     REQUIRE(absl::SimpleAtoi(http::QueryParameter(request, "from"), &from));
-    Json::Value value;
-    value["first"] = static_cast<Json::UInt64>(first_);
-    value["next"] = static_cast<Json::UInt64>(state_.next);
-    value["records"] = Json::Value(Json::arrayValue);
+    if (from < first_) {
+      return http::JsonResponse(410, absl::StrCat("{\"first\":", first_, "}"));
+    }
+    platform::LogPage page{.end = state_.next, .first = first_};
     for (const LogEntry& it : entries_) {
-      if (it.offset >= std::max(from, first_)) {
-        Json::Value entry;
-        entry["offset"] = static_cast<Json::UInt64>(it.offset);
-        entry["data"] = codec::EncodeRecord(it.record);
-        value["records"].append(entry);
+      if (it.offset >= from) {
+        page.records.push_back(codec::EncodeRecord(it.record));
       }
     }
-    return http::JsonResponse(200, codec::WriteJson(value));
+    return {.status = 200, .body = platform::EncodePage(page)};
   }
 
   std::mutex mutex_;
--- /dev/null
+++ b/tests/core/relay/source_tracker_test.cc
@@ -0,0 +1,97 @@
+#include "core/relay/source_tracker.h"
+
+#include <doctest/doctest.h>
+
+namespace toucandock::core::relay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+}  // namespace
+
+// kc-brama-grown quiet-1: after each loss of the duty host, 65 hosts read three
+// streams of the store, and each new record was read 65 times.
+TEST_CASE("the loss of the host that reads the store must not make all read") {
+  SourceTracker host({}, kStart);
+  host.OnAnswer(SourceKind::kDutyHost, true, kStart);
+  TimePoint now = kStart + milliseconds(400);
+  REQUIRE(host.IsRelayed(now));
+  REQUIRE_FALSE(host.IsDutyHostLost(now));
+
+  SUBCASE("the duty host falls silent") {
+    now = kStart + milliseconds(450);
+    CHECK(host.IsDutyHostLost(now));
+
+    SUBCASE("most hosts wait for a substitute") {
+      CHECK(host.IsRelayed(now));
+
+      SUBCASE("one answers that has read the store") {
+        host.OnAnswer(SourceKind::kSubstitute, true, now + milliseconds(500));
+        CHECK(host.IsRelayed(now + milliseconds(1'000)));
+
+        SUBCASE("and falls silent as well: the host reads the store itself") {
+          CHECK_FALSE(host.IsRelayed(now + milliseconds(1'100)));
+        }
+
+        SUBCASE("a new duty host answers") {
+          host.OnAnswer(SourceKind::kDutyHost, true, now + milliseconds(900));
+          CHECK_FALSE(host.IsDutyHostLost(now + milliseconds(1'300)));
+          CHECK(host.IsRelayed(now + milliseconds(1'300)));
+        }
+      }
+
+      SUBCASE("one answers that has not read the store yet") {
+        host.OnAnswer(SourceKind::kSubstitute, false, now + milliseconds(500));
+        CHECK_FALSE(host.IsRelayed(now + milliseconds(650)));
+      }
+
+      SUBCASE("none answers: changes must be known within two seconds") {
+        CHECK_FALSE(host.IsRelayed(now + milliseconds(650)));
+      }
+    }
+
+    SUBCASE("a substitute reads the store at once") {
+      host.SetSubstitute(true);
+      CHECK_FALSE(host.IsRelayed(now));
+    }
+  }
+
+  SUBCASE("the duty host has lost the store, and says so again and again") {
+    host.OnAnswer(SourceKind::kDutyHost, false, now);
+    CHECK(host.IsDutyHostLost(now));
+    host.OnAnswer(SourceKind::kDutyHost, false, now + milliseconds(600));
+    CHECK_FALSE(host.IsRelayed(now + milliseconds(650)));
+  }
+
+  SUBCASE("records could not be fetched: other answers prove nothing") {
+    host.OnFetchFailed(now);
+    host.OnAnswer(SourceKind::kDutyHost, true, now);
+    CHECK_FALSE(host.IsRelayed(now));
+    host.OnAnswer(SourceKind::kDutyHost, true, now + milliseconds(1'900));
+    CHECK(host.IsRelayed(now + milliseconds(2'000)));
+  }
+}
+
+TEST_CASE("a host that starts must not wait for a duty host for long") {
+  SourceTracker host({}, kStart);
+  CHECK(host.IsStarting(kStart + milliseconds(2'400)));
+  CHECK_FALSE(host.IsRelayed(kStart));
+  CHECK_FALSE(host.IsStarting(kStart + milliseconds(2'500)));
+
+  SUBCASE("unless the whole fleet starts, when all would read each target") {
+    SourceTracker first({.fleet_starts = true}, kStart);
+    first.OnAnswer(SourceKind::kDutyHost, true, kStart + milliseconds(1'000));
+    CHECK(first.IsStarting(kStart + milliseconds(3'900)));
+    CHECK_FALSE(first.IsStarting(kStart + milliseconds(4'000)));
+  }
+
+  SUBCASE("one is heard soon") {
+    host.OnAnswer(SourceKind::kDutyHost, true, kStart + milliseconds(50));
+    CHECK_FALSE(host.IsStarting(kStart + milliseconds(60)));
+    CHECK(host.IsRelayed(kStart + milliseconds(60)));
+  }
+}
+
+}  // namespace toucandock::core::relay
--- a/tests/entry/peer_json_test.cc
+++ b/tests/entry/peer_json_test.cc
@@ -55,11 +55,14 @@
                             .ownership = {.next = 9, .fresh = true},
                             .store_up = std::chrono::milliseconds(3'200),
                             .hosts = 12,
-                            .standby = true};
+                            .has_duty = true,
+                            .substitutes = {"10.0.0.1:7620", "10.0.0.2:7620"}};
   CHECK(*DecodeGreeting(EncodeGreeting(answer)) == answer);
   const PeerGreeting hello{.store_lost = true};
   CHECK(*DecodeGreeting(EncodeGreeting(hello)) == hello);
   CHECK_FALSE(DecodeGreeting("[1,2]").ok());
+  CHECK_FALSE(DecodeGreeting("[1,1,1,1,1,1,1,1,1,7]").ok());
+  CHECK_FALSE(DecodeGreeting(R"([1,1,1,1,1,1,1,"x",1])").ok());
 
   const core::keyspace::LoadReport report{
       .service = "s",
@@ -71,6 +74,31 @@
   CHECK_FALSE(DecodeLoadReport(R"({"service":"s","keys":[65536]})").ok());
 }
 
+TEST_CASE("changes of owners must reach other hosts as they were decided") {
+  const core::keyspace::TargetLife a{.id = "a", .born = 5};
+  const core::keyspace::TargetLife b{.id = "b", .born = 6};
+  const core::keyspace::OwnershipTable base{
+      .service = "s", .offset = 3, .assignments = {{.owner = a}}};
+  core::keyspace::OwnershipTable next = base;
+  next.offset = 8;
+  next.assignments = {
+      {.keys = {0, 9}, .owner = a, .serving = true},
+      {.keys = {10, core::keyspace::kLastKey}, .owner = b, .previous = {a}}};
+  const OwnershipUpdate update{
+      .end = 9, .deltas = {core::keyspace::ComputeDelta(base, next)}};
+  const std::string text = EncodeOwnershipUpdate(update);
+  const auto decoded = DecodeOwnershipUpdate(text);
+  REQUIRE(decoded.ok());
+  CHECK(decoded->end == 9);
+  REQUIRE(decoded->deltas.size() == 1);
+  const auto applied = core::keyspace::ApplyDelta(base, decoded->deltas[0]);
+  REQUIRE(applied);
+  CHECK(applied->offset == 8);
+  CHECK(applied->assignments == next.assignments);
+  CHECK_FALSE(DecodeOwnershipUpdate(text.substr(0, text.size() / 2)).ok());
+  CHECK_FALSE(DecodeOwnershipUpdate(R"({"end":1,"deltas":[{}]})").ok());
+}
+
 TEST_CASE("a peer must never be given records with a gap") {
   RecordCache cache;
   cache.StartAt(10);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -11,6 +11,7 @@
 #include "http/client.h"
 #include "platform/host_list_client.h"
 #include "platform/log_client.h"
+#include "platform/log_protocol.h"
 #include "support/cut_server.h"
 #include "support/fake_server.h"
 
@@ -29,15 +30,8 @@
           .poll_wait = std::chrono::milliseconds(0)};
 }
 
-std::string Page(const std::string& records) {
-  return absl::StrCat(R"({"first":0,"next":3,"records":[)", records, "]}");
-}
-
-std::string Entry(int offset, const std::string& data) {
-  Json::Value value;
-  value["offset"] = offset;
-  value["data"] = data;
-  return codec::WriteJson(value);
+std::string Page(const std::vector<std::string>& records) {
+  return EncodePage({.end = 3, .first = 0, .records = records});
 }
 
 struct BadAnswer {
@@ -60,8 +54,13 @@
     CHECK(*offset == 7);
     const auto requests = server.requests();
     REQUIRE(requests.size() == 1);
-    CHECK(requests[0].path == "/streams/s/records");
-    CHECK(codec::ParseRecord(requests[0].body).ok());
+    CHECK(requests[0].path == "/log-append");
+    CHECK(requests[0].query == "topic=s&part=0");
+    bool is_cut = false;
+    const auto records = DecodeFrames(requests[0].body, is_cut);
+    CHECK_FALSE(is_cut);
+    REQUIRE(records.size() == 1);
+    CHECK(codec::ParseRecord(records[0]).ok());
   }
   SUBCASE("any other answer leaves it open") {
     for (const BadAnswer& it : std::vector<BadAnswer>{
@@ -93,28 +92,37 @@
   const std::string good = codec::EncodeRecord(kRecord);
 
   SUBCASE("good records are read; one that no host can read is skipped") {
-    server.Answer(200, Page(absl::StrCat(Entry(0, good), ",", Entry(1, "junk"),
-                                         ",", Entry(2, good))));
+    server.Answer(200, Page({good, "junk", good}));
     const auto page = log.Read(0);
     REQUIRE(page.ok());
     CHECK(page->end == 3);
     REQUIRE(page->entries.size() == 2);
     CHECK(page->entries[1].offset == 2);
   }
+  SUBCASE("offsets count from the one that was asked for") {
+    server.Answer(200, Page({good}));
+    const auto page = log.Read(2);
+    REQUIRE(page.ok());
+    CHECK(page->end == 3);
+    REQUIRE(page->entries.size() == 1);
+    CHECK(page->entries[0].offset == 2);
+  }
   SUBCASE("anything else is an error") {
+    const std::string whole = Page({good});
     for (const BadAnswer& it : std::vector<BadAnswer>{
-             {"error", 500, Page("")},
-             {"not JSON", 200, "<html>"},
-             {"cut JSON", 200, Page("").substr(0, 20)},
-             {"a list", 200, "[]"},
-             {"no first offset", 200, "{\"next\":3,\"records\":[]}"},
-             {"no next offset", 200, "{\"first\":0,\"records\":[]}"},
-             {"no records", 200, "{\"first\":0,\"next\":3}"},
-             {"records of a wrong type", 200,
-              R"({"first":0,"next":3,"records":{}})"},
-             {"an entry of a wrong type", 200, Page("7")},
-             {"an entry without offset", 200, Page("{\"data\":\"x\"}")},
-             {"an entry without data", 200, Page("{\"offset\":0}")}}) {
+             {"error", 500, whole},
+             {"nothing", 200, ""},
+             {"JSON", 200, "{}"},
+             {"cut in the head", 200, whole.substr(0, 15)},
+             {"cut in the length of a record", 200, whole.substr(0, 18)},
+             {"cut in a record", 200, whole.substr(0, whole.size() - 1)},
+             {"a record longer than the page", 200,
+              Page({}) + std::string(4, '\xff')},
+             {"history lost, no JSON", 410, "<html>"},
+             {"history lost, no first offset", 410, "{}"},
+             {"history lost, first offset of a wrong type", 410,
+              R"({"first":"9"})"},
+             {"history lost, but the offset is kept", 410, R"({"first":0})"}}) {
       CAPTURE(it.what);
       server.Answer(it.status, it.body);
       CHECK_FALSE(log.Read(0).ok());
@@ -123,6 +131,21 @@
   }
 }
 
+TEST_CASE("records must keep their bytes and keys through the log's framing") {
+  const std::string bytes("\0\xff{}", 4);
+  bool is_cut = false;
+  CHECK(DecodeFrames(EncodeFrame(bytes) + EncodeFrame(""), is_cut) ==
+        std::vector<std::string>{bytes, ""});
+  CHECK_FALSE(is_cut);
+  const auto keyed = DecodeKeyedRecord(EncodeKeyedRecord({bytes, bytes}));
+  REQUIRE(keyed.ok());
+  CHECK(keyed->key == bytes);
+  CHECK(keyed->value == bytes);
+  for (const char* it : {"", "\x02k", "\xff"}) {
+    CHECK_FALSE(DecodeKeyedRecord(it).ok());
+  }
+}
+
 TEST_CASE("a damaged host list must not be taken for an empty one") {
   support::FakeServer server;
   http::Client client;
@@ -159,7 +182,7 @@
   LogClient log(client, OptionsFor(server.address()));
   REQUIRE(log.Append(kRecord).ok());
   const std::string body = codec::EncodeRecord(kRecord);
-  CHECK(sent > body.size() + std::string("POST /streams/s/records").size());
+  CHECK(sent > body.size() + std::string("POST /log-append").size());
   CHECK(received > std::string(R"({"offset":7})").size());
   const std::uint64_t once = sent;
   REQUIRE(log.Append(kRecord).ok());
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "platform/log_protocol.h"
 
 namespace toucandock::process {
 namespace {
@@ -369,18 +370,24 @@
 
 // Appends a record that no host can read and each skips.
 void Fleet::AppendToLog(const std::string& record) {
-  client_.Exchange(
-      log_address_,
-      {.method = "POST", .path = "/streams/toucandock/records", .body = record},
-      {});
+  client_.Exchange(log_address_,
+                   {.method = "POST",
+                    .path = "/log-append",
+                    .query = "topic=toucandock&part=0",
+                    .body = platform::EncodeFrame(record)},
+                   {});
 }
 
 std::uint64_t Fleet::FirstRetained() {
   const http::ExchangeResult result = client_.Exchange(
-      log_address_, {.path = "/streams/toucandock/records", .query = "limit=1"},
-      {});
-  const auto value = codec::ParseJson(result.response.body);
-  return value.ok() ? (*value)["first"].asUInt64() : 0;
+      log_address_,
+      {.path = "/log-read", .query = "topic=toucandock&part=0&from=0"}, {});
+  if (result.response.status == 410) {
+    const auto value = codec::ParseJson(result.response.body);
+    return value.ok() ? (*value)["first"].asUInt64() : 0;
+  }
+  const auto page = platform::DecodePage(result.response.body);
+  return page.ok() ? page->first : 0;
 }
 
 void Fleet::SetTargetFault(size_t n, const std::string& query) {
