Run toucandock-entry against stand-ins of the platform in the process tests

Folders and start of processes are shared with the earlier fleet (WorkFolder). Settings are checked by a table of faults. Measured: both new process tests pass (kills, store away, history forgotten, planned stops; 52 s); they failed before for settings that refused port 0.

--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -52,15 +52,19 @@
       ReadRetries(retries, settings.retries);
     });
   }
-  const std::pair<const char*, std::string> addresses[] = {
-      {"caller_address", settings.caller_address},
-      {"readiness_address", settings.readiness_address},
-      {"store_address", settings.store_address}};
-  for (const auto& [name, address] : addresses) {
-    if (!faults.HasFaultAt(name) && !util::IsAddress(address)) {
+  const auto check_address = [&faults](const char* name,
+                                       const std::string& address,
+                                       util::PortRule rule) {
+    if (!faults.HasFaultAt(name) && !util::IsAddress(address, rule)) {
       faults.Add(faults.LineOf(name), name, "'" + address + "' is not IP:PORT");
     }
-  }
+  };
+  check_address("caller_address", settings.caller_address,
+                util::PortRule::kOrChosen);
+  check_address("readiness_address", settings.readiness_address,
+                util::PortRule::kOrChosen);
+  check_address("store_address", settings.store_address,
+                util::PortRule::kGiven);
   if (report_port > 65'535) {
     faults.Add(faults.LineOf("report_port"), "report_port", "is above 65535");
   }
--- /dev/null
+++ b/tests/entry/settings_test.cc
@@ -0,0 +1,74 @@
+#include "entry/settings.h"
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_replace.h"
+#include "support/files.h"
+
+namespace toucandock::entry {
+namespace {
+
+constexpr char kSettings[] =
+    "host_name: edge-1\n"
+    "failure_domain: lk-west-a\n"
+    "ip: 10.1.0.15\n"
+    "caller_address: 10.1.0.15:8641\n"
+    "readiness_address: 10.1.0.15:8640\n"
+    "store_address: 10.200.1.7:8642\n"
+    "report_port: 7620\n"
+    "longest_lease: 10000ms\n"
+    "stop_limit: 6s\n"
+    "store_partitions: 24\n"
+    "fleet_starts: true\n"
+    "retries:\n"
+    "  ratio: 0.2\n"
+    "  slack: 64\n"
+    "  window: 10s\n";
+
+}  // namespace
+
+TEST_CASE("a wrong setting must stop an entry host with its line and field") {
+  const auto settings = ParseEntrySettings("f", kSettings);
+  REQUIRE(settings.ok());
+  CHECK(settings->report_port == 7'620);
+  CHECK(settings->stop_limit == std::chrono::seconds(6));
+  CHECK(settings->fleet_starts);
+  CHECK(settings->retries.slack == 64);
+
+  SUBCASE("the kernel may choose the host's own ports") {
+    const auto chosen = ParseEntrySettings(
+        "f",
+        absl::StrReplaceAll(
+            kSettings, {{":8641", ":0"}, {":8640", ":0"}, {": 7620", ": 0"}}));
+    CHECK(chosen.ok());
+  }
+
+  struct Row {
+    const char* what;
+    const char* from;
+    const char* to;
+    const char* fault;
+  };
+  const Row rows[] = {
+      {"no store", "store_address: 10.200.1.7:8642\n", "", "store_address"},
+      {"a store without a port", ":8642", ":0", "f:6: store_address"},
+      {"no address", "10.1.0.15:8641", "here", "f:4: caller_address"},
+      {"a port that is none", "7620", "65536", "f:7: report_port"},
+      {"a time without a unit", "6s", "6", "f:9: stop_limit"},
+      {"a word for a number", "24", "many", "f:10: store_partitions"},
+      {"no partitions", "24", "0", "f:10: store_partitions"},
+      {"an unknown setting", "ip:", "ipv6: x\nip:", "ipv6"},
+  };
+  for (const Row& row : rows) {
+    SUBCASE(row.what) {
+      const auto wrong = ParseEntrySettings(
+          "f", absl::StrReplaceAll(kSettings, {{row.from, row.to}}));
+      REQUIRE_FALSE(wrong.ok());
+      CAPTURE(wrong.status().message());
+      CHECK(absl::StrContains(wrong.status().message(), row.fault));
+    }
+  }
+}
+
+}  // namespace toucandock::entry
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -1,11 +1,7 @@
 #include "process/fleet.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <map>
-#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -19,39 +15,20 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kStartLimit{10'000};
 constexpr milliseconds kReadyLimit{30'000};
 constexpr milliseconds kToolLimit{30'000};
 
-std::string Program(const std::string& name) {
-  return absl::StrCat(TOUCANDOCK_BIN_DIR, "/", name);
-}
-
-std::string ReadFile(const std::string& file) {
-  std::ifstream stream(file);
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
 }  // namespace
 
 // Starts all stand-ins and hosts and returns when each host has its ports.
 Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
-  std::string folder =
-      (std::filesystem::temp_directory_path() / "toucandock-XXXXXX").string();
-  if (mkdtemp(folder.data()) == nullptr) {
-    throw std::runtime_error("cannot make a temporary folder");
-  }
-  folder_ = folder;
-  log_address_ = StartStandIn("log", "standin_log", {}, log_);
+  log_address_ = folder_.StartStandIn("log", "standin_log", {}, log_);
   host_list_address_ =
-      StartStandIn("host_list", "standin_host_list", {}, host_list_);
+      folder_.StartStandIn("host_list", "standin_host_list", {}, host_list_);
   targets_.resize(options_.targets);
   for (size_t n = 0; n < targets_.size(); ++n) {
     targets_[n].name = absl::StrCat("target", n);
-    targets_[n].journal_file =
-        absl::StrCat(folder_, "/", targets_[n].name, ".journal");
+    targets_[n].journal_file = folder_.PathOf(targets_[n].name + ".journal");
     StartTarget(n, "127.0.0.1:0");
   }
   for (size_t n = 0; n < options_.hosts; ++n) {
@@ -65,43 +42,19 @@
   targets_.clear();
   host_list_.reset();
   log_.reset();
-  std::error_code ec;
-  if (std::getenv("TOUCANDOCK_KEEP_FOLDER") == nullptr) {
-    std::filesystem::remove_all(folder_, ec);
-  }
-}
-
-// Returns the address that the stand-in bound.
-std::string Fleet::StartStandIn(const std::string& name,
-                                const std::string& program,
-                                const std::vector<std::string>& flags,
-                                std::unique_ptr<ChildProcess>& process) {
-  const std::string file = absl::StrCat(folder_, "/", name, ".address");
-  std::filesystem::remove(file);
-  std::vector<std::string> command = {Program(program),
-                                      absl::StrCat("--address_file=", file)};
-  command.insert(command.end(), flags.begin(), flags.end());
-  process = std::make_unique<ChildProcess>(
-      command, absl::StrCat(folder_, "/", name, ".out"));
-  WaitUntil(
-      absl::StrCat("address of ", name),
-      [&] { return absl::EndsWith(ReadFile(file), "\n"); }, kStartLimit);
-  std::string address = ReadFile(file);
-  address.pop_back();
-  return address;
 }
 
 void Fleet::StartTarget(size_t n, const std::string& address) {
   TargetProcess& target = targets_[n];
-  target.address =
-      StartStandIn(target.name, "standin_target",
-                   {absl::StrCat("--name=", target.name),
-                    absl::StrCat("--address=", address),
-                    absl::StrCat("--journal=", target.journal_file),
-                    absl::StrCat("--checks_fences=",
-                                 options_.checks_fences ? "true" : "false"),
-                    "--slots=64"},
-                   target.process);
+  target.address = folder_.StartStandIn(
+      target.name, "standin_target",
+      {absl::StrCat("--name=", target.name),
+       absl::StrCat("--address=", address),
+       absl::StrCat("--journal=", target.journal_file),
+       absl::StrCat("--checks_fences=",
+                    options_.checks_fences ? "true" : "false"),
+       "--slots=64"},
+      target.process);
 }
 
 // A new process at the same address, as the platform restarts targets.
@@ -113,13 +66,12 @@
 void Fleet::StartRelay() {
   RelayProcess relay;
   const std::string name = absl::StrCat("relay", relays_.size());
-  const std::string file = absl::StrCat(folder_, "/", name, ".relay");
-  relay.control_address = StartStandIn(
+  const std::string file = folder_.PathOf(name + ".relay");
+  relay.control_address = folder_.StartStandIn(
       name, "standin_relay", {absl::StrCat("--relay_address_file=", file)},
       relay.process);
-  WaitUntil(
-      absl::StrCat("relay address of ", name),
-      [&] { return absl::EndsWith(ReadFile(file), "\n"); }, kStartLimit);
+  WaitUntil("relay address of " + name,
+            [&] { return absl::EndsWith(ReadFile(file), "\n"); });
   relay.address = ReadFile(file);
   relay.address.pop_back();
   relays_.push_back(std::move(relay));
@@ -141,30 +93,12 @@
 void Fleet::StartHost(size_t n, const std::vector<std::string>& seed_peers) {
   EntryHost& host = *hosts_[n];
   host.process.reset();
-  const std::string addresses =
-      absl::StrCat(folder_, "/", host.name, ".addresses");
-  std::filesystem::remove(addresses);
   WriteSettings(host, n, seed_peers);
-  host.process = std::make_unique<ChildProcess>(
-      std::vector<std::string>{
-          Program("toucandockd"),
-          absl::StrCat("--settings=", folder_, "/", host.name, ".yaml")},
-      absl::StrCat(folder_, "/", host.name, ".out"));
-  WaitUntil(
-      absl::StrCat("addresses of ", host.name),
-      [&] {
-        const std::string text = ReadFile(addresses);
-        return absl::StrContains(text, "operator ") &&
-               absl::EndsWith(text, "\n");
-      },
-      kStartLimit);
-  std::istringstream lines(ReadFile(addresses));
-  std::string port;
-  std::string address;
-  std::map<std::string, std::string> bound;
-  while (lines >> port >> address) {
-    bound[port] = address;
-  }
+  std::map<std::string, std::string> bound = folder_.StartWithPorts(
+      host.name,
+      {Program("toucandockd"),
+       absl::StrCat("--settings=", folder_.PathOf(host.name + ".yaml"))},
+      host.process);
   host.caller_address = bound["caller"];
   host.peer_address = bound["peer"];
   host.operator_address = bound["operator"];
@@ -177,11 +111,12 @@
 void Fleet::WriteSettings(const EntryHost& host,
                           size_t n,
                           const std::vector<std::string>& seed_peers) {
-  std::string text = absl::StrCat(
-      "host_name: ", host.name, "\nfailure_domain: lk-west-", n % 4 + 1,
-      "\nlog_address: ", log_address_,
-      "\nhost_list_address: ", host_list_address_, "\naddress_file: ", folder_,
-      "/", host.name, ".addresses\n", options_.settings);
+  std::string text =
+      absl::StrCat("host_name: ", host.name, "\nfailure_domain: lk-west-",
+                   n % 4 + 1, "\nlog_address: ", log_address_,
+                   "\nhost_list_address: ", host_list_address_,
+                   "\naddress_file: ", folder_.PathOf(host.name + ".addresses"),
+                   "\n", options_.settings);
   if (options_.relays) {
     absl::StrAppend(&text, "advertised_peer_address: ", relays_[n].address,
                     "\n");
@@ -194,9 +129,7 @@
 }
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) {
-  std::string file = absl::StrCat(folder_, "/", name);
-  std::ofstream(file) << text;
-  return file;
+  return folder_.WriteFile(name, text);
 }
 
 // `extra_service` is the name of a second, unused service, which makes the
@@ -222,7 +155,7 @@
 
 ToolResult Fleet::RunTool(const std::vector<std::string>& words) {
   const std::string output =
-      absl::StrCat(folder_, "/tool", ++runs_of_tool_, ".out");
+      folder_.PathOf(absl::StrCat("tool", ++runs_of_tool_, ".out"));
   std::vector<std::string> command = {Program("toucandock"),
                                       absl::StrCat("--log=", log_address_)};
   command.insert(command.end(), words.begin(), words.end());
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -12,6 +12,7 @@
 #include "codec/json.h"
 #include "http/client.h"
 #include "process/child_process.h"
+#include "process/work_folder.h"
 
 namespace toucandock::process {
 
@@ -101,10 +102,6 @@
   const std::string& log_address() const { return log_address_; }
 
  private:
-  std::string StartStandIn(const std::string& name,
-                           const std::string& program,
-                           const std::vector<std::string>& flags,
-                           std::unique_ptr<ChildProcess>& process);
   void StartTarget(size_t n, const std::string& address);
   void StartRelay();
   void WriteSettings(const EntryHost& host,
@@ -115,7 +112,7 @@
             const std::string& query);
 
   const FleetOptions options_;
-  std::string folder_;
+  WorkFolder folder_;
   http::Client client_;
   std::unique_ptr<ChildProcess> log_;
   std::string log_address_;
--- /dev/null
+++ b/tests/process/platform_fleet_test.cc
@@ -0,0 +1,116 @@
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+#include "process/platform_journal.h"
+
+namespace toucandock::process {
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr milliseconds kRouteTimeout{2'000};
+// A killed process that has the duty to decide about owners is replaced, and
+// the keys of a lost target have another owner.
+constexpr milliseconds kRecovery{15'000};
+
+void Prepare(PlatformFleet& fleet) {
+  REQUIRE(fleet.PublishConfig(kRouteTimeout));
+  fleet.WaitUntilReady();
+}
+
+void WaitForAll(PlatformFleet& fleet, PlatformLoad& load, size_t more) {
+  for (size_t n = 0; n < fleet.host_count(); ++n) {
+    load.WaitForAnswers(n, more, kRecovery);
+  }
+}
+
+void CheckPromises(PlatformFleet& fleet,
+                   const std::vector<PlatformRecord>& records,
+                   const std::vector<FaultInterval>& faults) {
+  // Enough to see what went wrong; a broken rule is often broken many times.
+  constexpr size_t kShown = 5;
+  const std::vector<std::string> found =
+      FindPlatformFaults(ReadPlatformJournals(fleet), records, faults);
+  for (size_t n = 0; n < std::min(found.size(), kShown); ++n) {
+    MESSAGE(found[n]);
+  }
+  CHECK(found.empty());
+}
+
+}  // namespace
+
+TEST_CASE("on the platform, the loss of one part must not stop the rest") {
+  PlatformFleet fleet({});
+  Prepare(fleet);
+  PlatformLoad load(fleet, {});
+  WaitForAll(fleet, load, 50);
+  const Clock::time_point began = Clock::now();
+
+  SUBCASE("each host is killed in turn, so that the duty moves") {
+    for (size_t n = 0; n < fleet.host_count(); ++n) {
+      fleet.host(n).process->Kill();
+      load.WaitForAnswers((n + 1) % fleet.host_count(), 100, kRecovery);
+      fleet.StartHost(n);
+      load.WaitForAnswers(n, 50, kRecovery);
+    }
+  }
+
+  SUBCASE("a target that owns keys is killed") {
+    fleet.target(0).process->Kill();
+    WaitForAll(fleet, load, 200);
+
+    SUBCASE("and comes back under its id, where it holds nothing") {
+      fleet.StartTarget(0);
+      WaitForAll(fleet, load, 200);
+    }
+  }
+
+  SUBCASE("the store is away for longer than a lease lasts") {
+    REQUIRE(fleet.SetStoreFault("down=1"));
+    std::this_thread::sleep_for(milliseconds(6'000));
+    // Nothing but the store is lost: requests are still answered.
+    WaitForAll(fleet, load, 50);
+    REQUIRE(fleet.SetStoreFault("down=0"));
+    WaitForAll(fleet, load, 50);
+  }
+
+  SUBCASE("the store forgets its history and deals the duty anew") {
+    REQUIRE(fleet.SetStoreFault("forget=1&rebalance=1"));
+    REQUIRE(fleet.PublishConfig(kRouteTimeout));
+    WaitForAll(fleet, load, 200);
+  }
+
+  const Clock::time_point ended = Clock::now();
+  CheckPromises(fleet, load.Stop(), {{.from = began, .to = ended}});
+}
+
+TEST_CASE("on the platform, a planned stop cuts no request") {
+  PlatformFleet fleet({});
+  Prepare(fleet);
+  PlatformLoad load(fleet, {.work = milliseconds(100)});
+  WaitForAll(fleet, load, 20);
+
+  SUBCASE("of a host, while callers go on to use their connections") {
+    for (size_t n = 0; n < fleet.host_count(); ++n) {
+      fleet.host(n).process->Send(SIGTERM);
+      CHECK(fleet.host(n).process->WaitForExit("a planned stop",
+                                               milliseconds(8'000)) == 0);
+      fleet.StartHost(n);
+      load.WaitForAnswers(n, 20, kRecovery);
+    }
+  }
+
+  SUBCASE("of a target, whose keys move") {
+    fleet.target(1).process->Send(SIGTERM);
+    CHECK(fleet.target(1).process->WaitForExit("a leaving target",
+                                               milliseconds(8'000)) == 0);
+    WaitForAll(fleet, load, 50);
+  }
+
+  CheckPromises(fleet, load.Stop(), {});
+}
+
+}  // namespace toucandock::process
--- /dev/null
+++ b/tests/process/platform_journal.cc
@@ -0,0 +1,235 @@
+#include "process/platform_journal.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "codec/json.h"
+
+namespace toucandock::process {
+namespace {
+
+using std::chrono::milliseconds;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+// A target that leaves gets nothing new after two seconds, and half a second
+// for what is under way on a busy machine.
+constexpr milliseconds kDrainLimit{2'500};
+// Every so many keys are checked for their owners.
+constexpr std::uint32_t kKeyStep = 97;
+constexpr std::uint32_t kLastKey = 65'535;
+
+std::optional<PlatformEvent> EventFromName(const std::string& name) {
+  static const std::map<std::string, PlatformEvent> kEvents = {
+      {"listed", PlatformEvent::kListed},
+      {"draining", PlatformEvent::kDraining},
+      {"grant", PlatformEvent::kGrant},
+      {"release", PlatformEvent::kRelease},
+      {"start", PlatformEvent::kStart},
+      {"end", PlatformEvent::kEnd}};
+  const auto it = kEvents.find(name);
+  return it == kEvents.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::string Life(const PlatformJournalEntry& it) {
+  return absl::StrCat(it.target, "/", it.born);
+}
+
+std::string Describe(const PlatformJournalEntry& it) {
+  const auto at =
+      std::chrono::duration_cast<milliseconds>(it.at.time_since_epoch());
+  return absl::StrCat(Life(it), " at ", at.count(), " ms, fence ", it.fence,
+                      ", ", it.request_id);
+}
+
+// All grants and starts that concern one key, in the order of their time.
+void CheckKey(std::uint32_t key,
+              const std::vector<PlatformJournalEntry>& journal,
+              std::vector<std::string>& found) {
+  const PlatformJournalEntry* highest = nullptr;
+  const PlatformJournalEntry* holder = nullptr;
+  for (const PlatformJournalEntry& it : journal) {
+    if (it.event == PlatformEvent::kGrant && it.first <= key &&
+        key <= it.last) {
+      if (highest != nullptr && Life(*highest) != Life(it) &&
+          it.fence <= highest->fence) {
+        found.push_back(absl::StrCat("key ", key, " was granted with no higher",
+                                     " fence: ", Describe(it), " after ",
+                                     Describe(*highest)));
+      }
+      if (highest == nullptr || it.fence > highest->fence) {
+        highest = &it;
+      }
+    }
+    if (it.event != PlatformEvent::kStart || it.fence == 0 || it.key != key) {
+      continue;
+    }
+    if (holder != nullptr && Life(*holder) != Life(it) &&
+        it.fence <= holder->fence) {
+      found.push_back(absl::StrCat("key ", key, " has two owners: ",
+                                   Describe(it), " after ", Describe(*holder)));
+    }
+    holder = &it;
+  }
+}
+
+void CheckOwners(const std::vector<PlatformJournalEntry>& journal,
+                 std::vector<std::string>& found) {
+  std::vector<std::uint32_t> keys;
+  for (const PlatformJournalEntry& it : journal) {
+    if (it.event == PlatformEvent::kStart && it.fence != 0) {
+      keys.push_back(it.key);
+    }
+  }
+  for (std::uint32_t key = 0; key <= kLastKey; key += kKeyStep) {
+    keys.push_back(key);
+  }
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+  for (const std::uint32_t key : keys) {
+    CheckKey(key, journal, found);
+  }
+}
+
+bool Overlaps(const FaultInterval& fault, TimePoint from, TimePoint to) {
+  return fault.from <= to && from <= fault.to;
+}
+
+void CheckRecord(const PlatformRecord& record,
+                 const std::vector<const PlatformJournalEntry*>& starts,
+                 const std::vector<FaultInterval>& faults,
+                 std::vector<std::string>& found) {
+  if (!record.idempotent && starts.size() > 1) {
+    found.push_back(absl::StrCat(record.request_id, " ran ", starts.size(),
+                                 " times: ", Describe(*starts[0]), "; ",
+                                 Describe(*starts[1])));
+  }
+  const bool excused = std::any_of(
+      faults.begin(), faults.end(), [&record](const FaultInterval& it) {
+        return (it.host < 0 || it.host == static_cast<int>(record.host)) &&
+               Overlaps(it, record.sent_at, record.answered_at);
+      });
+  switch (record.told) {
+    case PlatformTold::kAnswer: {
+      const std::string expected = absl::StrCat(" ", record.request_id, " ");
+      if (!absl::StrContains(record.body, expected)) {
+        found.push_back(absl::StrCat(record.request_id,
+                                     " got another answer: ", record.body));
+      }
+      if (starts.empty()) {
+        found.push_back(
+            absl::StrCat(record.request_id, " was answered but did not run"));
+      }
+      break;
+    }
+    case PlatformTold::kNotRun:
+    case PlatformTold::kNotConnected:
+      // What may be repeated is told so as well, but harms nobody.
+      if (!starts.empty() && !record.idempotent) {
+        found.push_back(absl::StrCat(record.request_id, " was told not to have",
+                                     " run (", record.status,
+                                     ") but ran: ", Describe(*starts[0])));
+      }
+      break;
+    case PlatformTold::kCut:
+      if (!starts.empty() && !excused) {
+        found.push_back(absl::StrCat(
+            record.request_id, " ran and was cut off: ", Describe(*starts[0])));
+      }
+      break;
+    case PlatformTold::kNoAnswer:
+      if (!excused) {
+        found.push_back(
+            absl::StrCat(record.request_id, " was not answered in time"));
+      }
+      break;
+    case PlatformTold::kFailed:
+      break;
+  }
+}
+
+void CheckDraining(const std::vector<PlatformJournalEntry>& journal,
+                   const std::vector<FaultInterval>& faults,
+                   std::vector<std::string>& found) {
+  std::map<std::string, TimePoint> draining;
+  for (const PlatformJournalEntry& it : journal) {
+    if (it.event == PlatformEvent::kDraining) {
+      draining.emplace(Life(it), it.at);
+    }
+    const auto since = draining.find(Life(it));
+    if (it.event != PlatformEvent::kStart || since == draining.end() ||
+        it.at - since->second <= kDrainLimit) {
+      continue;
+    }
+    const bool excused = std::any_of(
+        faults.begin(), faults.end(), [&](const FaultInterval& fault) {
+          return Overlaps(fault, since->second, it.at);
+        });
+    if (!excused) {
+      found.push_back(
+          absl::StrCat("a leaving target got a request: ", Describe(it)));
+    }
+  }
+}
+
+}  // namespace
+
+// Reads the files, which also hold what a killed process had started.
+std::vector<PlatformJournalEntry> ReadPlatformJournals(PlatformFleet& fleet) {
+  std::vector<PlatformJournalEntry> journal;
+  for (size_t n = 0; n < fleet.target_count(); ++n) {
+    std::ifstream stream(fleet.target(n).journal_file);
+    std::string line;
+    while (std::getline(stream, line)) {
+      const auto value = codec::ParseJson(line);
+      // The last line of a killed process may be incomplete.
+      const auto event = value.ok()
+                             ? EventFromName((*value)["event"].asString())
+                             : std::nullopt;
+      if (!event) {
+        continue;
+      }
+      PlatformJournalEntry entry{
+          .at = TimePoint(milliseconds((*value)["at_ms"].asInt64())),
+          .event = *event,
+          .target = (*value)["target"].asString(),
+          .born = (*value)["born"].asInt64(),
+          .request_id = (*value)["request_id"].asString()};
+      // Members that an event does not have stay zero.
+      (void)absl::SimpleAtoi((*value)["key"].asString(), &entry.key);
+      (void)absl::SimpleAtoi((*value)["fence"].asString(), &entry.fence);
+      (void)absl::SimpleAtoi((*value)["first"].asString(), &entry.first);
+      (void)absl::SimpleAtoi((*value)["last"].asString(), &entry.last);
+      journal.push_back(std::move(entry));
+    }
+  }
+  std::stable_sort(journal.begin(), journal.end(),
+                   [](const auto& a, const auto& b) { return a.at < b.at; });
+  return journal;
+}
+
+std::vector<std::string> FindPlatformFaults(
+    const std::vector<PlatformJournalEntry>& journal,
+    const std::vector<PlatformRecord>& records,
+    const std::vector<FaultInterval>& faults) {
+  std::vector<std::string> found;
+  CheckOwners(journal, found);
+  CheckDraining(journal, faults, found);
+  std::map<std::string, std::vector<const PlatformJournalEntry*>> starts;
+  for (const PlatformJournalEntry& it : journal) {
+    if (it.event == PlatformEvent::kStart) {
+      starts[it.request_id].push_back(&it);
+    }
+  }
+  for (const PlatformRecord& it : records) {
+    CheckRecord(it, starts[it.request_id], faults, found);
+  }
+  return found;
+}
+
+}  // namespace toucandock::process
--- /dev/null
+++ b/tests/process/platform_load.h
@@ -0,0 +1,88 @@
+#ifndef TOUCANDOCK_PROCESS_PLATFORM_LOAD_H_
+#define TOUCANDOCK_PROCESS_PLATFORM_LOAD_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "process/platform_fleet.h"
+
+namespace toucandock::process {
+
+enum class PlatformTold {
+  // A success with a target's digest.
+  kAnswer,
+  // 408, 421, 429 or 503: not run, and never will be.
+  kNotRun,
+  // Another status.
+  kFailed,
+  // Nothing was sent.
+  kNotConnected,
+  // The connection ended without a whole answer.
+  kCut,
+  // No answer within the caller's deadline and a margin.
+  kNoAnswer,
+};
+
+// What one caller sent and what it was told.
+struct PlatformRecord {
+  size_t host = 0;
+  std::string request_id;
+  // The request may run twice.
+  bool idempotent = true;
+  bool keyed = false;
+  std::chrono::steady_clock::time_point sent_at;
+  std::chrono::steady_clock::time_point answered_at;
+  PlatformTold told = PlatformTold::kCut;
+  int status = 0;
+  std::string body;
+};
+
+struct PlatformLoadOptions {
+  size_t threads_per_host = 4;
+  std::chrono::milliseconds pause{10};
+  std::chrono::milliseconds work{10};
+  std::chrono::milliseconds deadline{2'000};
+  // Requests use open connections again; otherwise each has its own.
+  bool keep_connections = true;
+};
+
+// Callers that send requests of all kinds through all hosts until Stop().
+class PlatformLoad {
+ public:
+  PlatformLoad(PlatformFleet& fleet, const PlatformLoadOptions& options);
+  ~PlatformLoad();
+
+  PlatformLoad(const PlatformLoad&) = delete;
+  PlatformLoad& operator=(const PlatformLoad&) = delete;
+
+  std::vector<PlatformRecord> Stop();
+  size_t CountAnswers(size_t host) const { return answers_[host]; }
+  // Waits until as many more answers of targets arrived through the host.
+  void WaitForAnswers(size_t host,
+                      size_t more,
+                      std::chrono::milliseconds limit);
+
+ private:
+  void Run(size_t host, size_t thread);
+  PlatformRecord Call(http::Client& client,
+                      size_t host,
+                      size_t n,
+                      const std::string& request_id) const;
+
+  PlatformFleet& fleet_;
+  const PlatformLoadOptions options_;
+  std::atomic<bool> stopping_ = false;
+  std::vector<std::atomic<size_t>> answers_;
+  std::mutex mutex_;
+  std::vector<PlatformRecord> records_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace toucandock::process
+
+#endif  // TOUCANDOCK_PROCESS_PLATFORM_LOAD_H_
--- a/tests/standins/serve.h
+++ b/tests/standins/serve.h
@@ -5,34 +5,51 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <string>
 #include <utility>
 
+#include "absl/status/statusor.h"
 #include "http/server.h"
 
 namespace toucandock::standins {
 
-// Serves until SIGTERM or SIGINT; writes the bound address to `address_file`.
-inline int ServeUntilStopped(const std::string& address,
-                             const std::string& address_file,
-                             http::Handler handler) {
+// To be called before any thread starts. Returns the signals for sigwait().
+inline sigset_t BlockStopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGINT);
   sigaddset(&signals, SIGTERM);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+// Writes the bound address to `address_file`.
+inline absl::StatusOr<std::unique_ptr<http::Server>> StartServer(
+    const std::string& address,
+    const std::string& address_file,
+    http::Handler handler) {
   auto server = http::Server::Start({.address = address, .max_body = 16 << 20},
                                     std::move(handler));
-  if (!server.ok()) {
-    std::cerr << server.status().message() << "\n";
-    return EXIT_FAILURE;
-  }
-  if (!address_file.empty()) {
+  if (server.ok() && !address_file.empty()) {
     // Renamed into place, so that a reader never sees half a line.
     const std::string part = address_file + ".part";
     std::ofstream(part) << (*server)->address() << "\n";
     std::rename(part.c_str(), address_file.c_str());
   }
+  return server;
+}
+
+// Serves until SIGTERM or SIGINT.
+inline int ServeUntilStopped(const std::string& address,
+                             const std::string& address_file,
+                             http::Handler handler) {
+  const sigset_t signals = BlockStopSignals();
+  const auto server = StartServer(address, address_file, std::move(handler));
+  if (!server.ok()) {
+    std::cerr << server.status().message() << "\n";
+    return EXIT_FAILURE;
+  }
   int signal = 0;
   sigwait(&signals, &signal);
   std::_Exit(EXIT_SUCCESS);
