Add a randomized fault soak of real processes

Change: tests/soak plans faults from a seed (kills, pauses, planned stops, faulty and cut-off targets, a faulty, silent or unreachable store, publications), runs them overlapping under load, mends everything, and checks the promises from what callers were told and what the targets ran.

--- /dev/null
+++ b/tests/soak/fault_plan.cc
@@ -0,0 +1,107 @@
+#include "soak/fault_plan.h"
+
+#include <algorithm>
+#include <random>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucandock::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr FaultKind kKinds[] = {
+    FaultKind::kHostKill,    FaultKind::kHostPause,   FaultKind::kHostStop,
+    FaultKind::kTargetKill,  FaultKind::kTargetPause, FaultKind::kTargetStop,
+    FaultKind::kTargetFault, FaultKind::kTargetCut,   FaultKind::kStoreFault,
+    FaultKind::kStorePause,  FaultKind::kStoreCut,    FaultKind::kPublish};
+
+constexpr const char* kKindNames[] = {"host killed",
+                                      "host paused",
+                                      "host stopped",
+                                      "target killed",
+                                      "target paused",
+                                      "target stopped",
+                                      "target faulty",
+                                      "target cut off",
+                                      "store faulty",
+                                      "store paused",
+                                      "host cut off the store",
+                                      "configuration published"};
+
+struct Queries {
+  const char* set;
+  const char* end;
+};
+
+constexpr Queries kTargetFaults[] = {{"fail_percent=40", "fail_percent=0"},
+                                     {"lose_percent=20", "lose_percent=0"},
+                                     {"slow_ms=400", "slow_ms=0"}};
+
+constexpr Queries kStoreFaults[] = {{"down=1", "down=0"},
+                                    {"slow_ms=200", "slow_ms=0"},
+                                    {"lose_answers=3", "lose_answers=0"},
+                                    {"forget=1", ""},
+                                    {"rebalance=1", ""}};
+
+constexpr Queries kRelayFaults[] = {
+    {"mode=hold", "mode=pass"},      {"mode=hold_up", "mode=pass"},
+    {"mode=hold_down", "mode=pass"}, {"mode=drop", "mode=pass"},
+    {"mode=reset", "mode=pass"},     {"delay_ms=100", "delay_ms=0"}};
+
+constexpr milliseconds kShortest{200};
+// Longer than a lease and the wait before another host has the duty.
+constexpr milliseconds kLongest{7'000};
+
+template <size_t kCount>
+void SetQueries(const Queries (&queries)[kCount],
+                std::minstd_rand& random,
+                Fault& fault) {
+  const Queries& chosen = queries[random() % kCount];
+  fault.query = chosen.set;
+  fault.end_query = chosen.end;
+}
+
+}  // namespace
+
+std::vector<Fault> PlanFaults(std::uint32_t seed,
+                              const FaultPlanOptions& options) {
+  std::minstd_rand random(seed);
+  // The first numbers of neighbouring seeds are alike.
+  random.discard(16);
+  std::vector<Fault> plan;
+  for (size_t n = 0; n < options.faults; ++n) {
+    Fault fault{.kind = kKinds[random() % std::size(kKinds)],
+                .at = milliseconds(random() % options.length.count())};
+    // Short ones are more frequent.
+    const auto longest = random() % 3 == 0 ? kLongest : kLongest / 4;
+    fault.lasts =
+        kShortest + milliseconds(random() % (longest - kShortest).count());
+    const bool at_host = fault.kind == FaultKind::kHostKill ||
+                         fault.kind == FaultKind::kHostPause ||
+                         fault.kind == FaultKind::kHostStop ||
+                         fault.kind == FaultKind::kStoreCut;
+    fault.where = random() % (at_host ? options.hosts : options.targets);
+    if (fault.kind == FaultKind::kTargetFault) {
+      SetQueries(kTargetFaults, random, fault);
+    } else if (fault.kind == FaultKind::kStoreFault) {
+      SetQueries(kStoreFaults, random, fault);
+    } else if (fault.kind == FaultKind::kTargetCut ||
+               fault.kind == FaultKind::kStoreCut) {
+      SetQueries(kRelayFaults, random, fault);
+    }
+    plan.push_back(std::move(fault));
+  }
+  std::sort(plan.begin(), plan.end(),
+            [](const Fault& a, const Fault& b) { return a.at < b.at; });
+  return plan;
+}
+
+std::string Describe(const Fault& fault) {
+  return absl::StrCat(fault.at.count(),
+                      " ms: ", kKindNames[static_cast<size_t>(fault.kind)], " ",
+                      fault.where, " for ", fault.lasts.count(), " ms",
+                      fault.query.empty() ? "" : ", ", fault.query);
+}
+
+}  // namespace toucandock::soak
--- /dev/null
+++ b/tests/soak/soak_run.cc
@@ -0,0 +1,243 @@
+#include "soak/soak_run.h"
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "process/platform_journal.h"
+
+namespace toucandock::soak {
+namespace {
+
+using process::FaultInterval;
+using process::PlatformFleet;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+// Service is back this long after the last fault at the latest.
+constexpr milliseconds kRecovery{15'000};
+// Callers' requests are affected for a while after a fault: those that wait are
+// answered within their deadline, and connections are found to be dead.
+constexpr milliseconds kAftermath{6'000};
+constexpr milliseconds kStopLimit{8'000};
+constexpr size_t kAnswersAfterwards = 30;
+constexpr milliseconds kRouteTimeouts[] = {milliseconds(1'500),
+                                           milliseconds(2'000)};
+
+class Soak {
+ public:
+  Soak(std::uint32_t seed, const SoakOptions& options)
+      : options_(options),
+        plan_(PlanFaults(
+            seed,
+            {.length = options.length,
+             .faults = options.faults,
+             .hosts = options.hosts,
+             .targets = options.keyed_targets + options.plain_targets})),
+        fleet_({.hosts = options.hosts,
+                .keyed_targets = options.keyed_targets,
+                .plain_targets = options.plain_targets,
+                .relays = true}),
+        host_mutexes_(options.hosts),
+        target_mutexes_(options.keyed_targets + options.plain_targets) {}
+
+  SoakResult Run() {
+    SoakResult result;
+    std::vector<process::PlatformRecord> records;
+    try {
+      if (!fleet_.PublishConfig(kRouteTimeouts[0])) {
+        throw std::runtime_error("the store takes no configuration");
+      }
+      fleet_.WaitUntilReady();
+      process::PlatformLoad load(fleet_, {});
+      RunFaults();
+      for (size_t n = 0; n < fleet_.host_count(); ++n) {
+        load.WaitForAnswers(n, kAnswersAfterwards, kRecovery);
+      }
+      records = load.Stop();
+    } catch (const std::exception& error) {
+      Report(absl::StrCat("not served: ", error.what()));
+    }
+    for (std::string& it : process::FindPlatformFaults(
+             process::ReadPlatformJournals(fleet_), records, intervals_)) {
+      Report(std::move(it));
+    }
+    result.broken = broken_;
+    result.requests = records.size();
+    for (const process::PlatformRecord& it : records) {
+      result.answered += it.told == process::PlatformTold::kAnswer ? 1 : 0;
+    }
+    if (!broken_.empty()) {
+      fleet_.folder().Keep();
+      result.folder = fleet_.folder().PathOf("");
+    }
+    return result;
+  }
+
+ private:
+  void Report(std::string what) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    broken_.push_back(std::move(what));
+  }
+
+  // Each fault has a thread, so that they overlap; those of one process follow
+  // each other.
+  void RunFaults() {
+    const Clock::time_point began = Clock::now();
+    std::vector<std::thread> threads;
+    for (const Fault& fault : plan_) {
+      threads.emplace_back([this, &fault, began] {
+        std::this_thread::sleep_until(began + fault.at);
+        if (options_.verbose) {
+          std::cerr << Describe(fault) << "\n";
+        }
+        try {
+          Apply(fault);
+        } catch (const std::exception& error) {
+          Report(absl::StrCat(Describe(fault), ": ", error.what()));
+        }
+      });
+    }
+    for (std::thread& it : threads) {
+      it.join();
+    }
+  }
+
+  void Note(Clock::time_point from) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    intervals_.push_back({.from = from, .to = Clock::now() + kAftermath});
+  }
+
+  void Apply(const Fault& fault) {
+    const Clock::time_point from = Clock::now();
+    switch (fault.kind) {
+      case FaultKind::kHostKill:
+      case FaultKind::kHostPause:
+      case FaultKind::kHostStop:
+        ApplyToHost(fault);
+        return;
+      case FaultKind::kTargetKill:
+      case FaultKind::kTargetPause:
+      case FaultKind::kTargetStop:
+        ApplyToTarget(fault);
+        return;
+      case FaultKind::kTargetFault:
+        // Refused when the target is down at that moment.
+        fleet_.SetTargetFault(fault.where, fault.query);
+        std::this_thread::sleep_for(fault.lasts);
+        fleet_.SetTargetFault(fault.where, fault.end_query);
+        break;
+      case FaultKind::kTargetCut:
+        fleet_.SetRelay(fleet_.target(fault.where).relay_control, fault.query);
+        std::this_thread::sleep_for(fault.lasts);
+        fleet_.SetRelay(fleet_.target(fault.where).relay_control,
+                        fault.end_query);
+        break;
+      case FaultKind::kStoreFault:
+        ApplyToStore([&] {
+          fleet_.SetStoreFault(fault.query);
+          std::this_thread::sleep_for(fault.lasts);
+          fleet_.SetStoreFault(fault.end_query);
+        });
+        break;
+      case FaultKind::kStorePause:
+        ApplyToStore([&] {
+          fleet_.store().Send(SIGSTOP);
+          std::this_thread::sleep_for(fault.lasts);
+          fleet_.store().Send(SIGCONT);
+        });
+        break;
+      case FaultKind::kStoreCut:
+        fleet_.SetRelay(fleet_.host(fault.where).relay_control, fault.query);
+        std::this_thread::sleep_for(fault.lasts);
+        fleet_.SetRelay(fleet_.host(fault.where).relay_control,
+                        fault.end_query);
+        break;
+      case FaultKind::kPublish:
+        ApplyToStore(
+            [&] { fleet_.PublishConfig(kRouteTimeouts[++publications_ % 2]); });
+        return;
+    }
+    Note(from);
+  }
+
+  template <typename Action>
+  void ApplyToStore(const Action& action) {
+    const std::lock_guard<std::mutex> lock(store_mutex_);
+    action();
+  }
+
+  void ApplyToHost(const Fault& fault) {
+    const std::lock_guard<std::mutex> lock(host_mutexes_[fault.where]);
+    const Clock::time_point from = Clock::now();
+    process::ChildProcess& host = *fleet_.host(fault.where).process;
+    if (fault.kind == FaultKind::kHostPause) {
+      host.Send(SIGSTOP);
+      std::this_thread::sleep_for(fault.lasts);
+      host.Send(SIGCONT);
+      // A paused host is also silent to the others.
+      Note(from);
+      return;
+    }
+    if (fault.kind == FaultKind::kHostKill) {
+      host.Kill();
+      Note(from);
+    } else {
+      // A planned stop: nothing is excused but what comes to the next process.
+      host.Send(SIGTERM);
+      const int code = host.WaitForExit("a planned stop", kStopLimit);
+      if (code != 0) {
+        Report(absl::StrCat("a stopped host ended with ", code));
+      }
+    }
+    std::this_thread::sleep_for(fault.lasts / 4);
+    fleet_.StartHost(fault.where);
+    process::WaitUntil(
+        "a restarted host is ready",
+        [&] { return fleet_.IsReady(fault.where); }, kRecovery);
+  }
+
+  void ApplyToTarget(const Fault& fault) {
+    const std::lock_guard<std::mutex> lock(target_mutexes_[fault.where]);
+    const Clock::time_point from = Clock::now();
+    process::ChildProcess& target = *fleet_.target(fault.where).process;
+    if (fault.kind == FaultKind::kTargetPause) {
+      target.Send(SIGSTOP);
+      std::this_thread::sleep_for(fault.lasts);
+      target.Send(SIGCONT);
+      Note(from);
+      return;
+    }
+    if (fault.kind == FaultKind::kTargetKill) {
+      target.Kill();
+      Note(from);
+    } else {
+      target.Send(SIGTERM);
+      target.WaitForExit("a leaving target", kStopLimit);
+    }
+    std::this_thread::sleep_for(fault.lasts / 4);
+    fleet_.StartTarget(fault.where);
+  }
+
+  const SoakOptions options_;
+  const std::vector<Fault> plan_;
+  PlatformFleet fleet_;
+  std::vector<std::mutex> host_mutexes_;
+  std::vector<std::mutex> target_mutexes_;
+  std::mutex store_mutex_;
+  int publications_ = 0;
+  std::mutex mutex_;
+  std::vector<FaultInterval> intervals_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace
+
+SoakResult RunSoak(std::uint32_t seed, const SoakOptions& options) {
+  return Soak(seed, options).Run();
+}
+
+}  // namespace toucandock::soak
--- /dev/null
+++ b/tests/soak/soak_run.h
@@ -0,0 +1,38 @@
+#ifndef TOUCANDOCK_SOAK_SOAK_RUN_H_
+#define TOUCANDOCK_SOAK_SOAK_RUN_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "soak/fault_plan.h"
+
+namespace toucandock::soak {
+
+struct SoakOptions {
+  size_t hosts = 3;
+  size_t keyed_targets = 4;
+  size_t plain_targets = 3;
+  size_t faults = 6;
+  std::chrono::milliseconds length{8'000};
+  // Prints each fault as it begins.
+  bool verbose = false;
+};
+
+struct SoakResult {
+  // One line for each broken promise.
+  std::vector<std::string> broken;
+  size_t requests = 0;
+  size_t answered = 0;
+  // Where the logs and journals are, if a promise was broken.
+  std::string folder;
+};
+
+// Starts a fleet of real processes, breaks what the seed says while callers
+// send requests, mends everything, waits for the fleet to serve again, and
+// compares what callers were told with what the targets ran.
+SoakResult RunSoak(std::uint32_t seed, const SoakOptions& options);
+
+}  // namespace toucandock::soak
+
+#endif  // TOUCANDOCK_SOAK_SOAK_RUN_H_
