--- a/tests/process/platform_journal.cc
+++ b/tests/process/platform_journal.cc
@@ -41,9 +41,9 @@
 }
 
 std::string Describe(const PlatformJournalEntry& it) {
-  const auto at =
-      std::chrono::duration_cast<milliseconds>(it.at.time_since_epoch());
-  return absl::StrCat(Life(it), " at ", at.count(), " ms, fence ", it.fence,
+  const auto at = std::chrono::duration_cast<std::chrono::microseconds>(
+      it.at.time_since_epoch());
+  return absl::StrCat(Life(it), " at ", at.count(), " us, fence ", it.fence,
                       ", ", it.request_id);
 }
 
@@ -194,7 +194,8 @@
         continue;
       }
       PlatformJournalEntry entry{
-          .at = TimePoint(milliseconds((*value)["at_ms"].asInt64())),
+          .at =
+              TimePoint(std::chrono::microseconds((*value)["at_us"].asInt64())),
           .event = *event,
           .target = (*value)["target"].asString(),
           .born = (*value)["born"].asInt64(),
--- a/tests/standins/platform_target_main.cc
+++ b/tests/standins/platform_target_main.cc
@@ -58,8 +58,10 @@
 constexpr int kQueue = 16;
 constexpr std::uint32_t kKeys = 65'536;
 
-std::int64_t Milliseconds(Clock::time_point at) {
-  return std::chrono::duration_cast<milliseconds>(at.time_since_epoch())
+// Orders a release and the next owner's grant, which may follow within 1 ms.
+std::int64_t Microseconds(Clock::time_point at) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             at.time_since_epoch())
       .count();
 }
 
@@ -352,7 +354,7 @@
       return;
     }
     Json::Value value;
-    value["at_ms"] = Json::Int64(Milliseconds(Clock::now()));
+    value["at_us"] = Json::Int64(Microseconds(Clock::now()));
     value["event"] = event;
     value["target"] = id_;
     value["born"] = Json::Int64(born_);
