Let a host try another peer port when one is taken

A failed listen left its acceptor open, so the next port that the kernel chose could not be tried. Change: a failed listen closes the acceptor. The soak reports a fleet that does not start.

--- a/src/net/responder.cc
+++ b/src/net/responder.cc
@@ -86,6 +86,9 @@
     acceptor.listen(kBacklog, ec);
   }
   if (ec) {
+    // Left open, it could not be tried at another address.
+    error_code ignored;
+    acceptor.close(ignored);
     return absl::UnavailableError("cannot listen at " + address + ": " +
                                   ec.message());
   }
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -237,7 +237,11 @@
 }  // namespace
 
 SoakResult RunSoak(std::uint32_t seed, const SoakOptions& options) {
-  return Soak(seed, options).Run();
+  try {
+    return Soak(seed, options).Run();
+  } catch (const std::exception& error) {
+    return {.broken = {absl::StrCat("not started: ", error.what())}};
+  }
 }
 
 }  // namespace toucandock::soak
