Keep leases alive when the duty moves around an outage of the store

The store dealt the duty anew just before it went away; the earlier host stopped renewing at once, and the successor could not act. Change: a host that has lost the duty renews until it reads a successor's record (at most as long as before); while three quarters of the hosts have lost the store, leases last ten seconds; a successor that has seen an outage, or has just started, waits for leases of that length at owners it cannot reach. Hosts that no longer hear the duty host ask for their membership at once.

--- a/src/core/keyspace/grant_coordinator.cc
+++ b/src/core/keyspace/grant_coordinator.cc
@@ -43,7 +43,10 @@
     return;
   }
   duty_ = mine;
-  duty_confirmed_ = confirmed_at;
+  if (mine) {
+    duty_confirmed_ = confirmed_at;
+    may_renew_ = true;
+  }
 }
 
 void GrantCoordinator::OnEnd(Offset end) {
@@ -75,14 +78,35 @@
   samples_.Add(report, now);
 }
 
-bool GrantCoordinator::CanActOn(TimePoint now) const {
-  const bool outage = now < outage_reported_ + terms_.outage_report;
-  return duty_ && now < duty_confirmed_ +
-                            (outage ? terms_.outage_lease : terms_.duty_lease);
+// Leases are renewed until a successor's record is read, also after the store
+// has given the duty to another host, which may be slow to learn of it.
+bool GrantCoordinator::CanRenew(TimePoint now) const {
+  return may_renew_ &&
+         now < duty_confirmed_ +
+                   (IsOutage(now) ? terms_.outage_lease : terms_.duty_lease);
+}
+
+bool GrantCoordinator::IsOutage(TimePoint now) const {
+  return now < outage_reported_ + terms_.outage_report;
+}
+
+Duration GrantCoordinator::HoldNow(TimePoint now) const {
+  return IsOutage(now) ? std::max(terms_.hold, terms_.outage_hold)
+                       : terms_.hold;
+}
+
+// The longest lease that an earlier process with the duty may have given and
+// that may still run.
+Duration GrantCoordinator::InheritedHold(TimePoint now) const {
+  const TimePoint last_doubt = std::max(store_lost_at_, first_event_);
+  const bool was_outage =
+      now < last_doubt + WithDrift(terms_.outage_hold) + terms_.outage_notice;
+  return was_outage ? std::max(terms_.hold, terms_.outage_hold) : terms_.hold;
 }
 
 bool GrantCoordinator::CanMove(TimePoint now) const {
-  return now >= moves_from_ && now < duty_confirmed_ + terms_.move_lease;
+  return duty_ && now >= moves_from_ &&
+         now < duty_confirmed_ + terms_.move_lease;
 }
 
 // A connection that stands leads to the same life of the target as before. A
@@ -94,17 +118,21 @@
 }
 
 bool GrantCoordinator::IsActive(TimePoint now) const {
-  return CanActOn(now) && committed_ && committed_->writer == writer_;
+  return CanRenew(now) && committed_ && committed_->writer == writer_;
 }
 
 // Takes the newest record as the state to act on. Progress of ranges that the
 // record does not change is kept.
 void GrantCoordinator::Adopt(const OwnershipTable& table, TimePoint now) {
+  if (first_event_ == TimePoint{}) {
+    first_event_ = now;
+  }
   const bool mine = table.writer == writer_;
   const bool was_mine = committed_ && committed_->writer == writer_;
   // Whoever acted before may renew leases until its own duty ends.
-  const TimePoint inherited =
-      now + terms_.duty_lease + WithDrift(terms_.hold) + terms_.grant_timeout;
+  const TimePoint inherited = now + terms_.duty_lease +
+                              WithDrift(InheritedHold(now)) +
+                              terms_.grant_timeout;
   std::vector<RangeState> next;
   for (const Assignment& it : table.assignments) {
     RangeState state{.assignment = it, .begun = now + terms_.move_notice};
@@ -169,6 +197,7 @@
   }
   if (!mine && was_mine) {
     duty_ = false;
+    may_renew_ = false;
     replaced_at_ = now;
   }
 }
@@ -459,22 +488,22 @@
   if (!MayGrantTo(contact)) {
     return;
   }
+  const Duration hold = HoldNow(now);
   range.order = NewOrder({.keys = it.keys,
                           .target = it.owner,
                           .kind = OrderRef::Kind::kGrant,
                           .sent = now,
-                          .hold = terms_.hold,
+                          .hold = hold,
                           .kept_connection_only = contact.connected});
   contact.grant_under_way = range.order;
   range.held_before_order = range.may_hold_until;
-  range.may_hold_until =
-      std::max(range.may_hold_until,
-               now + terms_.grant_timeout + WithDrift(terms_.hold));
+  range.may_hold_until = std::max(range.may_hold_until,
+                                  now + terms_.grant_timeout + WithDrift(hold));
   out.push_back(GrantOrder{.id = range.order,
                            .target = it.owner,
                            .keys = it.keys,
                            .fence = NextFence(),
-                           .hold = terms_.hold,
+                           .hold = hold,
                            .timeout = terms_.grant_timeout,
                            .handover = range.handover,
                            .kept_connection_only = contact.connected});
@@ -565,11 +594,11 @@
 // Returns what is due. Called after each event and at short intervals.
 std::vector<Action> GrantCoordinator::Tick(TimePoint now) {
   std::vector<Action> out;
-  if (!CanActOn(now) || !end_) {
+  if (!CanRenew(now) || !end_) {
     return out;
   }
   if (!committed_ || committed_->writer != writer_) {
-    if (append_pending_) {
+    if (append_pending_ || !duty_) {
       return out;
     }
     // A record of its own gives this process fences above all earlier ones, and
@@ -589,7 +618,7 @@
       GrantRange(it, now, out);
     }
   }
-  if (!append_pending_) {
+  if (!append_pending_ && duty_) {
     SettleIfDue(now, out);
   }
   PlanIfDue(now, out);
--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -21,6 +21,10 @@
 struct CoordinatorTerms {
   // Lease of a grant, on the target's clock.
   Duration hold = std::chrono::milliseconds(5'000);
+  // The same while the store is away for most hosts, when nobody can take the
+  // duty over: owners keep their keys for as long as targets allow, also when
+  // the host with the duty ends meanwhile.
+  Duration outage_hold = std::chrono::milliseconds(10'000);
   Duration renew_interval = std::chrono::milliseconds(1'250);
   // A grant without an answer is repeated after this time.
   Duration grant_timeout = std::chrono::milliseconds(500);
@@ -39,6 +43,8 @@
   Duration outage_lease = std::chrono::seconds(60);
   // What the other hosts say holds for this long.
   Duration outage_report = std::chrono::seconds(1);
+  // An outage is noticed within this time by all hosts.
+  Duration outage_notice = std::chrono::milliseconds(2'500);
   // Keys change hands only this long after the store last confirmed the duty. A
   // successor waits as long before its own first change, so that two processes
   // never carry out different changes at a time.
@@ -146,6 +152,8 @@
   void OnOrderAnswer(const OrderAnswer& answer, TimePoint now);
   void OnLoad(const LoadReport& report, TimePoint now);
   void OnStoreAnswered(TimePoint now) { store_answered_ = now; }
+  // Calls of this host to the store fail.
+  void OnStoreLost(TimePoint now) { store_lost_at_ = now; }
   // Most other hosts say that they have lost the store.
   void OnOutageReported(TimePoint now) { outage_reported_ = now; }
 
@@ -212,13 +220,16 @@
   };
 
   void Adopt(const OwnershipTable& table, TimePoint now);
-  bool CanActOn(TimePoint now) const;
+  bool CanRenew(TimePoint now) const;
   bool CanMove(TimePoint now) const;
   bool MayGrantTo(const Contact& contact) const;
   Fence NextFence();
   std::uint64_t NewOrder(OrderRef ref);
   TimePoint EarlierHold(const KeyRange& keys, const TargetLife& target) const;
   Duration WithDrift(Duration lease) const;
+  bool IsOutage(TimePoint now) const;
+  Duration HoldNow(TimePoint now) const;
+  Duration InheritedHold(TimePoint now) const;
   Contact& ContactOf(const TargetLife& target);
   RangeState* FindRange(const KeyRange& keys);
   bool IsGoneForSure(const TargetLife& target) const;
@@ -238,12 +249,18 @@
   const std::string report_address_;
   const CoordinatorTerms terms_;
   bool duty_ = false;
+  // The duty was confirmed once, and no successor's record was read since.
+  bool may_renew_ = false;
   TimePoint duty_confirmed_{};
   TimePoint replaced_at_{};
   TimePoint taken_over_at_{};
   // Until then, an earlier process with the duty may still change owners.
   TimePoint moves_from_{};
   TimePoint store_answered_{};
+  // The last sign of an outage that another host may have noticed, too. Before
+  // the first event nothing is known.
+  TimePoint store_lost_at_{};
+  TimePoint first_event_{};
   TimePoint outage_reported_{};
   // Another process has the address of these.
   std::set<TargetLife> replaced_;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -37,6 +37,8 @@
       terms.hold, std::chrono::duration_cast<core::Duration>(
                       settings.longest_lease * kLeasePart));
   terms.renew_interval = terms.hold / 4;
+  terms.outage_hold =
+      std::min<core::Duration>(terms.outage_hold, settings.longest_lease);
   return terms;
 }
 
@@ -261,6 +263,9 @@
 }
 
 void Control::OnStoreFailure() {
+  for (auto& [service, coordinator] : coordinators_) {
+    coordinator->OnStoreLost(LeaseClockNow());
+  }
   if (!store_lost_) {
     store_lost_ = true;
     store_up_since_ = std::nullopt;
@@ -540,7 +545,7 @@
               it->second->OnLoad(report, LeaseClockNow());
             }
           },
-      .is_source = [this] { return IsActive(); },
+      .is_source = [this] { return leads_ && IsActive(); },
       .has_duty = [this] { return leads_; },
       .sources =
           [this] {
@@ -570,6 +575,13 @@
             peer_hosts_ = hosts;
             NoteLiveHosts();
           },
+      .on_duty_host_lost =
+          [this] {
+            // This host may have the duty now and learns of it by asking.
+            if (!leaving_) {
+              ScheduleMembership({});
+            }
+          },
   };
 }
 
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -190,6 +190,10 @@
 // Lets each stream be read from the store or taken from a peer.
 void PeerRelay::UpdateFollowers() {
   const core::TimePoint now = LeaseClockNow();
+  const bool hears_duty_host = !tracker_.IsDutyHostLost(now);
+  if (std::exchange(heard_duty_host_, hears_duty_host) && !hears_duty_host) {
+    hooks_.on_duty_host_lost();
+  }
   const bool has_duty = hooks_.has_duty() || hooks_.is_source();
   const bool relayed = !has_duty && tracker_.IsRelayed(now);
   const bool is_read_for_others = has_duty || tracker_.is_substitute();
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -48,6 +48,8 @@
   std::function<void()> on_outage_reported;
   // What the source says of the fleet.
   std::function<void(int hosts)> on_answer;
+  // The host that has the duty was heard and is no longer.
+  std::function<void()> on_duty_host_lost;
 };
 
 // Lets one host read the store for all. Each host greets the one that has the
@@ -119,6 +121,7 @@
   std::map<Stream, StreamState> source_state_;
   std::map<Stream, bool> fetching_;
   core::relay::SourceTracker tracker_;
+  bool heard_duty_host_ = false;
   // Hosts that read the store when the one that has the duty is lost.
   std::vector<std::string> substitutes_;
 };
--- a/tests/core/keyspace/coordinator_fixture.cc
+++ b/tests/core/keyspace/coordinator_fixture.cc
@@ -125,7 +125,11 @@
 }
 
 void World::AskForDuty(int host) {
-  if (hosts_[host].cut || hosts_[host].paused) {
+  if (hosts_[host].paused) {
+    return;
+  }
+  if (hosts_[host].cut) {
+    hosts_[host].coordinator->OnStoreLost(now_);
     return;
   }
   const TimePoint asked = now_;
--- a/tests/core/keyspace/grant_coordinator_test.cc
+++ b/tests/core/keyspace/grant_coordinator_test.cc
@@ -92,6 +92,55 @@
     CHECK(world.Served() == 1.0);
   }
 
+  // wds-gateway trouble-3: the store dealt the duty anew just before it went
+  // away, and the earlier host stopped renewing for a successor that never was.
+  SUBCASE("the duty moves, and the store goes away before anybody takes it") {
+    world.Pause(1, true);
+    world.GiveDuty(1);
+    world.Run(milliseconds(700));
+    for (int i = 0; i < 3; ++i) {
+      world.CutFromStore(i, true);
+    }
+    for (int i = 0; i < 8; ++i) {
+      world.Run(seconds(1));
+      CHECK(world.Served() == 1.0);
+    }
+    world.Pause(1, false);
+    for (int i = 0; i < 3; ++i) {
+      world.CutFromStore(i, false);
+    }
+    world.Run(seconds(3));
+    CHECK(world.Newest()->writer == "h1/1");
+    CHECK(world.Served() == 1.0);
+  }
+
+  // wds-gateway trouble-3: the host with the duty was stopped while the store
+  // was away, and the leases ended three seconds before anybody could renew.
+  SUBCASE("the host with the duty ends while the store is away") {
+    for (int i = 0; i < 3; ++i) {
+      world.CutFromStore(i, true);
+    }
+    world.Run(seconds(3));
+    world.Pause(0, true);
+    for (int i = 0; i < 7; ++i) {
+      world.Run(seconds(1));
+      CHECK(world.Served() == 1.0);
+    }
+    world.GiveDuty(1);
+    for (int i = 1; i < 3; ++i) {
+      world.CutFromStore(i, false);
+    }
+    world.Run(milliseconds(1'500));
+    CHECK(world.Served() == 1.0);
+
+    SUBCASE("and an owner was lost meanwhile, whose lease is waited out") {
+      world.CutTarget(2, true);
+      world.SetListed(2, false);
+      world.Run(seconds(18));
+      CHECK(world.Served() == 1.0);
+    }
+  }
+
   // wds-gateway trouble-3: the successor renewed over kept connections only,
   // had none yet, and let all leases end during the outage.
   SUBCASE("the store goes away right after the duty has moved") {
