Shorten leases to 3.8 seconds

Cause: after the loss of a target its keys are refused until its lease has ended, five to six seconds with leases of 5 s. Outages no longer need long leases, since these grow to ten seconds while the store is away. Change: 3.8 s, renewed each 0.95 s.

--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -19,13 +19,15 @@
 namespace toucandock::core::keyspace {
 
 struct CoordinatorTerms {
-  // Lease of a grant, on the target's clock.
-  Duration hold = std::chrono::milliseconds(5'000);
+  // Lease of a grant, on the target's clock. What is left of it between two
+  // renewals outlasts a change of the duty: 2 s until the earlier host counts as
+  // lost, 0.7 s until its successor asks, and its record.
+  Duration hold = std::chrono::milliseconds(3'800);
   // The same while the store is away for most hosts, when nobody can take the
   // duty over: owners keep their keys for as long as targets allow, also when
   // the host with the duty ends meanwhile.
   Duration outage_hold = std::chrono::milliseconds(10'000);
-  Duration renew_interval = std::chrono::milliseconds(1'250);
+  Duration renew_interval = std::chrono::milliseconds(950);
   // A grant without an answer is repeated after this time.
   Duration grant_timeout = std::chrono::milliseconds(500);
   Duration grant_retry = std::chrono::milliseconds(200);
