--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -70,6 +70,40 @@
   done
 }
 
+# start_platform_host NAME FAILURE_DOMAIN: starts toucandock-entry; sets
+# caller_NAME and readiness_NAME.
+start_platform_host() {
+  local name=$1 domain=$2
+  cat > "$run_dir/$name.yaml" <<YAML
+host_name: $name
+failure_domain: $domain
+ip: 127.0.0.1
+caller_address: 127.0.0.1:0
+readiness_address: 127.0.0.1:0
+report_port: 0
+store_address: $address_store
+address_file: $run_dir/$name.addresses
+YAML
+  start "$name" "$bin/toucandock-entry" --settings="$run_dir/$name.yaml"
+  wait_for 10 "addresses of $name" grep -q peer "$run_dir/$name.addresses" 2>/dev/null
+  local port
+  for port in caller readiness; do
+    printf -v "${port}_$name" '%s' "$(awk -v p="$port" '$1 == p { print $2 }' "$run_dir/$name.addresses")"
+  done
+}
+
+# publish_platform_config FILE: writes it to the stand-in store as the operator
+# of the platform does: a record behind its length, with its key.
+publish_platform_config() {
+  python3 -c 'import struct, sys
+text = b"\x06config" + open(sys.argv[1], "rb").read()
+sys.stdout.buffer.write(struct.pack(">I", len(text)) + text)' "$1" |
+    curl -sf -o /dev/null -X POST -H 'Stand-In-Writer: operator' --data-binary @- \
+      "http://$address_store/log-append?topic=keyed.op&part=0"
+}
+
+platform_is_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$1/readyz")" = 200 ]; }
+
 # end NAME: kills the process that start() ran under this name.
 end() {
   local pid=pid_$1
