--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -3,18 +3,20 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
-#include "absl/strings/numbers.h"
-#include "absl/strings/str_split.h"
 #include "soak/soak_run.h"
 
 ABSL_FLAG(int, first_seed, 1, "first seed");
 ABSL_FLAG(int, seeds, 1, "number of seeds, one after the other");
-ABSL_FLAG(std::string, seeds_file, "", "file with one seed a line instead");
+ABSL_FLAG(std::string,
+          seeds_file,
+          "",
+          "file with a seed and a number of faults a line instead");
 ABSL_FLAG(int, hosts, 3, "entry hosts");
 ABSL_FLAG(int, keyed_targets, 4, "targets that own keys");
 ABSL_FLAG(int, plain_targets, 3, "targets without keys");
@@ -25,43 +27,50 @@
 namespace toucandock::soak {
 namespace {
 
-// A line is a seed, and a remark behind '#'.
-std::vector<std::uint32_t> ReadSeeds(const std::string& file) {
-  std::vector<std::uint32_t> seeds;
+struct SoakCase {
+  std::uint32_t seed = 0;
+  size_t faults = 0;
+};
+
+// A line is a seed, a number of faults, and a remark behind '#'.
+std::vector<SoakCase> ReadCases(const std::string& file) {
+  std::vector<SoakCase> cases;
   std::ifstream stream(file);
   std::string line;
   while (std::getline(stream, line)) {
-    const std::vector<std::string> parts =
-        absl::StrSplit(line, absl::MaxSplits('#', 1));
-    std::uint32_t seed = 0;
-    if (absl::SimpleAtoi(parts[0], &seed)) {
-      seeds.push_back(seed);
+    std::istringstream words(line);
+    SoakCase it;
+    if (words >> it.seed >> it.faults) {
+      cases.push_back(it);
     }
   }
-  return seeds;
+  return cases;
 }
 
 int Main() {
-  std::vector<std::uint32_t> seeds;
+  std::vector<SoakCase> cases;
   if (const std::string file = absl::GetFlag(FLAGS_seeds_file); !file.empty()) {
-    seeds = ReadSeeds(file);
+    cases = ReadCases(file);
   } else {
     for (int n = 0; n < absl::GetFlag(FLAGS_seeds); ++n) {
-      seeds.push_back(
-          static_cast<std::uint32_t>(absl::GetFlag(FLAGS_first_seed) + n));
+      cases.push_back(
+          {.seed =
+               static_cast<std::uint32_t>(absl::GetFlag(FLAGS_first_seed) + n),
+           .faults = static_cast<size_t>(absl::GetFlag(FLAGS_faults))});
     }
   }
-  const SoakOptions options{
+  SoakOptions options{
       .hosts = static_cast<size_t>(absl::GetFlag(FLAGS_hosts)),
       .keyed_targets = static_cast<size_t>(absl::GetFlag(FLAGS_keyed_targets)),
       .plain_targets = static_cast<size_t>(absl::GetFlag(FLAGS_plain_targets)),
-      .faults = static_cast<size_t>(absl::GetFlag(FLAGS_faults)),
       .length = std::chrono::seconds(absl::GetFlag(FLAGS_seconds)),
       .verbose = absl::GetFlag(FLAGS_verbose)};
   size_t failed = 0;
-  for (const std::uint32_t seed : seeds) {
-    const SoakResult result = RunSoak(seed, options);
-    std::cout << "seed " << seed << ": " << result.requests << " requests, "
+  for (const SoakCase& it : cases) {
+    options.faults = it.faults;
+    const SoakResult result = RunSoak(it.seed, options);
+    std::cout << "seed " << it.seed << " with " << it.faults
+              << " faults: " << result.requests << " requests, "
               << result.answered << " answered, " << result.broken.size()
               << " promises broken" << std::endl;
     failed += result.broken.empty() ? 0 : 1;
@@ -72,9 +81,9 @@
       std::cout << "  logs: " << result.folder << std::endl;
     }
   }
-  std::cout << seeds.size() - failed << " passed, " << failed << " failed"
+  std::cout << cases.size() - failed << " passed, " << failed << " failed"
             << std::endl;
-  return failed == 0 && !seeds.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+  return failed == 0 && !cases.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 }  // namespace
