Read the newest records again when a relayed host finds the history lost

Cause: found when reading the change again. A host that takes records from a peer reads the store once when the peer sends it there. If the store has forgotten its history meanwhile, the host dropped what it knew of the stream and, as it was still relayed, read nothing more: neither from the store nor from the peer, for as long as the duty host was well. Change: a relayed host without the newest records reads them. What the source has read is no longer kept beside the answer that says so.

--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -45,9 +45,6 @@
   return std::chrono::duration_cast<milliseconds>(time);
 }
 
-constexpr Stream kStreams[] = {Stream::kConfig, Stream::kTargets,
-                               Stream::kOwnership};
-
 }  // namespace
 
 PeerRelay::PeerRelay(boost::asio::io_context& io,
@@ -313,20 +310,20 @@
         io_, net::Tcp::endpoint(sender_.address(), sender_.port()));
     fetching_.clear();
   }
-  source_state_ = {{Stream::kConfig, answer.config},
-                   {Stream::kTargets, answer.targets},
-                   {Stream::kOwnership, answer.ownership}};
+  const std::pair<Stream, StreamState> streams[] = {
+      {Stream::kConfig, answer.config},
+      {Stream::kTargets, answer.targets},
+      {Stream::kOwnership, answer.ownership}};
   const StreamFollower& targets = *followers_[Stream::kTargets];
   if (answer.store_up > milliseconds(0) && targets.has_newest() &&
       targets.next() >= answer.targets.next) {
     hooks_.on_store_witnessed(LeaseClockNow() - answer.store_up);
   }
-  for (const Stream stream : kStreams) {
+  for (const auto& [stream, state] : streams) {
     const StreamFollower& follower = *followers_[stream];
     const bool waits =
         stream != Stream::kOwnership && tracker_.IsStarting(LeaseClockNow());
-    if (follower.has_newest() && !waits &&
-        follower.next() < source_state_[stream].next) {
+    if (follower.has_newest() && !waits && follower.next() < state.next) {
       Fetch(stream);
     }
   }
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -118,7 +118,6 @@
   std::map<boost::asio::ip::udp::endpoint, Greeter> greeters_;
   std::optional<boost::asio::ip::udp::endpoint> source_;
   std::unique_ptr<net::HttpClient> source_client_;
-  std::map<Stream, StreamState> source_state_;
   std::map<Stream, bool> fetching_;
   core::relay::SourceTracker tracker_;
   bool heard_duty_host_ = false;
--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -130,7 +130,8 @@
 }
 
 void StreamFollower::Continue(std::chrono::milliseconds delay) {
-  if (relayed_) {
+  // Without the newest records, those of a peer cannot be added to them.
+  if (relayed_ && has_newest_) {
     return;
   }
   timer_.expires_after(delay);
--- /dev/null
+++ b/tests/entry/stream_follower_test.cc
@@ -0,0 +1,85 @@
+#include "entry/stream_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+
+namespace toucandock::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A store whose reads are answered at once, and what it was asked.
+struct FakeStore {
+  StoreStatus read_status = StoreStatus::kHistoryLost;
+  core::Offset newest_end = 5;
+  int reads = 0;
+  int newest_reads = 0;
+
+  PlatformHooks Hooks() {
+    return {.read_newest =
+                [this](Stream, const std::function<void(ReadResult)>& handler) {
+                  ++newest_reads;
+                  handler({.status = StoreStatus::kOk, .end = newest_end});
+                },
+            .read =
+                [this](Stream, core::Offset, milliseconds,
+                       const std::function<void(ReadResult)>& handler) {
+                  ++reads;
+                  handler({.status = read_status});
+                }};
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a host that takes records from a peer must not lose the stream") {
+  boost::asio::io_context io;
+  FakeStore store;
+  const PlatformHooks platform = store.Hooks();
+  std::shared_ptr<StreamFollower> follower;
+  int failures = 0;
+  follower = std::make_shared<StreamFollower>(
+      io, platform, Stream::kTargets, FollowerTerms{},
+      FollowerHooks{
+          .on_newest = [&](const ReadResult&) { follower->SetRelayed(true); },
+          .on_records = [](const ReadResult&) {},
+          .on_answer = [] {},
+          .on_failure = [&] { ++failures; }});
+  follower->Start();
+  io.run_for(milliseconds(50));
+  REQUIRE(follower->has_newest());
+  REQUIRE(store.newest_reads == 1);
+  // While relayed, nothing is read.
+  REQUIRE(store.reads == 0);
+
+  SUBCASE("it reads the store once, which has forgotten its history") {
+    store.newest_end = 9;
+    follower->ReadOnce();
+    io.restart();
+    io.run_for(milliseconds(50));
+    CHECK(store.reads == 1);
+    CHECK(store.newest_reads == 2);
+    CHECK(follower->has_newest());
+    CHECK(follower->next() == 9);
+  }
+
+  SUBCASE("it reads the store once, which does not answer") {
+    store.read_status = StoreStatus::kUnavailable;
+    follower->ReadOnce();
+    io.restart();
+    io.run_for(milliseconds(150));
+    // The peer's next answer shows again what is missing.
+    CHECK(store.reads == 1);
+    CHECK(follower->has_newest());
+  }
+
+  SUBCASE("the peer's records end behind those that it sends") {
+    follower->Deliver({.status = StoreStatus::kOk, .end = 8});
+    CHECK(follower->next() == 8);
+  }
+}
+
+}  // namespace toucandock::entry
