Lose no connection when a server stops listening

Two gaps in Server::StopListening: a connection that Asio had accepted ahead of the close was dropped by the accept handler, which looked at the acceptor before the result; and the kernel resets connections that are made between the last accept and the close.

Ruled out: kept connections (each call of this test has its own).

Change: the accept handler takes what was accepted before it looks at the acceptor. A socket filter drops requests for new connections 20 ms before the close, while handshakes under way end and are accepted; callers whose request was dropped are refused a second later.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -127,13 +127,14 @@
   }
 
  private:
-  // A connection that the kernel has accepted is reset when the listening
-  // socket closes, so the last ones are taken first. One that is made between
-  // the last accept and the close is still lost.
+  // The connections that wait to be accepted are taken before the close, which
+  // would reset them.
   void StopListening() {
     if (!listener_.joinable()) {
       return;
     }
+    net::DropNewConnections(acceptor_);
+    std::this_thread::sleep_for(net::kHandshakeLimit);
     boost::asio::post(io_, [this] {
       error_code ec;
       acceptor_.non_blocking(true, ec);
@@ -148,12 +149,13 @@
 
   void Accept() {
     acceptor_.async_accept([this](error_code ec, net::Tcp::socket socket) {
-      if (!acceptor_.is_open()) {
-        return;
-      }
+      // A connection may have been accepted just before the acceptor closed.
       if (!ec) {
         StartConnection(std::move(socket));
       }
+      if (!acceptor_.is_open()) {
+        return;
+      }
       Accept();
     });
   }
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -1,11 +1,14 @@
 #include "net/socket.h"
 
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/system/error_code.hpp>
 #include <cerrno>
+#include <cstdint>
+#include <iterator>
 
 #include "absl/strings/numbers.h"
 
@@ -54,6 +57,28 @@
             static_cast<int>(kSilenceLimit.count()));
 }
 
+// Drops segments that ask for a new connection and lets all others pass, so
+// that handshakes under way end and can still be accepted before the close.
+// Callers whose request was dropped ask again after a second and are refused.
+void DropNewConnections(Tcp::acceptor& acceptor) {
+  // The kernel applies the filter to the segment from its TCP header on.
+  constexpr std::uint32_t kFlagsOffset = 13;
+  constexpr std::uint32_t kSyn = 0x02;
+  constexpr std::uint32_t kAck = 0x10;
+  constexpr std::uint32_t kWholeSegment = 0xffffffff;
+  sock_filter program[] = {
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, kSyn | kAck),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, kSyn, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, kWholeSegment),
+  };
+  const sock_fprog filter = {.len = std::size(program), .filter = program};
+  // Where the kernel refuses filters, connections made at the close are reset.
+  setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+             sizeof(filter));
+}
+
 // Closes with a reset, so that bytes still under way are dropped.
 void Reset(Tcp::socket& socket) {
   boost::system::error_code ec;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -24,6 +24,11 @@
 // The same for a socket that no context knows.
 void SetConnectionOptions(int fd);
 
+// A connection that is made but not accepted is reset when the listening socket
+// closes. After this call and kHandshakeLimit, no more of them come.
+inline constexpr std::chrono::milliseconds kHandshakeLimit{20};
+void DropNewConnections(Tcp::acceptor& acceptor);
+
 void Reset(Tcp::socket& socket);
 
 bool HasUnreadInput(Tcp::socket& socket);
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -7,8 +7,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
@@ -82,6 +84,51 @@
   }
 }
 
+TEST_CASE("a drain must answer callers that connect while it begins") {
+  constexpr int kRounds = 20;
+  constexpr int kCallers = 4;
+  std::atomic<int> answered = 0;
+  std::atomic<int> cut = 0;
+  // Joined at the end: the last attempt of a caller is refused after a second.
+  std::vector<std::thread> callers;
+  for (int n = 0; n < kRounds; ++n) {
+    const auto server =
+        Server::Start({}, [](const Request&) { return Response{}; });
+    REQUIRE(server.ok());
+    const auto endpoint = net::ParseEndpoint((*server)->address());
+    REQUIRE(endpoint.ok());
+    for (int caller = 0; caller < kCallers; ++caller) {
+      callers.emplace_back([&, address = *endpoint] {
+        while (true) {
+          const int fd = socket(AF_INET, SOCK_STREAM, 0);
+          if (connect(fd, address.data(),
+                      static_cast<socklen_t>(address.size())) != 0) {
+            close(fd);
+            return;
+          }
+          constexpr absl::string_view kRequest =
+              "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+          char buf[256];
+          const bool whole =
+              send(fd, kRequest.data(), kRequest.size(), MSG_NOSIGNAL) > 0 &&
+              recv(fd, buf, sizeof(buf), 0) > 0;
+          ++(whole ? answered : cut);
+          close(fd);
+        }
+      });
+    }
+    const int wanted = answered + kCallers * 10;
+    while (answered < wanted) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK((*server)->Drain(std::chrono::seconds(5)));
+  }
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  CHECK(cut.load() == 0);
+}
+
 TEST_CASE("what a caller sends must be answered in order or refused") {
   int handled = 0;
   const auto server =
