Enforce the limits on callers with one timer, and log what a refusal rests on

(1) The limits on headers and on bodies that do not end were not enforced: a caller that began a request and stopped held its connection until the idle limit closed it without an answer. A connection whose first idle timer fired during a request had no idle limit afterwards. (2) A stopping entry host closed connections that had just been accepted, and those made at its end were reset, as in the server of toucandockd. (3) A refusal's line named a cause, but not the owner, the record and the load that it rests on.

Change: Traffic looks at all connections every 500 ms instead of a timer for each request; a request that does not arrive in time is answered 408 (request-too-slow, not run). A stopping host drops requests for new connections before its end, closes only connections that were idle for 300 ms, and waits for those with work. refused, failed and attempt_failed lines bear the version of the configuration, the owner, its record and load, the time waited and the next step; caller_left is new.

Measured: tests/entry/traffic_test.cc, new.

--- a/src/core/error_kind.cc
+++ b/src/core/error_kind.cc
@@ -10,7 +10,7 @@
 using enum Outcome;
 
 // Indexed by ErrorKind.
-constexpr std::array<ErrorAnswer, 27> kAnswers = {{
+constexpr std::array<ErrorAnswer, 28> kAnswers = {{
     {kNone, "none", 200, kRan, false, 0, "No error"},
     {kMalformedRequest, "malformed-request", 400, kNotRun, false, 3,
      "The request is malformed"},
@@ -18,6 +18,8 @@
      "The request is larger than the limit"},
     {kHeadersTooLarge, "headers-too-large", 431, kNotRun, false, 3,
      "The headers are larger than the limit"},
+    {kRequestTooSlow, "request-too-slow", 408, kNotRun, true, 3,
+     "The request did not arrive in time"},
     {kUnknownService, "unknown-service", 404, kNotRun, false, 3,
      "No such service is configured"},
     {kMissingKey, "missing-key", 400, kNotRun, false, 3,
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -11,6 +11,7 @@
   kMalformedRequest,
   kRequestTooLarge,
   kHeadersTooLarge,
+  kRequestTooSlow,
   kUnknownService,
   kMissingKey,
   kNotConfigured,
--- a/src/core/request/attempt_rules.cc
+++ b/src/core/request/attempt_rules.cc
@@ -23,6 +23,20 @@
   return "";
 }
 
+absl::string_view ToString(AfterAttempt next) {
+  switch (next) {
+    case AfterAttempt::kDeliver:
+      return "deliver";
+    case AfterAttempt::kRetry:
+      return "retry";
+    case AfterAttempt::kRefuse:
+      return "refuse";
+    case AfterAttempt::kFail:
+      return "fail";
+  }
+  return "";
+}
+
 // `take_retry` uses one of the repeated sends that the fleet allows itself; it
 // is asked only when a retry would otherwise be right.
 AfterAttempt DecideAfterAttempt(const AttemptFacts& facts,
--- a/src/core/request/attempt_rules.h
+++ b/src/core/request/attempt_rules.h
@@ -48,6 +48,8 @@
 
 absl::string_view ToString(AttemptEnd end);
 
+absl::string_view ToString(AfterAttempt next);
+
 AfterAttempt DecideAfterAttempt(const AttemptFacts& facts,
                                 const std::function<bool()>& take_retry);
 
--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "entry/event_log.h"
 
 namespace toucandock::entry {
 namespace {
@@ -27,7 +28,7 @@
 CallerConnection::CallerConnection(boost::asio::io_context& io,
                                    Dispatcher& dispatcher,
                                    const net::HeaderNames& names)
-    : socket(io), dispatcher_(dispatcher), names_(names), timer_(io) {}
+    : socket(io), dispatcher_(dispatcher), names_(names), linger_timer_(io) {}
 
 void CallerConnection::Start() {
   net::SetConnectionOptions(socket);
@@ -49,12 +50,8 @@
   parser_.emplace();
   parser_->header_limit(limits.header_bytes);
   parser_->body_limit(limits.body_bytes);
-  timer_.expires_after(limits.idle_timeout + kIdleMargin);
-  timer_.async_wait([self = shared_from_this()](error_code ec) {
-    if (!ec) {
-      self->CloseIfIdle();
-    }
-  });
+  active_at_ = Clock::now();
+  begun_at_ = {};
   http::async_read(socket, buffer_, *parser_,
                    [self = shared_from_this()](error_code ec, size_t) {
                      self->is_reading_ = false;
@@ -62,7 +59,6 @@
                        // Not read: the caller sends it again elsewhere.
                        return;
                      }
-                     self->timer_.cancel();
                      if (ec) {
                        self->OnReadError(ec);
                        return;
@@ -71,6 +67,34 @@
                    });
 }
 
+// Called at short intervals for each connection, which takes less than a timer
+// for each request.
+void CallerConnection::CheckLimits(Clock::time_point now) {
+  if (!is_reading_ || closing_) {
+    return;
+  }
+  const core::routing::CallerLimits limits = Limits();
+  const bool is_idle_too_long =
+      now >= active_at_ + limits.idle_timeout + kIdleMargin;
+  if (!parser_->got_some()) {
+    if (is_idle_too_long) {
+      CloseIfIdle(limits.idle_timeout);
+    }
+    return;
+  }
+  if (begun_at_ == Clock::time_point{}) {
+    begun_at_ = now;
+    return;
+  }
+  const core::Duration limit = parser_->is_header_done()
+                                   ? limits.idle_timeout + kIdleMargin
+                                   : limits.header_timeout;
+  if (now - begun_at_ >= limit) {
+    LogEvent("caller_too_slow", {{"headers_read", parser_->is_header_done()}});
+    RejectMalformed(ErrorKind::kRequestTooSlow);
+  }
+}
+
 void CallerConnection::OnReadError(const error_code& ec) {
   const bool is_http_error =
       ec.category() ==
@@ -196,6 +220,7 @@
 }
 
 void CallerConnection::OnWritten(bool keep_alive) {
+  active_at_ = Clock::now();
   if (!keep_alive) {
     CloseGracefully();
     return;
@@ -207,7 +232,6 @@
 // The caller is gone: what may be cancelled is, and nothing more is written.
 void CallerConnection::Leave() {
   closing_ = true;
-  timer_.cancel();
   net::Reset(socket);
   for (const std::shared_ptr<Pending>& it : pending_) {
     if (it->exchange) {
@@ -217,12 +241,19 @@
   pending_.clear();
 }
 
-void CallerConnection::CloseIfIdle() {
-  if (!pending_.empty() || is_writing_ || !socket.is_open()) {
+// A request has arrived in part at least, or its answer has not left yet.
+bool CallerConnection::HasWork() {
+  return socket.is_open() && !ended_ &&
+         (!pending_.empty() || is_writing_ ||
+          (is_reading_ && parser_->got_some()) || net::HasUnreadInput(socket));
+}
+
+void CallerConnection::CloseIfIdle(core::Duration least_idle) {
+  if (!socket.is_open() || ended_ || HasWork() ||
+      Clock::now() - active_at_ < least_idle) {
     return;
   }
   closing_ = true;
-  timer_.cancel();
   error_code ec;
   socket.close(ec);
 }
@@ -230,8 +261,8 @@
 void CallerConnection::CloseGracefully() {
   error_code ec;
   socket.shutdown(net::Tcp::socket::shutdown_send, ec);
-  timer_.expires_after(kCloseLinger);
-  timer_.async_wait([self = shared_from_this()](error_code timer_ec) {
+  linger_timer_.expires_after(kCloseLinger);
+  linger_timer_.async_wait([self = shared_from_this()](error_code timer_ec) {
     if (!timer_ec) {
       net::Reset(self->socket);
     }
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -24,6 +24,8 @@
 // requests run, so that a caller that leaves is noticed.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
+  using Clock = std::chrono::steady_clock;
+
   CallerConnection(boost::asio::io_context& io,
                    Dispatcher& dispatcher,
                    const net::HeaderNames& names);
@@ -31,8 +33,12 @@
   void Start();
   // The next answer announces the end of the connection.
   void BeginStop() { stopping_ = true; }
-  // Ends the connection if no request runs.
-  void CloseIfIdle();
+  // Ends the connection if it has had no work for as long.
+  void CloseIfIdle(core::Duration least_idle);
+  bool HasWork();
+  // Closes the connection when the caller was idle for too long, and rejects a
+  // request that takes too long to arrive.
+  void CheckLimits(Clock::time_point now);
   bool is_open() const { return socket.is_open(); }
 
   net::Tcp::socket socket;
@@ -61,13 +67,17 @@
 
   Dispatcher& dispatcher_;
   const net::HeaderNames& names_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer linger_timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
   std::deque<std::shared_ptr<Pending>> pending_;
   net::HttpResponse writing_;
+  // Of the last read or answer.
+  Clock::time_point active_at_{};
+  // When the request that is being read was first seen to have begun.
+  Clock::time_point begun_at_{};
   bool is_writing_ = false;
   bool is_reading_ = false;
   bool stopping_ = false;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -379,15 +379,6 @@
     Pump(service);
     return;
   }
-  if (answer.end != AttemptEnd::kAnswered) {
-    LogEvent("attempt_failed",
-             {{"request", exchange->request_id},
-              {"target", handle->target.entry.life.id},
-              {"end", core::request::ToString(answer.end)},
-              {"status", answer.response.result_int()},
-              {"attempt", exchange->attempts},
-              {"after_ms", ToMilliseconds(now - exchange->sent_at).count()}});
-  }
   const auto table = view_->ownership.find(service);
   if (answer.misdirected && table != view_->ownership.end()) {
     exchange->misdirected_at = table->second.offset;
@@ -404,6 +395,20 @@
       });
   exchange->may_have_run =
       exchange->may_have_run || core::request::MayHaveRun(answer.end);
+  if (answer.end != AttemptEnd::kAnswered) {
+    LogEvent("attempt_failed",
+             {{"request", exchange->request_id},
+              {"service", service},
+              {"target", handle->target.entry.life.id},
+              {"born", handle->target.entry.life.born},
+              {"end", core::request::ToString(answer.end)},
+              {"status", answer.response.result_int()},
+              {"attempt", exchange->attempts},
+              {"after_ms", ToMilliseconds(now - exchange->sent_at).count()},
+              {"idempotent", exchange->route->idempotent},
+              {"left_ms", ToMilliseconds(exchange->answer_by - now).count()},
+              {"next", core::request::ToString(next)}});
+  }
   switch (next) {
     case AfterAttempt::kDeliver:
       Finish(exchange, {.response = std::move(answer.response)});
@@ -533,16 +538,51 @@
       std::max<Duration>(kRetryAfterMove, expected));
 }
 
+// The inputs of the decision, for the log line that explains it.
+Dispatcher::Belief Dispatcher::BeliefOf(const Exchange& exchange) const {
+  Belief belief;
+  if (exchange.routes) {
+    belief.config = exchange.routes->config().version;
+  }
+  const auto table = view_->ownership.find(exchange.service);
+  if (!exchange.key || table == view_->ownership.end()) {
+    return belief;
+  }
+  belief.owners_offset = table->second.offset;
+  const core::keyspace::Assignment* assignment =
+      core::keyspace::FindAssignment(table->second, *exchange.key);
+  if (assignment == nullptr) {
+    return belief;
+  }
+  belief.owner = assignment->owner.id;
+  belief.owner_serves = assignment->serving;
+  const auto handle = handles_.find(assignment->owner);
+  if (handle != handles_.end()) {
+    belief.owner_load = handle->second->load.Estimate(Now());
+  }
+  return belief;
+}
+
 void Dispatcher::Refuse(const ExchangePtr& exchange,
                         ErrorKind error,
                         const char* cause,
                         Duration retry_after) {
   if (error != ErrorKind::kNotFound) {
-    LogEvent("refused", {{"request", exchange->request_id},
-                         {"service", exchange->service},
-                         {"key", exchange->key.value_or(0)},
-                         {"cause", cause},
-                         {"attempts", exchange->attempts}});
+    const Belief belief = BeliefOf(*exchange);
+    LogEvent("refused",
+             {{"request", exchange->request_id},
+              {"service", exchange->service},
+              {"key", exchange->key.value_or(0)},
+              {"error", core::ToString(error)},
+              {"cause", cause},
+              {"attempts", exchange->attempts},
+              {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()},
+              {"retry_after_ms", ToMilliseconds(retry_after).count()},
+              {"config", belief.config},
+              {"owner", belief.owner},
+              {"owners_offset", belief.owners_offset},
+              {"owner_serves", belief.owner_serves},
+              {"owner_load", belief.owner_load}});
   }
   Finish(exchange, {.error = error, .retry_after = retry_after});
 }
@@ -550,10 +590,16 @@
 void Dispatcher::Fail(const ExchangePtr& exchange,
                       ErrorKind error,
                       const char* cause) {
-  LogEvent("failed", {{"request", exchange->request_id},
-                      {"service", exchange->service},
-                      {"cause", cause},
-                      {"attempts", exchange->attempts}});
+  LogEvent("failed",
+           {{"request", exchange->request_id},
+            {"service", exchange->service},
+            {"error", core::ToString(error)},
+            {"cause", cause},
+            {"attempts", exchange->attempts},
+            {"last_target",
+             exchange->tried.empty() ? "" : exchange->tried.back().id},
+            {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()},
+            {"config", BeliefOf(*exchange).config}});
   Finish(exchange, {.error = error});
 }
 
@@ -587,6 +633,12 @@
   if (exchange->done) {
     return;
   }
+  LogEvent("caller_left",
+           {{"request", exchange->request_id},
+            {"service", exchange->service},
+            {"attempts", exchange->attempts},
+            {"target", exchange->at ? exchange->at->target.entry.life.id : ""},
+            {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()}});
   LeaveQueue(exchange);
   exchange->done = true;
   running_.erase(exchange);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -98,6 +98,16 @@
   using ExchangePtr = std::shared_ptr<Exchange>;
   using HandlePtr = std::shared_ptr<TargetHandle>;
 
+  // What this host believed when it decided about a request.
+  struct Belief {
+    std::uint64_t config = 0;
+    std::string owner;
+    core::Offset owners_offset = 0;
+    bool owner_serves = false;
+    double owner_load = 0;
+  };
+
+  Belief BeliefOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
   HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -16,6 +16,11 @@
 // The balancer asks once a second and takes a host out after two misses.
 constexpr milliseconds kBalancerNotices{2'600};
 constexpr milliseconds kStopCheck{50};
+// Connections that were made before new ones are dropped have sent their
+// requests by then.
+constexpr milliseconds kLastRequests{300};
+// Limits on callers are seconds.
+constexpr milliseconds kLimitCheck{500};
 // Kept of the stop limit for the process to end.
 constexpr milliseconds kEndMargin{500};
 // Closed connections are forgotten when this many more are known.
@@ -62,7 +67,8 @@
             response.body() = metrics.Text();
             return response;
           }),
-      stop_timer_(io) {}
+      stop_timer_(io),
+      limit_timer_(io) {}
 
 absl::Status Traffic::Listen() {
   absl::Status status = net::OpenAcceptor(acceptor_, settings_.caller_address);
@@ -75,6 +81,7 @@
   }
   if (status.ok()) {
     Accept();
+    CheckLimits();
   }
   return status;
 }
@@ -148,35 +155,55 @@
 
 void Traffic::CheckStopped() {
   const auto passed = std::chrono::steady_clock::now() - stop_began_;
+  bool has_work = dispatcher_.running() > 0;
   if (passed >= kBalancerNotices) {
     dispatcher_.BeginRefusing();
     for (const auto& it : connections_) {
       if (const auto connection = it.lock()) {
-        connection->CloseIfIdle();
+        connection->CloseIfIdle(kLastRequests);
+        has_work = has_work || connection->HasWork();
       }
     }
   }
-  const bool must_end = passed >= settings_.stop_limit - kEndMargin;
-  if (must_end) {
-    dispatcher_.FailAll();
+  if (passed >= kBalancerNotices + kLastRequests && !drops_new_) {
+    net::DropNewConnections(acceptor_);
+    drops_new_ = true;
+    dropped_at_ = std::chrono::steady_clock::now();
   }
-  if (passed >= kBalancerNotices + milliseconds(300) &&
-      dispatcher_.running() == 0) {
-    // Once more round the loop, so that the last answers leave.
-    stop_timer_.expires_after(kStopCheck);
-    stop_timer_.async_wait([this](error_code ec) {
-      if (!ec) {
-        stopped_();
-      }
-    });
-    return;
+  if (passed >= settings_.stop_limit - kEndMargin) {
+    dispatcher_.FailAll();
+    has_work = false;
   }
+  const bool is_last =
+      drops_new_ && !has_work &&
+      std::chrono::steady_clock::now() - dropped_at_ >= kLastRequests;
+  // Once more round the loop, so that the last answers leave.
   stop_timer_.expires_after(kStopCheck);
-  stop_timer_.async_wait([this](error_code ec) {
-    if (!ec) {
+  stop_timer_.async_wait([this, is_last](error_code ec) {
+    if (ec) {
+      return;
+    }
+    if (is_last) {
+      stopped_();
+    } else {
       CheckStopped();
     }
   });
 }
 
+void Traffic::CheckLimits() {
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& it : connections_) {
+    if (const auto connection = it.lock()) {
+      connection->CheckLimits(now);
+    }
+  }
+  limit_timer_.expires_after(kLimitCheck);
+  limit_timer_.async_wait([this](error_code ec) {
+    if (!ec) {
+      CheckLimits();
+    }
+  });
+}
+
 }  // namespace toucandock::entry
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -37,6 +37,7 @@
  private:
   void Accept();
   void CheckStopped();
+  void CheckLimits();
   void ForgetClosed();
 
   boost::asio::io_context& io_;
@@ -47,10 +48,14 @@
   net::Responder readiness_;
   net::Responder metrics_;
   boost::asio::steady_timer stop_timer_;
+  boost::asio::steady_timer limit_timer_;
   std::vector<std::weak_ptr<CallerConnection>> connections_;
   bool ready_ = false;
   bool stopping_ = false;
+  // No more connections come.
+  bool drops_new_ = false;
   std::chrono::steady_clock::time_point stop_began_{};
+  std::chrono::steady_clock::time_point dropped_at_{};
   std::function<void()> stopped_;
 };
 
--- /dev/null
+++ b/tests/entry/traffic_test.cc
@@ -0,0 +1,129 @@
+#include "entry/traffic.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "absl/strings/match.h"
+#include "support/raw_caller.h"
+
+namespace toucandock::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using support::RawCaller;
+
+constexpr milliseconds kHeaderTimeout{600};
+constexpr milliseconds kIdleTimeout{700};
+// Of the entry host's own: how much later it closes an idle connection, and how
+// often it looks.
+constexpr milliseconds kLateness{1'500};
+
+// The traffic part of a host that has a configuration without routes.
+class TrafficHost {
+ public:
+  TrafficHost()
+      : traffic_(io_,
+                 {.host_name = "h",
+                  .ip = "127.0.0.1",
+                  .caller_address = "127.0.0.1:0",
+                  .readiness_address = "127.0.0.1:0"},
+                 {.request_id = "Id"},
+                 [](const core::keyspace::LoadReport&) {}) {
+    REQUIRE(traffic_.Listen().ok());
+    auto view = std::make_shared<RoutingView>();
+    view->routes = std::make_shared<core::routing::RouteTable>(
+        core::routing::RouteConfig{.version = 1,
+                                   .limits = {.header_timeout = kHeaderTimeout,
+                                              .idle_timeout = kIdleTimeout}});
+    view->complete = true;
+    traffic_.SetView(std::move(view));
+    address_ = traffic_.caller_address();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  ~TrafficHost() {
+    io_.stop();
+    thread_.join();
+  }
+
+  TrafficHost(const TrafficHost&) = delete;
+  TrafficHost& operator=(const TrafficHost&) = delete;
+
+  const std::string& address() const { return address_; }
+
+  void Stop() {
+    std::promise<void> stopped;
+    boost::asio::post(io_,
+                      [&] { traffic_.Stop([&] { stopped.set_value(); }); });
+    stopped.get_future().wait();
+  }
+
+ private:
+  boost::asio::io_context io_;
+  Traffic traffic_;
+  std::string address_;
+  std::thread thread_;
+};
+
+milliseconds TimeOf(const std::function<void()>& call) {
+  const auto began = steady_clock::now();
+  call();
+  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - began);
+}
+
+}  // namespace
+
+TEST_CASE("a stopping host must answer callers that still connect") {
+  support::ConnectingCallers callers;
+  {
+    TrafficHost host;
+    callers.Start(host.address(), 4);
+    callers.WaitForAnswers(40);
+    host.Stop();
+  }
+  CHECK(callers.CountCut() == 0);
+}
+
+TEST_CASE("callers must neither hold connections for ever nor lose one early") {
+  TrafficHost host;
+  const RawCaller caller(host.address());
+  std::string answer;
+
+  SUBCASE("headers that do not end are refused as not run") {
+    caller.Write("GET / HTTP/1.1\r\nHost:");
+    const milliseconds taken = TimeOf([&] { answer = caller.ReadAll(); });
+    CHECK(absl::StartsWith(answer, "HTTP/1.1 408"));
+    CHECK(absl::StrContains(answer, "not-run"));
+    CHECK(taken >= kHeaderTimeout);
+    CHECK(taken < kHeaderTimeout + kLateness);
+  }
+  SUBCASE("a body that does not end is refused as not run") {
+    caller.Write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n1");
+    const milliseconds taken = TimeOf([&] { answer = caller.ReadAll(); });
+    CHECK(absl::StartsWith(answer, "HTTP/1.1 408"));
+    CHECK(taken >= kIdleTimeout);
+  }
+  SUBCASE("a caller that sends nothing is closed after the idle limit") {
+    const milliseconds taken = TimeOf([&] { answer = caller.ReadAll(); });
+    CHECK(answer.empty());
+    CHECK(taken >= kIdleTimeout);
+    CHECK(taken < kIdleTimeout + 2 * kLateness);
+  }
+  SUBCASE("a request within the limit starts the idle time anew") {
+    std::this_thread::sleep_for(kIdleTimeout);
+    caller.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    const milliseconds taken = TimeOf([&] { answer = caller.ReadAll(); });
+    CHECK(absl::StartsWith(answer, "HTTP/1.1 404"));
+    CHECK(taken >= kIdleTimeout);
+  }
+}
+
+}  // namespace toucandock::entry
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -2,25 +2,25 @@
 
 #include "net/socket.h"
 
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "http/client.h"
+#include "support/raw_caller.h"
 
 namespace toucandock::http {
 namespace {
 
+using support::RawCaller;
+
 std::vector<std::string> ValuesOf(const Headers& headers,
                                   absl::string_view name) {
   std::vector<std::string> values;
@@ -32,40 +32,6 @@
   return values;
 }
 
-// A connection whose bytes the test writes.
-class RawCaller {
- public:
-  explicit RawCaller(const std::string& address)
-      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
-    const auto endpoint = net::ParseEndpoint(address);
-    REQUIRE(endpoint.ok());
-    REQUIRE(connect(fd_, endpoint->data(),
-                    static_cast<socklen_t>(endpoint->size())) == 0);
-  }
-  ~RawCaller() { close(fd_); }
-  RawCaller(const RawCaller&) = delete;
-  RawCaller& operator=(const RawCaller&) = delete;
-
-  void Write(const std::string& text) const {
-    REQUIRE(send(fd_, text.data(), text.size(), MSG_NOSIGNAL) ==
-            static_cast<ssize_t>(text.size()));
-  }
-
-  // Everything up to the end of the connection.
-  std::string ReadAll() const {
-    std::string all;
-    char buf[4'096];
-    for (ssize_t n = recv(fd_, buf, sizeof(buf), 0); n > 0;
-         n = recv(fd_, buf, sizeof(buf), 0)) {
-      all.append(buf, static_cast<size_t>(n));
-    }
-    return all;
-  }
-
- private:
-  const int fd_;
-};
-
 }  // namespace
 
 TEST_CASE("a drain must not reset connections that were made before it") {
@@ -87,46 +53,16 @@
 TEST_CASE("a drain must answer callers that connect while it begins") {
   constexpr int kRounds = 20;
   constexpr int kCallers = 4;
-  std::atomic<int> answered = 0;
-  std::atomic<int> cut = 0;
-  // Joined at the end: the last attempt of a caller is refused after a second.
-  std::vector<std::thread> callers;
+  support::ConnectingCallers callers;
   for (int n = 0; n < kRounds; ++n) {
     const auto server =
         Server::Start({}, [](const Request&) { return Response{}; });
     REQUIRE(server.ok());
-    const auto endpoint = net::ParseEndpoint((*server)->address());
-    REQUIRE(endpoint.ok());
-    for (int caller = 0; caller < kCallers; ++caller) {
-      callers.emplace_back([&, address = *endpoint] {
-        while (true) {
-          const int fd = socket(AF_INET, SOCK_STREAM, 0);
-          if (connect(fd, address.data(),
-                      static_cast<socklen_t>(address.size())) != 0) {
-            close(fd);
-            return;
-          }
-          constexpr absl::string_view kRequest =
-              "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
-          char buf[256];
-          const bool whole =
-              send(fd, kRequest.data(), kRequest.size(), MSG_NOSIGNAL) > 0 &&
-              recv(fd, buf, sizeof(buf), 0) > 0;
-          ++(whole ? answered : cut);
-          close(fd);
-        }
-      });
-    }
-    const int wanted = answered + kCallers * 10;
-    while (answered < wanted) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
+    callers.Start((*server)->address(), kCallers);
+    callers.WaitForAnswers(kCallers * 10);
     CHECK((*server)->Drain(std::chrono::seconds(5)));
   }
-  for (std::thread& it : callers) {
-    it.join();
-  }
-  CHECK(cut.load() == 0);
+  CHECK(callers.CountCut() == 0);
 }
 
 TEST_CASE("what a caller sends must be answered in order or refused") {
--- /dev/null
+++ b/tests/support/raw_caller.h
@@ -0,0 +1,121 @@
+#ifndef TOUCANDOCK_SUPPORT_RAW_CALLER_H_
+#define TOUCANDOCK_SUPPORT_RAW_CALLER_H_
+
+#include "net/socket.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+
+namespace toucandock::support {
+
+// A connection whose bytes the test writes.
+class RawCaller {
+ public:
+  explicit RawCaller(const std::string& address)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const auto endpoint = net::ParseEndpoint(address);
+    REQUIRE(endpoint.ok());
+    REQUIRE(connect(fd_, endpoint->data(),
+                    static_cast<socklen_t>(endpoint->size())) == 0);
+  }
+  ~RawCaller() { close(fd_); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Write(const std::string& text) const {
+    REQUIRE(send(fd_, text.data(), text.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(text.size()));
+  }
+
+  // Everything up to the end of the connection.
+  std::string ReadAll() const {
+    std::string all;
+    char buf[4'096];
+    for (ssize_t n = recv(fd_, buf, sizeof(buf), 0); n > 0;
+         n = recv(fd_, buf, sizeof(buf), 0)) {
+      all.append(buf, static_cast<size_t>(n));
+    }
+    return all;
+  }
+
+ private:
+  const int fd_;
+};
+
+// Callers that connect, send one request and read its answer, again and again,
+// until a connection is refused.
+class ConnectingCallers {
+ public:
+  ConnectingCallers() = default;
+  ~ConnectingCallers() { Join(); }
+  ConnectingCallers(const ConnectingCallers&) = delete;
+  ConnectingCallers& operator=(const ConnectingCallers&) = delete;
+
+  void Start(const std::string& address, int callers) {
+    const auto endpoint = net::ParseEndpoint(address);
+    REQUIRE(endpoint.ok());
+    for (int n = 0; n < callers; ++n) {
+      threads_.emplace_back([this, at = *endpoint] {
+        while (CallOnce(at)) {
+        }
+      });
+    }
+  }
+
+  void WaitForAnswers(int more) const {
+    const int wanted = answered_ + more;
+    while (answered_ < wanted) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+
+  // Requests on connections that were made and then ended without an answer.
+  // Waits until all callers were refused.
+  int CountCut() {
+    Join();
+    return cut_;
+  }
+
+ private:
+  // Returns whether the connection was made.
+  bool CallOnce(const net::Tcp::endpoint& at) {
+    constexpr absl::string_view kRequest =
+        "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const bool connected =
+        connect(fd, at.data(), static_cast<socklen_t>(at.size())) == 0;
+    if (connected) {
+      char buf[256];
+      const bool whole =
+          send(fd, kRequest.data(), kRequest.size(), MSG_NOSIGNAL) > 0 &&
+          recv(fd, buf, sizeof(buf), 0) > 0;
+      ++(whole ? answered_ : cut_);
+    }
+    close(fd);
+    return connected;
+  }
+
+  void Join() {
+    for (std::thread& it : threads_) {
+      it.join();
+    }
+    threads_.clear();
+  }
+
+  std::atomic<int> answered_ = 0;
+  std::atomic<int> cut_ = 0;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace toucandock::support
+
+#endif  // TOUCANDOCK_SUPPORT_RAW_CALLER_H_
