Grant over new connections only while no successor can have the duty

Cause: the random schedules of the ownership core, run for 10,000 seeds instead of 3,000 and with orders and appends that are carried out 2 to 12 s late, broke the rule that fences rise. Seed 1044: a host that was paused for 4 s after its duty was confirmed granted over a new connection to a target that had restarted, with a fence below that of its successor. Seed 5633: the same over a "kept" connection that the host's own release to the restarted target had opened; in the product, grants and releases shared the connections of an address, too.

Not run: the same seeds without late orders.

--- a/src/core/keyspace/grant_coordinator.cc
+++ b/src/core/keyspace/grant_coordinator.cc
@@ -111,10 +111,15 @@
 
 // A connection that stands leads to the same life of the target as before. A
 // new one may lead to a later life that knows no fences, so a successor must be
-// ruled out: the duty was confirmed after the last connection ended.
-bool GrantCoordinator::MayGrantTo(const Contact& contact) const {
-  return contact.grant_under_way == 0 &&
-         (contact.connected || duty_confirmed_ > contact.unconnected_since);
+// ruled out: the duty was confirmed after the last connection ended, and so
+// lately that the store has given it to nobody else, unless the store is away.
+bool GrantCoordinator::MayGrantTo(const Contact& contact, TimePoint now) const {
+  if (contact.grant_under_way != 0) {
+    return false;
+  }
+  return contact.connected ||
+         (duty_confirmed_ > contact.unconnected_since &&
+          (now < duty_confirmed_ + terms_.move_lease || IsOutage(now)));
 }
 
 bool GrantCoordinator::IsActive(TimePoint now) const {
@@ -447,7 +452,7 @@
       continue;
     }
     Contact& contact = ContactOf(it.target);
-    if (!MayRaise(range, it) || !MayGrantTo(contact)) {
+    if (!MayRaise(range, it) || !MayGrantTo(contact, now)) {
       continue;
     }
     it.raises++;
@@ -485,7 +490,7 @@
     }
   }
   Contact& contact = ContactOf(it.owner);
-  if (!MayGrantTo(contact)) {
+  if (!MayGrantTo(contact, now)) {
     return;
   }
   const Duration hold = HoldNow(now);
--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -224,7 +224,7 @@
   void Adopt(const OwnershipTable& table, TimePoint now);
   bool CanRenew(TimePoint now) const;
   bool CanMove(TimePoint now) const;
-  bool MayGrantTo(const Contact& contact) const;
+  bool MayGrantTo(const Contact& contact, TimePoint now) const;
   Fence NextFence();
   std::uint64_t NewOrder(OrderRef ref);
   TimePoint EarlierHold(const KeyRange& keys, const TargetLife& target) const;
--- a/tests/core/keyspace/coordinator_fixture.cc
+++ b/tests/core/keyspace/coordinator_fixture.cc
@@ -82,6 +82,11 @@
   return std::chrono::nanoseconds(spread(random_));
 }
 
+Duration World::LateBy() {
+  std::uniform_int_distribution<std::int64_t> spread(2'000, 12'000);
+  return milliseconds(spread(random_));
+}
+
 bool World::Chance(double part) {
   return std::uniform_real_distribution<double>(0, 1)(random_) < part;
 }
@@ -173,30 +178,38 @@
   return nullptr;
 }
 
+// Appends the record if its condition holds.
+void World::Store(const AppendOrder& order) {
+  if (log_.size() != order.at) {
+    return;
+  }
+  OwnershipTable table = order.table;
+  table.offset = order.at;
+  for (size_t k = 0; k < kSampledKeys; ++k) {
+    const Assignment* it =
+        FindAssignment(table, static_cast<std::uint32_t>(k) * kKeysPerSample);
+    std::string previous;
+    for (const TargetLife& life : it->previous) {
+      previous += " " + life.id;
+    }
+    Note(k, "record " + std::to_string(table.offset) + " by " + table.writer +
+                ": " + it->owner.id +
+                (it->serving ? " serves" : " after" + previous));
+  }
+  log_.push_back(table);
+  newest_ = table;
+}
+
 void World::Carry(int host, const Action& action) {
   if (const auto* append = std::get_if<AppendOrder>(&action)) {
     const AppendOrder order = *append;
     At(Delay(), [this, host, order] {
       const bool reaches = !hosts_[host].cut;
       const bool lost = Chance(terms_.lost_answers);
-      const bool carried_out =
-          reaches && (!lost || Chance(0.5)) && log_.size() == order.at;
-      if (carried_out) {
-        OwnershipTable table = order.table;
-        table.offset = order.at;
-        for (size_t k = 0; k < kSampledKeys; ++k) {
-          const Assignment* it = FindAssignment(
-              table, static_cast<std::uint32_t>(k) * kKeysPerSample);
-          std::string previous;
-          for (const TargetLife& life : it->previous) {
-            previous += " " + life.id;
-          }
-          Note(k, "record " + std::to_string(table.offset) + " by " +
-                      table.writer + ": " + it->owner.id +
-                      (it->serving ? " serves" : " after" + previous));
-        }
-        log_.push_back(table);
-        newest_ = table;
+      if (reaches && (!lost || Chance(0.5))) {
+        Store(order);
+      } else if (reaches && Chance(terms_.late_orders)) {
+        At(LateBy(), [this, order] { Store(order); });
       }
       // Without an answer, the host reads what the store holds instead.
       const Duration answer =
@@ -227,16 +240,29 @@
             });
             return;
           }
-          hosts_[host].connected[target->life.id] = target->life.born;
+          if constexpr (std::is_same_v<std::decay_t<decltype(order)>,
+                                       GrantOrder>) {
+            hosts_[host].connected[target->life.id] = target->life.born;
+          }
           const std::int64_t born = target->life.born;
           const bool lost = Chance(terms_.lost_answers);
           const bool applied = !lost || Chance(0.5);
-          At(Delay(), [this, host, order, born, lost, applied] {
+          const Duration way = Delay();
+          const TimePoint arrives = now_ + way;
+          if (!applied && Chance(terms_.late_orders)) {
+            At(way + LateBy(), [this, order, born, arrives] {
+              const Target* reached = Find(order.target);
+              if (reached != nullptr && reached->life.born == born) {
+                Apply(order, arrives);
+              }
+            });
+          }
+          At(way, [this, host, order, born, lost, applied, arrives] {
             OrderResult result = OrderResult::kUnknown;
             // A restart of the target breaks its connections.
             const Target* reached = Find(order.target);
             if (applied && reached != nullptr && reached->life.born == born) {
-              result = Apply(order);
+              result = Apply(order, arrives);
             }
             if (lost) {
               result = OrderResult::kUnknown;
@@ -285,7 +311,7 @@
   }
 }
 
-OrderResult World::Apply(const GrantOrder& order) {
+OrderResult World::Apply(const GrantOrder& order, TimePoint arrived) {
   Target* target = Find(order.target);
   if (target == nullptr) {
     return OrderResult::kUnknown;
@@ -299,21 +325,26 @@
       keys.push_back(k);
     }
   }
+  const TimePoint until =
+      arrived + std::chrono::duration_cast<Duration>(order.hold * kSlowClock);
   for (const size_t k : keys) {
+    if (until <= now_) {
+      // Carried out so late that nothing is held by it.
+      target->seen[k] = order.fence;
+      continue;
+    }
     CheckTake(*target, k, order.fence);
     Note(k, target->life.id + " takes it, fence " +
                 std::to_string(order.fence >> 20) + "." +
                 std::to_string(order.fence & 0xfffff));
     target->seen[k] = order.fence;
     highest_fence_[k] = std::max(highest_fence_[k], order.fence);
-    target->holds[k] = {.until = now_ + std::chrono::duration_cast<Duration>(
-                                            order.hold * kSlowClock),
-                        .fence = order.fence};
+    target->holds[k] = {.until = until, .fence = order.fence};
   }
   return OrderResult::kDone;
 }
 
-OrderResult World::Apply(const ReleaseOrder& order) {
+OrderResult World::Apply(const ReleaseOrder& order, TimePoint) {
   Target* target = Find(order.target);
   if (target == nullptr) {
     return OrderResult::kUnknown;
--- a/tests/core/keyspace/coordinator_fixture.h
+++ b/tests/core/keyspace/coordinator_fixture.h
@@ -21,6 +21,9 @@
   // Parts of the orders and appends that stay without an answer, half of them
   // carried out all the same.
   double lost_answers = 0;
+  // Part of the orders without an answer that are carried out 2 to 12 s later.
+  // The lease of a grant counts from its arrival all the same.
+  double late_orders = 0;
   Duration longest_delay = std::chrono::milliseconds(20);
   std::uint64_t seed = 1;
 };
@@ -83,7 +86,7 @@
     bool active = false;
     std::vector<std::function<void()>> held_back;
     Offset read = 0;
-    // Life of each target that the host has a connection to.
+    // Life of each target that the host has a connection for grants to.
     std::map<std::string, std::int64_t> connected;
   };
 
@@ -91,14 +94,16 @@
   // Runs when the host is not paused, unless it was restarted meanwhile.
   void ToHost(int host, Duration after, std::function<void()> event);
   Duration Delay();
+  Duration LateBy();
   bool Chance(double part);
   void Step(int host);
   void Confirm(int host);
   void AskForDuty(int host);
   void ReadStore(int host);
+  void Store(const AppendOrder& order);
   void Carry(int host, const Action& action);
-  OrderResult Apply(const GrantOrder& order);
-  OrderResult Apply(const ReleaseOrder& order);
+  OrderResult Apply(const GrantOrder& order, TimePoint arrived);
+  OrderResult Apply(const ReleaseOrder& order, TimePoint arrived);
   Target* Find(const TargetLife& life);
   void ListTargets(int host);
   void Note(size_t key, const std::string& what);
--- a/tests/core/keyspace/grant_coordinator_test.cc
+++ b/tests/core/keyspace/grant_coordinator_test.cc
@@ -195,11 +195,15 @@
 }
 
 TEST_CASE("no schedule of faults may give a key to two targets") {
-  // Enough schedules to meet each pair of faults in several orders.
-  constexpr std::uint64_t kSchedules = 3'000;
+  // Enough schedules to meet each pair of faults in several orders. Found here:
+  // a host that was paused for 4 s granted over a new connection although a
+  // successor had the duty (seed 1044), and over a connection that its release
+  // to a restarted target had opened (seed 5633).
+  constexpr std::uint64_t kSchedules = 10'000;
   for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
     CAPTURE(seed);
     World world({.lost_answers = seed % 3 == 0 ? 0.25 : 0.0,
+                 .late_orders = seed % 2 == 0 ? 0.5 : 0.0,
                  .longest_delay = milliseconds(20 + 15 * (seed % 4)),
                  .seed = seed});
     world.Run(seconds(3));
--- /dev/null
+++ b/tests/platform_adapter/grant_client_test.cc
@@ -0,0 +1,66 @@
+#include "platform/grant_client.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+
+namespace toucandock::platform {
+namespace {
+
+using core::keyspace::GrantOrder;
+using core::keyspace::OrderAnswer;
+using core::keyspace::OrderResult;
+using core::keyspace::ReleaseOrder;
+
+constexpr std::chrono::seconds kTimeout{2};
+
+}  // namespace
+
+TEST_CASE("a grant over a kept connection must not reach a later life") {
+  std::vector<std::string> paths;
+  const auto target =
+      http::Server::Start({}, [&](const http::Request& request) {
+        paths.push_back(request.path);
+        return http::Response{};
+      });
+  REQUIRE(target.ok());
+  const std::string& address = (*target)->address();
+  boost::asio::io_context io;
+  GrantClient client(io);
+  OrderResult result{};
+  const auto take = [&](const OrderAnswer& answer) { result = answer.result; };
+  const auto run = [&] {
+    io.run();
+    io.restart();
+    return result;
+  };
+  const auto grant = [&](bool kept_connection_only) {
+    client.Grant(address,
+                 GrantOrder{.hold = std::chrono::seconds(4),
+                            .timeout = kTimeout,
+                            .kept_connection_only = kept_connection_only},
+                 take);
+    return run();
+  };
+
+  SUBCASE("without a connection it is not sent") {
+    CHECK(grant(true) == OrderResult::kNotSent);
+    CHECK(paths.empty());
+  }
+  SUBCASE("a connection that a release has opened is none of its own") {
+    client.Release(address, ReleaseOrder{.timeout = kTimeout}, take);
+    REQUIRE(run() == OrderResult::kDone);
+    CHECK(grant(true) == OrderResult::kNotSent);
+    CHECK(paths == std::vector<std::string>{"/release"});
+  }
+  SUBCASE("a connection of an earlier grant is used") {
+    REQUIRE(grant(false) == OrderResult::kDone);
+    CHECK(grant(true) == OrderResult::kDone);
+  }
+}
+
+}  // namespace toucandock::platform
