Explain a request from collected logs, and follow the settings file

SIGHUP and changes of the settings file were logged and ignored.

Change: 'toucandock explain-request ID FILE' reads collected lines of any hosts and shows the lines of the request, what hosts learned around it about its key, targets and dependencies, the cause in a sentence, and whether it has run. Refusals say whether the owner denied the key.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -9,6 +9,7 @@
 #include "cli/config_commands.h"
 #include "cli/host_commands.h"
 #include "cli/replay_command.h"
+#include "cli/request_command.h"
 #include "codec/json.h"
 
 namespace toucandock::cli {
@@ -126,6 +127,12 @@
        "Shows the target that owns KEY of SERVICE and the decisions that\n"
        "led to it, the newest last. Every host answers.\n",
        Explain},
+      {"explain-request", "ID FILE", "show what became of a request and why",
+       "Reads FILE, the collected log lines of entry hosts on the platform in\n"
+       "any order, and shows the lines of the request with this id, what the\n"
+       "hosts learned around it, the cause, and whether it has run. Asks no\n"
+       "host.\n",
+       ExplainRequest},
       {"decisions", "", "show recent changes of state (--host)",
        "Shows the host's latest changes of state with their causes, the\n"
        "newest last.\n",
--- a/src/core/balance/retry_window.h
+++ b/src/core/balance/retry_window.h
@@ -17,6 +17,8 @@
   // Part of the allowance that is used, so that counting differences between
   // hosts and targets do not exceed it.
   double used_part = 0.7;
+
+  bool operator==(const RetryWindowTerms&) const = default;
 };
 
 // One host's share of a limit on repeated sends that all hosts have in common.
@@ -27,11 +29,12 @@
 
   void OnRequest(TimePoint now);
   bool TryRetry(int live_hosts, TimePoint now);
+  void SetTerms(const RetryWindowTerms& terms) { terms_ = terms; }
 
  private:
   void Expire(TimePoint now);
 
-  const RetryWindowTerms terms_;
+  RetryWindowTerms terms_;
   std::deque<TimePoint> requests_;
   std::deque<TimePoint> retries_;
 };
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -121,6 +121,13 @@
   }
 }
 
+void Dispatcher::SetRetryTerms(const core::balance::RetryWindowTerms& terms) {
+  retry_terms_ = terms;
+  for (auto& [service, window] : retries_) {
+    window.SetTerms(terms);
+  }
+}
+
 core::balance::RetryWindow& Dispatcher::RetriesOf(const std::string& service) {
   return retries_.try_emplace(service, retry_terms_).first->second;
 }
@@ -549,6 +556,7 @@
     return belief;
   }
   belief.owners_offset = table->second.offset;
+  belief.owner_denied = exchange.misdirected_at == table->second.offset;
   const core::keyspace::Assignment* assignment =
       core::keyspace::FindAssignment(table->second, *exchange.key);
   if (assignment == nullptr) {
@@ -582,6 +590,7 @@
               {"owner", belief.owner},
               {"owners_offset", belief.owners_offset},
               {"owner_serves", belief.owner_serves},
+              {"owner_denied", belief.owner_denied},
               {"owner_load", belief.owner_load}});
   }
   Finish(exchange, {.error = error, .retry_after = retry_after});
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -74,6 +74,7 @@
   ~Dispatcher();
 
   void SetView(std::shared_ptr<const RoutingView> view);
+  void SetRetryTerms(const core::balance::RetryWindowTerms& terms);
   const RoutingView& view() const { return *view_; }
 
   // The handler runs once, perhaps within the call, unless the exchange is
@@ -104,6 +105,8 @@
     std::string owner;
     core::Offset owners_offset = 0;
     bool owner_serves = false;
+    // The owner said that it does not hold the key.
+    bool owner_denied = false;
     double owner_load = 0;
   };
 
@@ -140,7 +143,7 @@
   EntryMetrics metrics_;
   const net::HeaderNames names_;
   const std::string failure_domain_;
-  const core::balance::RetryWindowTerms retry_terms_;
+  core::balance::RetryWindowTerms retry_terms_;
   const DispatchTerms terms_;
   const core::balance::PickTerms pick_terms_;
   const core::balance::LoadTerms load_terms_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -83,4 +83,37 @@
   return settings;
 }
 
+SettingsChange CompareSettings(const EntrySettings& running,
+                               const EntrySettings& wanted) {
+  SettingsChange change;
+  const auto compare = [](std::vector<std::string>& names, const char* name,
+                          const auto& a, const auto& b) {
+    if (a != b) {
+      names.emplace_back(name);
+    }
+  };
+  compare(change.applied, "stop_limit", running.stop_limit, wanted.stop_limit);
+  compare(change.applied, "retries", running.retries, wanted.retries);
+  std::vector<std::string>& later = change.at_next_start;
+  compare(later, "host_name", running.host_name, wanted.host_name);
+  compare(later, "failure_domain", running.failure_domain,
+          wanted.failure_domain);
+  compare(later, "ip", running.ip, wanted.ip);
+  compare(later, "caller_address", running.caller_address,
+          wanted.caller_address);
+  compare(later, "readiness_address", running.readiness_address,
+          wanted.readiness_address);
+  compare(later, "store_address", running.store_address, wanted.store_address);
+  compare(later, "report_port", running.report_port, wanted.report_port);
+  compare(later, "metrics_port", running.metrics_port, wanted.metrics_port);
+  compare(later, "address_file", running.address_file, wanted.address_file);
+  compare(later, "longest_lease", running.longest_lease, wanted.longest_lease);
+  compare(later, "shortest_membership", running.shortest_membership,
+          wanted.shortest_membership);
+  compare(later, "store_partitions", running.store_partitions,
+          wanted.store_partitions);
+  compare(later, "fleet_starts", running.fleet_starts, wanted.fleet_starts);
+  return change;
+}
+
 }  // namespace toucandock::entry
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "core/balance/retry_window.h"
@@ -37,9 +38,19 @@
   core::balance::RetryWindowTerms retries;
 };
 
+// Names of the settings that differ.
+struct SettingsChange {
+  std::vector<std::string> applied;
+  // Addresses, names and what leases rest on do not change in a running host.
+  std::vector<std::string> at_next_start;
+};
+
 absl::StatusOr<EntrySettings> ParseEntrySettings(const std::string& file,
                                                  const std::string& text);
 
+SettingsChange CompareSettings(const EntrySettings& running,
+                               const EntrySettings& wanted);
+
 }  // namespace toucandock::entry
 
 #endif  // TOUCANDOCK_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/src/entry/settings_watch.cc
@@ -0,0 +1,57 @@
+#include "entry/settings_watch.h"
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/str_join.h"
+#include "entry/event_log.h"
+
+namespace toucandock::entry {
+
+SettingsWatch::SettingsWatch(boost::asio::io_context& io,
+                             std::string file,
+                             std::string text,
+                             const EntrySettings& running,
+                             Apply apply)
+    : timer_(io),
+      file_(std::move(file)),
+      text_(std::move(text)),
+      running_(running),
+      apply_(std::move(apply)) {}
+
+void SettingsWatch::Start(std::chrono::milliseconds interval) {
+  timer_.expires_after(interval);
+  timer_.async_wait([this, interval](const boost::system::error_code& ec) {
+    if (!ec) {
+      Check();
+      Start(interval);
+    }
+  });
+}
+
+void SettingsWatch::Check() {
+  std::ifstream in(file_);
+  std::ostringstream read;
+  read << in.rdbuf();
+  if (!in || read.str() == text_) {
+    // A file that is being replaced may be missing for a moment.
+    return;
+  }
+  text_ = read.str();
+  const auto wanted = ParseEntrySettings(file_, text_);
+  if (!wanted.ok()) {
+    LogEvent("settings_refused", {{"cause", wanted.status().message()}});
+    return;
+  }
+  const SettingsChange change = CompareSettings(running_, *wanted);
+  LogEvent("settings_applied",
+           {{"applied", absl::StrJoin(change.applied, ",")},
+            {"at_next_start", absl::StrJoin(change.at_next_start, ",")}});
+  running_ = *wanted;
+  if (!change.applied.empty()) {
+    apply_(running_);
+  }
+}
+
+}  // namespace toucandock::entry
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -99,6 +99,12 @@
   return ToString(metrics_.endpoint());
 }
 
+void Traffic::SetSettings(const EntrySettings& settings) {
+  settings_.stop_limit = settings.stop_limit;
+  settings_.retries = settings.retries;
+  dispatcher_.SetRetryTerms(settings.retries);
+}
+
 void Traffic::SetView(std::shared_ptr<const RoutingView> view) {
   const bool ready = view->complete;
   dispatcher_.SetView(std::move(view));
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -30,6 +30,8 @@
   std::string caller_address() const;
   std::string readiness_address() const;
   std::string metrics_address() const;
+  // Takes over what CompareSettings() lists as applied.
+  void SetSettings(const EntrySettings& settings);
   void SetView(std::shared_ptr<const RoutingView> view);
   // Ends what runs and then calls `stopped`, before the stop limit.
   void Stop(std::function<void()> stopped);
@@ -41,7 +43,7 @@
   void ForgetClosed();
 
   boost::asio::io_context& io_;
-  const EntrySettings settings_;
+  EntrySettings settings_;
   const net::HeaderNames names_;
   Dispatcher dispatcher_;
   net::Tcp::acceptor acceptor_;
--- /dev/null
+++ b/src/observe/request_report.cc
@@ -0,0 +1,390 @@
+#include "observe/request_report.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/time/time.h"
+#include "codec/json.h"
+
+namespace toucandock::observe {
+namespace {
+
+using core::Outcome;
+
+std::string TextOf(const LogLine& line, const char* name) {
+  const Json::Value& value = line.fields[name];
+  return value.isString() ? value.asString() : "";
+}
+
+std::uint64_t NumberOf(const LogLine& line, const char* name) {
+  const Json::Value& value = line.fields[name];
+  return value.isUInt64() ? value.asUInt64() : 0;
+}
+
+// Whatever a collector writes before the object is passed over.
+std::optional<LogLine> ParseLine(const std::string& text) {
+  const size_t begin = text.find('{');
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  auto value = codec::ParseJson(text.substr(begin));
+  if (!value.ok() || !value->isObject()) {
+    return std::nullopt;
+  }
+  LogLine line{.fields = *std::move(value)};
+  line.time = TextOf(line, "time");
+  line.host = TextOf(line, "host");
+  line.event = TextOf(line, "event");
+  absl::Time at;
+  std::string error;
+  if (line.event.empty() ||
+      !absl::ParseTime(absl::RFC3339_full, line.time, &at, &error)) {
+    return std::nullopt;
+  }
+  line.at = absl::ToChronoTime(at);
+  return line;
+}
+
+bool IsBefore(const LogLine& a, const LogLine& b) {
+  return a.at < b.at;
+}
+
+// What the lines of the request name, to find the other lines that matter.
+struct Subject {
+  std::string service;
+  std::optional<std::uint64_t> key;
+  std::set<std::string> targets;
+  std::set<std::string> hosts;
+};
+
+Subject SubjectOf(const std::vector<LogLine>& steps) {
+  Subject subject;
+  for (const LogLine& it : steps) {
+    subject.hosts.insert(it.host);
+    if (const std::string service = TextOf(it, "service"); !service.empty()) {
+      subject.service = service;
+    }
+    for (const char* name : {"target", "owner", "last_target"}) {
+      if (const std::string target = TextOf(it, name); !target.empty()) {
+        subject.targets.insert(target);
+      }
+    }
+    // Requests of services without keys are logged with key 0.
+    if (NumberOf(it, "owners_offset") > 0) {
+      subject.key = NumberOf(it, "key");
+    }
+  }
+  return subject;
+}
+
+bool Concerns(const LogLine& line, const Subject& subject) {
+  if (line.event == "grant_failed" || line.event == "release_failed") {
+    return subject.key && NumberOf(line, "first") <= *subject.key &&
+           *subject.key <= NumberOf(line, "last");
+  }
+  if (line.event == "target_gone") {
+    return subject.targets.contains(TextOf(line, "target"));
+  }
+  if (line.event == "target_entry") {
+    // Of the entries that a target renews, those that tell something new.
+    return subject.targets.contains(TextOf(line, "target")) &&
+           (line.fields["draining"].asBool() ||
+            NumberOf(line, "sequence") <= 1);
+  }
+  if (line.event == "ownership") {
+    return subject.key && TextOf(line, "service") == subject.service;
+  }
+  if (line.event == "duty_taken" || line.event == "duty_given_up") {
+    return subject.key.has_value();
+  }
+  if (line.event == "store_lost" || line.event == "store_regained" ||
+      line.event == "config_in_force" || line.event == "config_unreadable" ||
+      line.event == "started" || line.event == "ready" ||
+      line.event == "stopping" || line.event == "settings_applied") {
+    return subject.hosts.contains(line.host);
+  }
+  return line.event == "lapsed_targets_gone";
+}
+
+// Many hosts log the same record; the first of them stands for all.
+std::string RecordOf(const LogLine& line) {
+  return line.fields["offset"].isNull()
+             ? ""
+             : absl::StrCat(line.event, " ", TextOf(line, "target"), " ",
+                            TextOf(line, "service"), " ",
+                            NumberOf(line, "offset"));
+}
+
+std::vector<LogLine> ContextOf(const RequestReport& report,
+                               const std::vector<LogLine>& others,
+                               const ReportTerms& terms) {
+  Subject subject = SubjectOf(report.steps);
+  const auto is_near = [&](const LogLine& line) {
+    return line.at >= report.steps.front().at - terms.before &&
+           line.at <= report.steps.back().at + terms.after;
+  };
+  for (const LogLine& it : others) {
+    if (subject.key && it.event == "duty_taken" && is_near(it)) {
+      subject.hosts.insert(it.host);
+    }
+  }
+  std::vector<LogLine> context;
+  std::set<std::string> records;
+  for (const LogLine& it : others) {
+    if (!is_near(it) || !Concerns(it, subject)) {
+      continue;
+    }
+    const std::string record = RecordOf(it);
+    if (record.empty() || records.insert(record).second) {
+      context.push_back(it);
+    }
+  }
+  // The latest changes are the more likely causes.
+  size_t tables = 0;
+  for (auto it = context.rbegin(); it != context.rend(); ++it) {
+    if (it->event == "ownership" && ++tables > terms.most_tables) {
+      it->event.clear();
+    }
+  }
+  std::erase_if(context, [](const LogLine& it) { return it.event.empty(); });
+  if (context.size() > terms.most_context) {
+    context.erase(context.begin(), context.end() - static_cast<std::ptrdiff_t>(
+                                                       terms.most_context));
+  }
+  return context;
+}
+
+const LogLine* FindLast(const std::vector<LogLine>& lines, const char* event) {
+  const auto it =
+      std::find_if(lines.rbegin(), lines.rend(),
+                   [&](const LogLine& line) { return line.event == event; });
+  return it == lines.rend() ? nullptr : &*it;
+}
+
+// The host that took the duty to decide about owners last, unless it has given
+// it up since.
+std::string DutyHostOf(const std::vector<LogLine>& lines) {
+  std::string host;
+  for (const LogLine& it : lines) {
+    if (it.event == "duty_taken") {
+      host = it.host;
+    } else if (it.event == "duty_given_up" && it.host == host) {
+      host.clear();
+    }
+  }
+  return host;
+}
+
+bool HasLostStore(const std::vector<LogLine>& lines, const std::string& host) {
+  bool lost = false;
+  for (const LogLine& it : lines) {
+    if (it.host == host &&
+        (it.event == "store_lost" || it.event == "store_regained")) {
+      lost = it.event == "store_lost";
+    }
+  }
+  return lost;
+}
+
+std::string DescribeAttempt(const LogLine& line) {
+  const std::string target = TextOf(line, "target");
+  const std::string end = TextOf(line, "end");
+  const std::uint64_t status = NumberOf(line, "status");
+  const std::string after =
+      absl::StrCat(" after ", NumberOf(line, "after_ms"), " ms");
+  if (end == "broken") {
+    return absl::StrCat("the connection to ", target, " ended", after,
+                        " without a whole answer");
+  }
+  if (end == "not-sent") {
+    return absl::StrCat(target, " could not be reached");
+  }
+  if (end == "not-executed") {
+    return absl::StrCat(target, " refused it with ", status, after);
+  }
+  return absl::StrCat(target, " answered ", status, after);
+}
+
+void ExplainKeyedRefusal(const LogLine& line, RequestReport& report) {
+  const std::string owner = TextOf(line, "owner");
+  const std::uint64_t key = NumberOf(line, "key");
+  if (line.fields["owner_denied"].asBool()) {
+    report.conclusion = absl::StrCat(
+        owner, " did not hold key ", key, ", although record ",
+        NumberOf(line, "owners_offset"), " names it as the owner; ", line.host,
+        " had not read a newer record within ", NumberOf(line, "waited_ms"),
+        " ms.");
+    report.advice =
+        "Compare the offset with the newest ownership line of other hosts. If "
+        "theirs is higher, this host reads the store late; otherwise the keys "
+        "were changing hands.";
+    return;
+  }
+  if (!owner.empty() && line.fields["owner_serves"].asBool()) {
+    report.conclusion = absl::StrFormat(
+        "%s owned key %u and had no room: about %.1f requests ran or waited "
+        "there.",
+        owner, key, line.fields["owner_load"].asDouble());
+    report.advice =
+        "Compare the keys of other refusals. If one key has most of them, no "
+        "further target can help; otherwise add targets to the service.";
+    return;
+  }
+  if (const LogLine* order = FindLast(report.context, "grant_failed")) {
+    report.conclusion = absl::StrCat(
+        "Key ", key, " was changing its owner, and an order to ",
+        TextOf(*order, "target"), " failed (", TextOf(*order, "result"), ").");
+    report.advice =
+        "The keys are served again once the leases of a lost owner have ended: "
+        "8.3 s at the longest, 14.5 s around an outage of the store.";
+    return;
+  }
+  const std::string duty_host = DutyHostOf(report.context);
+  if (duty_host.empty() && FindLast(report.context, "duty_given_up")) {
+    report.conclusion =
+        absl::StrCat("Key ", key,
+                     " had no serving owner, and no host had the duty to "
+                     "decide about owners.");
+    report.advice =
+        "Look for the next duty_taken line. If there is none, no host reaches "
+        "the store.";
+    return;
+  }
+  if (HasLostStore(report.context, duty_host)) {
+    report.conclusion = absl::StrCat(
+        "Key ", key, " had no serving owner while ", duty_host,
+        ", which decides about owners, had lost the store; no owner changes "
+        "without it.");
+    report.advice = "Look at the store, or at that host's path to it.";
+    return;
+  }
+  report.conclusion =
+      absl::StrCat("Key ", key, " was changing its owner by record ",
+                   NumberOf(line, "owners_offset"), ", the newest that ",
+                   line.host, " had read.");
+  report.advice = "Nothing, if the refusals of these keys have ended.";
+}
+
+void ExplainRefusal(const LogLine& line, RequestReport& report) {
+  const std::string error = TextOf(line, "error");
+  if (error == "owner-unavailable") {
+    ExplainKeyedRefusal(line, report);
+    return;
+  }
+  if (error == "not-configured") {
+    report.conclusion =
+        absl::StrCat(line.host, " had not read a configuration yet.");
+    report.advice =
+        "Nothing, if the host had just started; otherwise look at the store.";
+    return;
+  }
+  if (error == "stopping") {
+    report.conclusion = absl::StrCat(line.host, " was stopping.");
+    report.advice = "Nothing: the caller reaches another host.";
+    return;
+  }
+  if (error == "missing-key") {
+    report.conclusion = "The request bore no key, or one that is no number.";
+    report.advice = "The caller mends its request.";
+    return;
+  }
+  const LogLine* attempt = FindLast(report.steps, "attempt_failed");
+  report.conclusion =
+      attempt != nullptr && TextOf(line, "cause") == "target refused"
+          ? absl::StrCat(
+                "Refused for lack of room: ", DescribeAttempt(*attempt), ".")
+          : absl::StrCat("No target of ", TextOf(line, "service"),
+                         " had room within ", NumberOf(line, "waited_ms"),
+                         " ms.");
+  report.advice =
+      "Nothing for a short peak. If it stays, add targets to the service.";
+}
+
+void ExplainFailure(const LogLine& line, RequestReport& report) {
+  const std::string target = TextOf(line, "last_target");
+  if (TextOf(line, "error") == "answer-timeout") {
+    report.conclusion = absl::StrCat(
+        target, " had not answered when the caller's deadline or the route's ",
+        "timeout passed, after ", NumberOf(line, "waited_ms"), " ms.");
+    report.advice =
+        absl::StrCat("Ask ", target, " what became of the request.");
+    return;
+  }
+  const LogLine* attempt = FindLast(report.steps, "attempt_failed");
+  if (attempt == nullptr) {
+    report.conclusion = absl::StrCat("It ended as: ", TextOf(line, "cause"),
+                                     ", while ", target, " had it.");
+  } else {
+    report.conclusion =
+        absl::StrCat("It may have run: ", DescribeAttempt(*attempt),
+                     attempt->fields["idempotent"].asBool()
+                         ? ", and there was no time or budget for a retry."
+                         : ", and it must not be sent twice.");
+  }
+  report.advice = absl::StrCat("Ask ", target, " what became of the request.");
+}
+
+void Explain(RequestReport& report) {
+  const LogLine& last = report.steps.back();
+  const core::ErrorKind error = core::ErrorKindFromName(TextOf(last, "error"));
+  if (last.event == "refused") {
+    report.outcome = Outcome::kNotRun;
+    ExplainRefusal(last, report);
+  } else if (last.event == "failed") {
+    report.outcome = core::AnswerFor(error).outcome;
+    ExplainFailure(last, report);
+  } else if (last.event == "caller_left") {
+    report.conclusion = absl::StrCat("The caller closed its connection after ",
+                                     NumberOf(last, "waited_ms"), " ms.");
+    report.advice = "Nothing.";
+  } else if (TextOf(last, "next") == "deliver") {
+    report.outcome = Outcome::kRan;
+    report.conclusion = absl::StrCat(
+        "The caller got the failure of a target: ", DescribeAttempt(last), ".");
+    report.advice = "Ask those who run the service.";
+  } else {
+    report.outcome = Outcome::kRan;
+    report.conclusion = absl::StrCat(
+        "It was answered by a later attempt, or still runs: ",
+        DescribeAttempt(last), " before. Answers have no line of their own.");
+    report.advice = "Nothing.";
+  }
+}
+
+}  // namespace
+
+// Reads the lines of any number of hosts, in any order.
+RequestReport ReportOn(const std::string& request_id,
+                       std::istream& logs,
+                       const ReportTerms& terms) {
+  RequestReport report{.request_id = request_id};
+  std::vector<LogLine> others;
+  std::string text;
+  while (std::getline(logs, text)) {
+    std::optional<LogLine> line = ParseLine(text);
+    if (!line) {
+      report.unreadable_lines += text.empty() ? 0 : 1;
+      continue;
+    }
+    report.dropped_lines += NumberOf(*line, "dropped_before");
+    if (TextOf(*line, "request") == request_id) {
+      report.steps.push_back(*std::move(line));
+    } else if (line->fields["request"].isNull()) {
+      others.push_back(*std::move(line));
+    }
+  }
+  if (report.steps.empty()) {
+    return report;
+  }
+  std::stable_sort(report.steps.begin(), report.steps.end(), IsBefore);
+  std::stable_sort(others.begin(), others.end(), IsBefore);
+  report.context = ContextOf(report, others, terms);
+  Explain(report);
+  return report;
+}
+
+}  // namespace toucandock::observe
--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -322,6 +322,9 @@
                      .wait = std::chrono::seconds(5),
                      .json = true};
   const support::TemporaryFile file(Text(1));
+  const support::TemporaryFile logs(
+      "{\"time\":\"2026-06-11T10:45:13.541Z\",\"host\":\"h1\",\"event\":"
+      "\"refused\",\"request\":\"r1\",\"error\":\"stopping\"}\n");
   const std::string trace = absl::StrCat(
       TOUCANDOCK_SOURCE_DIR, "/tests/traces/member-with-delayed-replies.jsonl");
   const std::vector<std::pair<std::vector<std::string>, const char*>> cases = {
@@ -332,6 +335,7 @@
       {{"config"}, "text"},
       {{"status"}, "config_version"},
       {{"explain", "s", "k"}, "unit"},
+      {{"explain-request", "r1", logs.path()}, "conclusion"},
       {{"replay", trace}, "decisions"}};
   host.Answer(200, R"({"config_version":1,"unit":"s/shard-1"})");
   for (const auto& [words, member] : cases) {
--- /dev/null
+++ b/tests/entry/settings_watch_test.cc
@@ -0,0 +1,83 @@
+#include "entry/settings_watch.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+#include "absl/strings/str_replace.h"
+#include "support/files.h"
+
+namespace toucandock::entry {
+namespace {
+
+constexpr char kSettings[] =
+    "host_name: edge-1\n"
+    "failure_domain: lk-west-a\n"
+    "ip: 10.1.0.15\n"
+    "caller_address: 10.1.0.15:8641\n"
+    "readiness_address: 10.1.0.15:8640\n"
+    "store_address: 10.200.1.7:8642\n"
+    "report_port: 7620\n"
+    "stop_limit: 6s\n"
+    "retries: {ratio: 0.2, slack: 64, window: 10s}\n";
+
+std::string With(const std::string& from, const std::string& to) {
+  return absl::StrReplaceAll(kSettings, {{from, to}});
+}
+
+}  // namespace
+
+TEST_CASE("settings that change must not stop or mislead a running host") {
+  const support::TemporaryFile file(kSettings);
+  const auto settings = ParseEntrySettings(file.path(), kSettings);
+  REQUIRE(settings.ok());
+  boost::asio::io_context io;
+  std::optional<EntrySettings> applied;
+  SettingsWatch watch(io, file.path(), kSettings, *settings,
+                      [&](const EntrySettings& it) { applied = it; });
+
+  SUBCASE("an unchanged file changes nothing") {
+    watch.Check();
+    CHECK_FALSE(applied);
+  }
+  SUBCASE("limits apply at once") {
+    file.Write(With("6s", "4s"));
+    watch.Check();
+    REQUIRE(applied);
+    CHECK(applied->stop_limit == std::chrono::seconds(4));
+
+    SUBCASE("and stay when the next text cannot be read") {
+      applied.reset();
+      file.Write(With("6s", "6"));
+      watch.Check();
+      CHECK_FALSE(applied);
+      SUBCASE("until it is mended") {
+        file.Write(With("ratio: 0.2", "ratio: 0.1"));
+        watch.Check();
+        REQUIRE(applied);
+        CHECK(applied->retries.ratio == 0.1);
+        CHECK(applied->stop_limit == std::chrono::seconds(6));
+      }
+    }
+  }
+  SUBCASE("addresses wait for the next start") {
+    file.Write(With("8641", "8651"));
+    watch.Check();
+    CHECK_FALSE(applied);
+    const auto moved = ParseEntrySettings("f", With("8641", "8651"));
+    REQUIRE(moved.ok());
+    const SettingsChange change = CompareSettings(*settings, *moved);
+    CHECK(change.applied.empty());
+    CHECK(change.at_next_start == std::vector<std::string>{"caller_address"});
+  }
+  SUBCASE("a change without a signal is found") {
+    watch.Start(std::chrono::milliseconds(10));
+    file.Write(With("6s", "5s"));
+    io.run_for(std::chrono::milliseconds(500));
+    REQUIRE(applied);
+    CHECK(applied->stop_limit == std::chrono::seconds(5));
+  }
+}
+
+}  // namespace toucandock::entry
--- a/tests/support/files.h
+++ b/tests/support/files.h
@@ -38,6 +38,7 @@
   ~TemporaryFile() { std::remove(path_); }
 
   std::string path() const { return path_; }
+  void Write(const std::string& text) const { std::ofstream(path_) << text; }
 
  private:
   char path_[32] = "/tmp/toucandock-test-XXXXXX";
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -1,5 +1,5 @@
-#ifndef TOUCANDOCK_SUPPORT_RAW_CALLER_H_
-#define TOUCANDOCK_SUPPORT_RAW_CALLER_H_
+#ifndef TOUCANDOCK_TESTS_SUPPORT_RAW_CALLER_H_
+#define TOUCANDOCK_TESTS_SUPPORT_RAW_CALLER_H_
 
 #include "net/socket.h"
 
@@ -118,4 +118,4 @@
 
 }  // namespace toucandock::support
 
-#endif  // TOUCANDOCK_SUPPORT_RAW_CALLER_H_
+#endif  // TOUCANDOCK_TESTS_SUPPORT_RAW_CALLER_H_
