Keep dropped connections from using up a request's attempts

Change: an attempt that ends without a byte tells whether its connection was kept or new. After a stale kept one, the others to that target are dropped; after a new one that was reset within 20 ms, the target is left alone for 100 ms, doubling to 800 ms. A host's share of a target's connections is at least 1, not 2.

--- a/src/core/balance/target_load.cc
+++ b/src/core/balance/target_load.cc
@@ -15,6 +15,15 @@
   return std::clamp(1.0 - part, 0.0, 1.0);
 }
 
+// Twice as long for each time but the first.
+Duration Doubled(Duration first, int times, Duration longest) {
+  Duration result = first;
+  for (int i = 1; i < times && result < longest; ++i) {
+    result *= 2;
+  }
+  return std::min(result, longest);
+}
+
 }  // namespace
 
 void TargetLoad::OnSent() {
@@ -31,17 +40,20 @@
   in_flight_--;
   failure_rate_ = FailureRate(now);
   failure_at_ = now;
-  const bool bad =
-      health == AttemptHealth::kFailed || health == AttemptHealth::kShed;
+  const bool bad = health == AttemptHealth::kFailed ||
+                   health == AttemptHealth::kShed ||
+                   health == AttemptHealth::kRejected;
   failure_rate_ += ((bad ? 1.0 : 0.0) - failure_rate_) * kFailureSmoothing;
   if (health == AttemptHealth::kUnreachable) {
-    unreachable_in_row_++;
-    Duration pause = terms_.first_pause;
-    for (int i = 1; i < unreachable_in_row_ && pause < terms_.longest_pause;
-         ++i) {
-      pause *= 2;
-    }
-    paused_until_ = now + std::min(pause, terms_.longest_pause);
+    paused_until_ = now + Doubled(terms_.first_pause, ++unreachable_in_row_,
+                                  terms_.longest_pause);
+    return;
+  }
+  if (health == AttemptHealth::kRejected) {
+    paused_until_ =
+        std::max(paused_until_,
+                 now + Doubled(terms_.first_rejection_pause, ++rejected_in_row_,
+                               terms_.longest_rejection_pause));
     return;
   }
   if (health == AttemptHealth::kShed) {
@@ -49,6 +61,7 @@
     return;
   }
   unreachable_in_row_ = 0;
+  rejected_in_row_ = 0;
   if (health == AttemptHealth::kGood) {
     answer_time_ = answer_time_ == FloatSeconds{}
                        ? FloatSeconds(taken)
--- a/src/core/balance/target_load.h
+++ b/src/core/balance/target_load.h
@@ -14,6 +14,8 @@
   kShed,
   // The target failed, or its answer was unusable.
   kFailed,
+  // The target does not take the connection; it has too many.
+  kRejected,
   // No connection.
   kUnreachable,
 };
@@ -28,6 +30,10 @@
   Duration longest_pause = std::chrono::seconds(4);
   // A refusing target is left alone for this long.
   Duration shed_pause = std::chrono::milliseconds(150);
+  // A target that rejects connections is left alone for this long, and twice as
+  // long after each further rejection without an answer between them.
+  Duration first_rejection_pause = std::chrono::milliseconds(100);
+  Duration longest_rejection_pause = std::chrono::milliseconds(800);
   // Recent failures are forgotten over this time.
   Duration failure_memory = std::chrono::seconds(3);
 };
@@ -63,6 +69,7 @@
   double failure_rate_ = 0;
   TimePoint failure_at_{};
   int unreachable_in_row_ = 0;
+  int rejected_in_row_ = 0;
   TimePoint paused_until_{};
 };
 
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -213,7 +213,7 @@
                     : nullptr;
   const double cap = service == nullptr ? 100 : service->max_connections;
   const int share =
-      std::max(2, static_cast<int>(cap * terms_.connection_part /
+      std::max(1, static_cast<int>(cap * terms_.connection_part /
                                    std::max(1, view_->live_hosts)));
   return handle.load.in_flight() < share;
 }
@@ -364,9 +364,12 @@
       health = AttemptHealth::kUnreachable;
       break;
     case AttemptEnd::kFailedAnswer:
-    case AttemptEnd::kBroken:
       health = AttemptHealth::kFailed;
       break;
+    case AttemptEnd::kBroken:
+      health = answer.rejected_connection ? AttemptHealth::kRejected
+                                          : AttemptHealth::kFailed;
+      break;
   }
   handle.load.OnEnd(health, taken, now);
 }
@@ -382,6 +385,10 @@
   }
   exchange->connection = nullptr;
   exchange->at = nullptr;
+  if (answer.on_stale_connection) {
+    // The others that are kept are likely to have ended, too.
+    handle->idle.clear();
+  }
   if (exchange->done) {
     Pump(service);
     return;
--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -23,6 +23,9 @@
 // Idle connections are used for at most this part of the time that the target
 // announces.
 constexpr int kIdlePercent = 60;
+// A target resets a connection that it does not take as soon as it is made;
+// between failure domains that takes some milliseconds.
+constexpr std::chrono::milliseconds kRejectionTime{20};
 // When the target announces none.
 constexpr std::chrono::milliseconds kDefaultIdle{5'000};
 
@@ -57,7 +60,8 @@
   sent_ = false;
   written_ = false;
   skipped_answers_ = 0;
-  if (socket_.is_open()) {
+  is_kept_ = socket_.is_open();
+  if (is_kept_) {
     Write();
     return;
   }
@@ -78,6 +82,7 @@
 // it has read all of it.
 void TargetConnection::Write() {
   sent_ = true;
+  sent_at_ = std::chrono::steady_clock::now();
   http::async_write(socket_, request_,
                     [self = shared_from_this()](error_code ec, size_t) {
                       self->written_ = !ec;
@@ -161,6 +166,12 @@
 void TargetConnection::Break() {
   TargetAnswer answer;
   answer.end = sent_ ? AttemptEnd::kBroken : AttemptEnd::kNotSent;
+  const bool is_silent = sent_ && skipped_answers_ == 0 &&
+                         !parser_->got_some() && buffer_.size() == 0;
+  answer.on_stale_connection = is_silent && is_kept_;
+  answer.rejected_connection =
+      is_silent && !is_kept_ &&
+      std::chrono::steady_clock::now() - sent_at_ <= kRejectionTime;
   Finish(std::move(answer), false);
 }
 
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -27,6 +27,12 @@
   bool misdirected = false;
   // The target has no room.
   bool shed = false;
+  // With kBroken: the connection had carried an earlier request, and ended
+  // before anything of the answer arrived.
+  bool on_stale_connection = false;
+  // With kBroken: a new connection ended at once, as targets do beyond the
+  // number of connections that they take.
+  bool rejected_connection = false;
 };
 
 using TargetAnswerHandler = std::function<void(TargetAnswer)>;
@@ -64,7 +70,9 @@
   int skipped_answers_ = 0;
   bool sent_ = false;
   bool written_ = false;
+  bool is_kept_ = false;
   std::chrono::milliseconds idle_limit_{};
+  std::chrono::steady_clock::time_point sent_at_{};
   std::chrono::steady_clock::time_point idle_since_{};
 };
 
--- a/tests/core/balance/balance_test.cc
+++ b/tests/core/balance/balance_test.cc
@@ -120,4 +120,36 @@
   }
 }
 
+// Hot keys: many hosts press on one owner, which resets connections beyond its
+// limit. Repeating at once uses up the attempts of a request within a
+// millisecond.
+TEST_CASE("a target that rejects connections must not be asked at once again") {
+  TargetLoad load(LoadTerms{});
+  const auto reject = [&](TimePoint at) {
+    load.OnSent();
+    load.OnEnd(AttemptHealth::kRejected, milliseconds(1), at);
+  };
+  reject(kStart);
+  CHECK(load.IsPaused(kStart + milliseconds(99)));
+  CHECK_FALSE(load.IsPaused(kStart + milliseconds(100)));
+  // It can be reached, so others may be sent there beside the first.
+  CHECK_FALSE(load.IsSuspect());
+
+  SUBCASE("and is left alone longer each time") {
+    reject(kStart);
+    CHECK(load.IsPaused(kStart + milliseconds(199)));
+    for (int i = 0; i < 10; ++i) {
+      reject(kStart);
+    }
+    CHECK(load.IsPaused(kStart + milliseconds(799)));
+    CHECK_FALSE(load.IsPaused(kStart + milliseconds(800)));
+  }
+  SUBCASE("until it answers") {
+    load.OnSent();
+    load.OnEnd(AttemptHealth::kGood, milliseconds(200), kStart);
+    reject(kStart + seconds(1));
+    CHECK_FALSE(load.IsPaused(kStart + seconds(1) + milliseconds(100)));
+  }
+}
+
 }  // namespace toucandock::core::balance
--- /dev/null
+++ b/tests/entry/dispatcher_test.cc
@@ -0,0 +1,146 @@
+#include "entry/dispatcher.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "http/raw_target.h"
+
+namespace toucandock::entry {
+namespace {
+
+using http::RawConnection;
+using http::RawTarget;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+namespace beast_http = boost::beast::http;
+
+// Answers a request as its target.
+void Respond(RawConnection& connection, const std::string& request) {
+  const size_t begin = request.find("Id: ") + 4;
+  const std::string id =
+      request.substr(begin, request.find('\r', begin) - begin);
+  connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\nId: ", id,
+                                "\r\nDigest: d\r\nContent-Length: 0\r\n\r\n"));
+}
+
+// A dispatcher with one service that has one target and owns all keys there.
+class OneTarget {
+ public:
+  explicit OneTarget(const std::string& address)
+      : dispatcher_(io_,
+                    {.request_id = "Id",
+                     .deadline = "Deadline",
+                     .key = "Key",
+                     .expected_target = "Expected",
+                     .not_executed = "Not-Run",
+                     .target_load = "Load",
+                     .answer_digest = "Digest"},
+                    "a",
+                    {},
+                    DispatchTerms{},
+                    [](const core::keyspace::LoadReport&) {}) {
+    const core::discovery::TargetLife life{.id = "t1", .born = 1};
+    auto view = std::make_shared<RoutingView>();
+    core::routing::RouteConfig config{.version = 1};
+    config.routes = {{.host = "h",
+                      .path_prefix = "/",
+                      .services = {{.service = "s"}},
+                      .idempotent = true,
+                      .timeout = milliseconds(4'000),
+                      .latency_goal = milliseconds(2'000),
+                      .max_attempts = 3}};
+    config.services = {{.name = "s", .keyed = true}};
+    view->routes = std::make_shared<core::routing::RouteTable>(config);
+    view->targets["s"] = {
+        {.entry = {
+             .life = life, .service = "s", .address = address, .slots = 4}}};
+    view->ownership["s"] = {.service = "s",
+                            .assignments = {{.owner = life, .serving = true}}};
+    dispatcher_.SetView(std::move(view));
+  }
+
+  // Sends requests at a time and waits for all answers.
+  std::vector<CallerAnswer> Send(int requests) {
+    std::vector<CallerAnswer> answers;
+    for (int n = 0; n < requests; ++n) {
+      net::HttpRequest request{beast_http::verb::get, "/x", 11};
+      request.set(beast_http::field::host, "h");
+      request.set("Id", absl::StrCat("r", ++sent_));
+      request.set("Key", "7");
+      dispatcher_.Start(
+          std::move(request), steady_clock::now(),
+          [&](CallerAnswer answer) { answers.push_back(std::move(answer)); });
+    }
+    const auto limit = steady_clock::now() + milliseconds(5'000);
+    while (answers.size() < static_cast<size_t>(requests) &&
+           steady_clock::now() < limit) {
+      io_.run_one_for(milliseconds(10));
+    }
+    return answers;
+  }
+
+ private:
+  boost::asio::io_context io_;
+  Dispatcher dispatcher_;
+  int sent_ = 0;
+};
+
+bool AllAnswered(const std::vector<CallerAnswer>& answers, size_t wanted) {
+  size_t n = 0;
+  for (const CallerAnswer& it : answers) {
+    n += it.response.has_value() ? 1 : 0;
+  }
+  return n == wanted;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "connections that targets drop must not use up a request's attempts") {
+  SUBCASE("kept ones that the target has forgotten") {
+    // Four connections serve one request each and are dropped with the second.
+    RawTarget target([](RawConnection& connection) {
+      const std::string first = connection.ReadRequest();
+      if (first.empty()) {
+        return;
+      }
+      std::this_thread::sleep_for(milliseconds(50));
+      Respond(connection, first);
+      const std::string second = connection.ReadRequest();
+      if (connection.number() < 4 || second.empty()) {
+        connection.Reset();
+        return;
+      }
+      Respond(connection, second);
+    });
+    OneTarget host(target.address());
+    REQUIRE(AllAnswered(host.Send(4), 4));
+    CHECK(AllAnswered(host.Send(1), 1));
+  }
+
+  // Hot keys: many hosts press on one owner, which resets connections beyond
+  // its limit for a while.
+  SUBCASE("new ones that the target rejects for a moment") {
+    const auto began = steady_clock::now();
+    RawTarget target([began](RawConnection& connection) {
+      if (steady_clock::now() - began < milliseconds(150)) {
+        connection.Reset();
+        return;
+      }
+      Respond(connection, connection.ReadRequest());
+    });
+    OneTarget host(target.address());
+    CHECK(AllAnswered(host.Send(1), 1));
+    CHECK(target.connections() == 3);
+  }
+}
+
+}  // namespace toucandock::entry
--- a/tests/entry/target_connection_test.cc
+++ b/tests/entry/target_connection_test.cc
@@ -2,6 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
 #include "http/raw_target.h"
 
 namespace toucandock::entry {
@@ -161,4 +166,59 @@
   }
 }
 
+TEST_CASE("a connection that ends without an answer must tell why") {
+  const auto serve = [](bool answers, milliseconds delay,
+                        const std::string& part) {
+    return [=](RawConnection& connection) {
+      connection.ReadRequest();
+      if (answers) {
+        connection.Write(Answer("mine", "body"));
+        connection.ReadRequest();
+      }
+      std::this_thread::sleep_for(delay);
+      connection.Write(part);
+      connection.Reset();
+    };
+  };
+  const auto send = [](const RawTarget& target, int requests) {
+    boost::asio::io_context io;
+    const net::HeaderNames names = Names();
+    const auto connection = std::make_shared<TargetConnection>(
+        io, *net::ParseEndpoint(target.address()), names);
+    TargetAnswer last;
+    for (int n = 0; n < requests; ++n) {
+      net::HttpRequest request{beast_http::verb::get, "/x", 11};
+      request.set("Id", "mine");
+      connection->Send(std::move(request),
+                       [&](TargetAnswer answer) { last = std::move(answer); });
+      io.run();
+      io.restart();
+    }
+    return last;
+  };
+
+  SUBCASE("a new one that is reset at once was rejected") {
+    RawTarget target(serve(false, milliseconds(0), ""));
+    const TargetAnswer answer = send(target, 1);
+    CHECK(answer.end == AttemptEnd::kBroken);
+    CHECK(answer.rejected_connection);
+    CHECK_FALSE(answer.on_stale_connection);
+  }
+  SUBCASE("one that is reset while the target may work was not") {
+    RawTarget target(serve(false, milliseconds(100), ""));
+    CHECK_FALSE(send(target, 1).rejected_connection);
+  }
+  SUBCASE("nor one on which an answer has begun") {
+    RawTarget target(serve(false, milliseconds(0), "HTTP/1.1 200 OK\r\n"));
+    CHECK_FALSE(send(target, 1).rejected_connection);
+  }
+  SUBCASE("a kept one had been forgotten by the target") {
+    RawTarget target(serve(true, milliseconds(0), ""));
+    const TargetAnswer answer = send(target, 2);
+    CHECK(answer.end == AttemptEnd::kBroken);
+    CHECK(answer.on_stale_connection);
+    CHECK_FALSE(answer.rejected_connection);
+  }
+}
+
 }  // namespace toucandock::entry
