--- a/src/observe/request_report.cc
+++ b/src/observe/request_report.cc
@@ -319,11 +319,11 @@
     report.conclusion = absl::StrCat("It ended as: ", TextOf(line, "cause"),
                                      ", while ", target, " had it.");
   } else {
-    report.conclusion =
-        absl::StrCat("It may have run: ", DescribeAttempt(*attempt),
-                     attempt->fields["idempotent"].asBool()
-                         ? ", and there was no time or budget for a retry."
-                         : ", and it must not be sent twice.");
+    report.conclusion = absl::StrCat(
+        "It may have run: ", DescribeAttempt(*attempt),
+        attempt->fields["idempotent"].asBool()
+            ? ", and no attempt, time or budget was left for a retry."
+            : ", and it must not be sent twice.");
   }
   report.advice = absl::StrCat("Ask ", target, " what became of the request.");
 }
--- a/tests/observe/request_report_test.cc
+++ b/tests/observe/request_report_test.cc
@@ -150,7 +150,7 @@
     REQUIRE(report.context.size() == 1);
     CHECK(report.context[0].host == "h3");
     CHECK(absl::StrContains(Report(reset("true")).conclusion,
-                            "no time or budget for a retry"));
+                            "no attempt, time or budget was left"));
   }
 
   SUBCASE("a target that did not answer in time") {
