--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <thread>
 
+#include "absl/strings/match.h"
 #include "process/platform_journal.h"
 
 namespace toucandock::process {
@@ -110,6 +111,21 @@
     WaitForAll(fleet, load, 50);
   }
 
+  SUBCASE("nor does a change of the settings of running hosts") {
+    const auto read = [&](size_t n, const char* suffix) {
+      return ReadFile(fleet.folder().PathOf(fleet.host(n).name + suffix));
+    };
+    for (size_t n = 0; n < fleet.host_count(); ++n) {
+      fleet.folder().WriteFile(fleet.host(n).name + ".yaml",
+                               read(n, ".yaml") + "stop_limit: 5s\n");
+      fleet.host(n).process->Send(SIGHUP);
+    }
+    WaitForAll(fleet, load, 50);
+    for (size_t n = 0; n < fleet.host_count(); ++n) {
+      CHECK(absl::StrContains(read(n, ".out"), "settings_applied"));
+    }
+  }
+
   CheckPromises(fleet, load.Stop(), {});
 }
 
