Do not run a request that was answered 408 and arrives after all

Cause: found by reading the change. A request that is rejected as too slow behind one that still runs was read on; when it ended before the answers were written, it ran, although 408 says that it never will.

Change: what is read after the rejection starts no request; errors of its parsing are not answered a second time.

Measured: the new section of tests/entry/traffic_test.cc counted a connection to the target before and none after.

--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -63,7 +63,10 @@
                        self->OnReadError(ec);
                        return;
                      }
-                     self->OnRequest();
+                     // What was rejected as too slow must not run any more.
+                     if (!self->is_rejected_) {
+                       self->OnRequest();
+                     }
                    });
 }
 
@@ -99,20 +102,20 @@
   const bool is_http_error =
       ec.category() ==
       http::make_error_code(http::error::bad_method).category();
-  if (ec == http::error::body_limit) {
-    RejectMalformed(ErrorKind::kRequestTooLarge);
-  } else if (ec == http::error::header_limit) {
-    RejectMalformed(ErrorKind::kHeadersTooLarge);
-  } else if (is_http_error && ec != http::error::end_of_stream &&
-             ec != http::error::partial_message) {
-    RejectMalformed(ErrorKind::kMalformedRequest);
-  } else {
+  if (!is_http_error || ec == http::error::end_of_stream ||
+      ec == http::error::partial_message) {
     Leave();
+  } else if (!is_rejected_) {
+    RejectMalformed(ec == http::error::body_limit ? ErrorKind::kRequestTooLarge
+                    : ec == http::error::header_limit
+                        ? ErrorKind::kHeadersTooLarge
+                        : ErrorKind::kMalformedRequest);
   }
 }
 
 void CallerConnection::RejectMalformed(ErrorKind error) {
   closing_ = true;
+  is_rejected_ = true;
   auto pending = std::make_shared<Pending>();
   pending->keep_alive = false;
   pending->response = ToResponse("", {.error = error});
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -83,6 +83,8 @@
   bool stopping_ = false;
   // No more requests are taken.
   bool closing_ = false;
+  // The request that is being read was rejected.
+  bool is_rejected_ = false;
   // The end of the connection was announced.
   bool ended_ = false;
 };
--- a/tests/entry/traffic_test.cc
+++ b/tests/entry/traffic_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "absl/strings/match.h"
+#include "http/raw_target.h"
 #include "support/raw_caller.h"
 
 namespace toucandock::entry {
@@ -26,7 +27,18 @@
 // often it looks.
 constexpr milliseconds kLateness{1'500};
 
-// The traffic part of a host that has a configuration without routes.
+core::routing::Route RouteTo(const std::string& service,
+                             const std::string& prefix) {
+  return {.host = "x",
+          .path_prefix = prefix,
+          .services = {{.service = service}},
+          .timeout = milliseconds(9'000),
+          .latency_goal = milliseconds(9'000)};
+}
+
+// The traffic part of a host whose configuration has two routes: to a service
+// without targets, whose requests wait for a third of their time, and to one
+// with a target that answers nothing.
 class TrafficHost {
  public:
   TrafficHost()
@@ -39,10 +51,16 @@
                  [](const core::keyspace::LoadReport&) {}) {
     REQUIRE(traffic_.Listen().ok());
     auto view = std::make_shared<RoutingView>();
-    view->routes = std::make_shared<core::routing::RouteTable>(
-        core::routing::RouteConfig{.version = 1,
-                                   .limits = {.header_timeout = kHeaderTimeout,
-                                              .idle_timeout = kIdleTimeout}});
+    view->routes =
+        std::make_shared<core::routing::RouteTable>(core::routing::RouteConfig{
+            .version = 1,
+            .routes = {RouteTo("none", "/wait/"), RouteTo("one", "/run/")},
+            .limits = {.header_timeout = kHeaderTimeout,
+                       .idle_timeout = kIdleTimeout}});
+    view->targets["one"] = {{.entry = {.life = {.id = "t1", .born = 1},
+                                       .service = "one",
+                                       .address = target_.address(),
+                                       .slots = 4}}};
     view->complete = true;
     traffic_.SetView(std::move(view));
     address_ = traffic_.caller_address();
@@ -58,6 +76,7 @@
   TrafficHost& operator=(const TrafficHost&) = delete;
 
   const std::string& address() const { return address_; }
+  const http::RawTarget& target() const { return target_; }
 
   void Stop() {
     std::promise<void> stopped;
@@ -67,6 +86,7 @@
   }
 
  private:
+  http::RawTarget target_{[](http::RawConnection&) {}};
   boost::asio::io_context io_;
   Traffic traffic_;
   std::string address_;
@@ -105,6 +125,16 @@
     CHECK(taken >= kHeaderTimeout);
     CHECK(taken < kHeaderTimeout + kLateness);
   }
+  SUBCASE("what was refused so does not run when it ends after all") {
+    caller.Write(
+        "GET /wait/ HTTP/1.1\r\nHost: x\r\n\r\nGET /run/ HTTP/1.1\r\n");
+    std::this_thread::sleep_for(kHeaderTimeout + kLateness);
+    caller.Write("Host: x\r\n\r\n");
+    answer = caller.ReadAll();
+    CHECK(absl::StartsWith(answer, "HTTP/1.1 503"));
+    CHECK(absl::StrContains(answer, "HTTP/1.1 408"));
+    CHECK(host.target().connections() == 0);
+  }
   SUBCASE("a body that does not end is refused as not run") {
     caller.Write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n1");
     const milliseconds taken = TimeOf([&] { answer = caller.ReadAll(); });
