--- a/src/core/balance/target_load.h
+++ b/src/core/balance/target_load.h
@@ -30,8 +30,9 @@
   Duration longest_pause = std::chrono::seconds(4);
   // A refusing target is left alone for this long.
   Duration shed_pause = std::chrono::milliseconds(150);
-  // A target that rejects connections is left alone for this long, and twice as
-  // long after each further rejection without an answer between them.
+  // A target that rejects connections is left alone for this long, about the
+  // time in which it ends a request, and twice as long after each further
+  // rejection without an answer between them.
   Duration first_rejection_pause = std::chrono::milliseconds(100);
   Duration longest_rejection_pause = std::chrono::milliseconds(800);
   // Recent failures are forgotten over this time.
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -25,7 +25,8 @@
 void SetConnectionOptions(int fd);
 
 // A connection that is made but not accepted is reset when the listening socket
-// closes. After this call and kHandshakeLimit, no more of them come.
+// closes. After this call and kHandshakeLimit, several round trips between
+// hosts and the balancer, no more of them come.
 inline constexpr std::chrono::milliseconds kHandshakeLimit{20};
 void DropNewConnections(Tcp::acceptor& acceptor);
 
