Do not take an answered release for a connection for grants

Cause: found by reading the whole change. Since grants and releases have connections of their own, a release that was answered still marked its target as connected. The next grant was then sent "over a kept connection" that did not exist, came back as not sent, and had to wait for another confirmation of the duty (up to 0.6 s).

Change: only grants mark a target as connected.

--- a/src/core/keyspace/grant_coordinator.cc
+++ b/src/core/keyspace/grant_coordinator.cc
@@ -311,6 +311,8 @@
   if (answer.result == OrderResult::kWrongTarget) {
     replaced_.insert(ref.target);
   }
+  const bool is_grant =
+      ref.kind == OrderRef::Kind::kGrant || ref.kind == OrderRef::Kind::kRaise;
   Contact& contact = ContactOf(ref.target);
   if (contact.grant_under_way == answer.id) {
     contact.grant_under_way = 0;
@@ -320,13 +322,13 @@
   if (reached) {
     contact.failing_since = TimePoint{};
     contact.failures = 0;
-    contact.connected = true;
+    // Releases have connections of their own.
+    contact.connected = contact.connected || is_grant;
   } else if (ref.kept_connection_only &&
              answer.result == OrderResult::kNotSent) {
     contact.connected = false;
     contact.unconnected_since = now;
-  } else if (ref.kind != OrderRef::Kind::kRelease &&
-             ref.kind != OrderRef::Kind::kQuiesce) {
+  } else if (is_grant) {
     contact.connected = false;
     contact.unconnected_since = now;
     contact.failures++;
--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -204,7 +204,7 @@
     TimePoint failing_since{};
     TimePoint last_failure{};
     int failures = 0;
-    // An order was answered, and no connection has been lost since.
+    // A grant was answered, and its connection has not been lost since.
     bool connected = false;
     // Since when there is no connection.
     TimePoint unconnected_since{};
--- a/tests/core/keyspace/grant_coordinator_test.cc
+++ b/tests/core/keyspace/grant_coordinator_test.cc
@@ -194,6 +194,44 @@
   CHECK(world.FirstFault() == "");
 }
 
+// A grant "over a kept connection" that never was takes a round of its own and
+// then waits for the next confirmation of the duty.
+TEST_CASE("an answered release must not count as a connection for grants") {
+  TimePoint now{seconds(1'000)};
+  const TargetLife earlier{.id = "t0", .born = 1};
+  const TargetLife owner{.id = "t1", .born = 1};
+  OwnershipTable table{
+      .service = "s",
+      .writer = "predecessor",
+      .assignments = {{.owner = owner, .previous = {earlier}}}};
+  GrantCoordinator coordinator("s", "successor", "", CoordinatorTerms{});
+  coordinator.OnTargets(
+      {{.life = earlier, .address = "a"}, {.life = owner, .address = "b"}},
+      now);
+  coordinator.OnTable(table, now);
+  coordinator.OnDuty(true, now);
+  table.writer = "successor";
+  table.offset = 1;
+  coordinator.OnTable(table, now);
+
+  // Past the time in which the predecessor may still change owners.
+  now += seconds(3);
+  coordinator.OnDuty(true, now);
+  std::vector<Action> actions = coordinator.Tick(now);
+  REQUIRE(actions.size() == 2);
+  for (const Action& it : actions) {
+    const auto* release = std::get_if<ReleaseOrder>(&it);
+    REQUIRE(release != nullptr);
+    coordinator.OnOrderAnswer({.id = release->id, .result = OrderResult::kDone},
+                              now);
+  }
+  actions = coordinator.Tick(now);
+  REQUIRE(actions.size() == 1);
+  const auto* raise = std::get_if<GrantOrder>(&actions[0]);
+  REQUIRE(raise != nullptr);
+  CHECK_FALSE(raise->kept_connection_only);
+}
+
 TEST_CASE("no schedule of faults may give a key to two targets") {
   // Enough schedules to meet each pair of faults in several orders. Found here:
   // a host that was paused for 4 s granted over a new connection although a
