Mend what the read-through of the change found

Cause: logic that stood twice, state that could be derived, and two answers that said too much.

Change: explain-request says unknown, not ran, of a retry of which nothing more was logged, and not run of a caller that left before the first attempt. The settings that apply at once are named in one place (TakeOver); those that wait for the next start are compared with what is in force, so that a change that was taken back is no longer named. The connection's idle limit is checked once; whether a stopping host drops new connections follows from since when. Belief is now DecisionInputs, RejectMalformed is Reject.

Nothing else changes what the program does.

--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "absl/status/status.h"
@@ -41,6 +42,25 @@
   absl::Status& status_;
 };
 
+// Parses a text that holds one object. `read` takes its members; the first
+// fault that it notes fails the whole.
+template <typename T>
+absl::StatusOr<T> ReadObject(
+    const std::string& text,
+    const std::function<T(ObjectReader& fields, absl::Status& status)>& read) {
+  const absl::StatusOr<Json::Value> json = ParseJson(text);
+  if (!json.ok()) {
+    return json.status();
+  }
+  absl::Status status;
+  ObjectReader fields(*json, status);
+  T result = read(fields, status);
+  if (!status.ok()) {
+    return status;
+  }
+  return result;
+}
+
 }  // namespace toucandock::codec
 
 #endif  // TOUCANDOCK_CODEC_JSON_H_
--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -77,24 +77,20 @@
     return;
   }
   const core::routing::CallerLimits limits = Limits();
-  const bool is_idle_too_long =
-      now >= active_at_ + limits.idle_timeout + kIdleMargin;
+  const core::Duration longest_idle = limits.idle_timeout + kIdleMargin;
   if (!parser_->got_some()) {
-    if (is_idle_too_long) {
-      CloseIfIdle(limits.idle_timeout);
-    }
+    CloseIfIdle(longest_idle);
     return;
   }
   if (begun_at_ == Clock::time_point{}) {
     begun_at_ = now;
     return;
   }
-  const core::Duration limit = parser_->is_header_done()
-                                   ? limits.idle_timeout + kIdleMargin
-                                   : limits.header_timeout;
+  const core::Duration limit =
+      parser_->is_header_done() ? longest_idle : limits.header_timeout;
   if (now - begun_at_ >= limit) {
     LogEvent("caller_too_slow", {{"headers_read", parser_->is_header_done()}});
-    RejectMalformed(ErrorKind::kRequestTooSlow);
+    Reject(ErrorKind::kRequestTooSlow);
   }
 }
 
@@ -106,14 +102,13 @@
       ec == http::error::partial_message) {
     Leave();
   } else if (!is_rejected_) {
-    RejectMalformed(ec == http::error::body_limit ? ErrorKind::kRequestTooLarge
-                    : ec == http::error::header_limit
-                        ? ErrorKind::kHeadersTooLarge
-                        : ErrorKind::kMalformedRequest);
+    Reject(ec == http::error::body_limit     ? ErrorKind::kRequestTooLarge
+           : ec == http::error::header_limit ? ErrorKind::kHeadersTooLarge
+                                             : ErrorKind::kMalformedRequest);
   }
 }
 
-void CallerConnection::RejectMalformed(ErrorKind error) {
+void CallerConnection::Reject(ErrorKind error) {
   closing_ = true;
   is_rejected_ = true;
   auto pending = std::make_shared<Pending>();
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -55,7 +55,7 @@
   void OnRequest();
   void OnReadError(const boost::system::error_code& ec);
   void OnAnswer(const std::shared_ptr<Pending>& pending, CallerAnswer answer);
-  void RejectMalformed(core::ErrorKind error);
+  void Reject(core::ErrorKind error);
   net::HttpResponse ToResponse(const std::string& request_id,
                                CallerAnswer answer) const;
   void WriteNext();
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -553,29 +553,30 @@
 }
 
 // The inputs of the decision, for the log line that explains it.
-Dispatcher::Belief Dispatcher::BeliefOf(const Exchange& exchange) const {
-  Belief belief;
+Dispatcher::DecisionInputs Dispatcher::InputsOf(
+    const Exchange& exchange) const {
+  DecisionInputs inputs;
   if (exchange.routes) {
-    belief.config = exchange.routes->config().version;
+    inputs.config = exchange.routes->config().version;
   }
   const auto table = view_->ownership.find(exchange.service);
   if (!exchange.key || table == view_->ownership.end()) {
-    return belief;
+    return inputs;
   }
-  belief.owners_offset = table->second.offset;
-  belief.owner_denied = exchange.misdirected_at == table->second.offset;
+  inputs.owners_offset = table->second.offset;
+  inputs.owner_denied = exchange.misdirected_at == table->second.offset;
   const core::keyspace::Assignment* assignment =
       core::keyspace::FindAssignment(table->second, *exchange.key);
   if (assignment == nullptr) {
-    return belief;
+    return inputs;
   }
-  belief.owner = assignment->owner.id;
-  belief.owner_serves = assignment->serving;
+  inputs.owner = assignment->owner.id;
+  inputs.owner_serves = assignment->serving;
   const auto handle = handles_.find(assignment->owner);
   if (handle != handles_.end()) {
-    belief.owner_load = handle->second->load.Estimate(Now());
+    inputs.owner_load = handle->second->load.Estimate(Now());
   }
-  return belief;
+  return inputs;
 }
 
 void Dispatcher::Refuse(const ExchangePtr& exchange,
@@ -583,7 +584,7 @@
                         const char* cause,
                         Duration retry_after) {
   if (error != ErrorKind::kNotFound) {
-    const Belief belief = BeliefOf(*exchange);
+    const DecisionInputs inputs = InputsOf(*exchange);
     LogEvent("refused",
              {{"request", exchange->request_id},
               {"service", exchange->service},
@@ -593,12 +594,12 @@
               {"attempts", exchange->attempts},
               {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()},
               {"retry_after_ms", ToMilliseconds(retry_after).count()},
-              {"config", belief.config},
-              {"owner", belief.owner},
-              {"owners_offset", belief.owners_offset},
-              {"owner_serves", belief.owner_serves},
-              {"owner_denied", belief.owner_denied},
-              {"owner_load", belief.owner_load}});
+              {"config", inputs.config},
+              {"owner", inputs.owner},
+              {"owners_offset", inputs.owners_offset},
+              {"owner_serves", inputs.owner_serves},
+              {"owner_denied", inputs.owner_denied},
+              {"owner_load", inputs.owner_load}});
   }
   Finish(exchange, {.error = error, .retry_after = retry_after});
 }
@@ -615,7 +616,7 @@
             {"last_target",
              exchange->tried.empty() ? "" : exchange->tried.back().id},
             {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()},
-            {"config", BeliefOf(*exchange).config}});
+            {"config", InputsOf(*exchange).config}});
   Finish(exchange, {.error = error});
 }
 
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -99,8 +99,8 @@
   using ExchangePtr = std::shared_ptr<Exchange>;
   using HandlePtr = std::shared_ptr<TargetHandle>;
 
-  // What this host believed when it decided about a request.
-  struct Belief {
+  // What this host knew when it decided about a request.
+  struct DecisionInputs {
     std::uint64_t config = 0;
     std::string owner;
     core::Offset owners_offset = 0;
@@ -110,7 +110,7 @@
     double owner_load = 0;
   };
 
-  Belief BeliefOf(const Exchange& exchange) const;
+  DecisionInputs InputsOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
   HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -120,20 +120,14 @@
 // Decodes a record; its offset is not part of the text.
 absl::StatusOr<core::keyspace::OwnershipTable> DecodeOwnership(
     const std::string& text) {
-  const absl::StatusOr<Json::Value> json = codec::ParseJson(text);
-  if (!json.ok()) {
-    return json.status();
-  }
-  absl::Status status;
-  ObjectReader fields(*json, status);
-  core::keyspace::OwnershipTable table = ReadTable(fields, status);
-  if (status.ok() && !core::keyspace::CoversAllKeys(table.assignments)) {
-    fields.Fail("'ranges' do not cover all keys once");
-  }
-  if (!status.ok()) {
-    return status;
-  }
-  return table;
+  return codec::ReadObject<core::keyspace::OwnershipTable>(
+      text, [&](ObjectReader& fields, absl::Status& status) {
+        core::keyspace::OwnershipTable table = ReadTable(fields, status);
+        if (status.ok() && !core::keyspace::CoversAllKeys(table.assignments)) {
+          fields.Fail("'ranges' do not cover all keys once");
+        }
+        return table;
+      });
 }
 
 std::string EncodeOwnershipUpdate(const OwnershipUpdate& update) {
@@ -150,24 +144,18 @@
 }
 
 absl::StatusOr<OwnershipUpdate> DecodeOwnershipUpdate(const std::string& text) {
-  const absl::StatusOr<Json::Value> json = codec::ParseJson(text);
-  if (!json.ok()) {
-    return json.status();
-  }
-  absl::Status status;
-  ObjectReader fields(*json, status);
-  OwnershipUpdate update{.end = fields.Uint("end")};
-  for (const Json::Value& it : fields.Array("deltas")) {
-    ObjectReader reader(it, status);
-    core::keyspace::OwnershipDelta delta{.base = reader.Uint("base"),
-                                         .changes = ReadTable(reader, status)};
-    delta.changes.offset = reader.Uint("offset");
-    update.deltas.push_back(std::move(delta));
-  }
-  if (!status.ok()) {
-    return status;
-  }
-  return update;
+  return codec::ReadObject<OwnershipUpdate>(text, [&](ObjectReader& fields,
+                                                      absl::Status& status) {
+    OwnershipUpdate update{.end = fields.Uint("end")};
+    for (const Json::Value& it : fields.Array("deltas")) {
+      ObjectReader reader(it, status);
+      core::keyspace::OwnershipDelta delta{
+          .base = reader.Uint("base"), .changes = ReadTable(reader, status)};
+      delta.changes.offset = reader.Uint("offset");
+      update.deltas.push_back(std::move(delta));
+    }
+    return update;
+  });
 }
 
 std::string EncodeLoadReport(const core::keyspace::LoadReport& report) {
@@ -193,36 +181,31 @@
 
 absl::StatusOr<core::keyspace::LoadReport> DecodeLoadReport(
     const std::string& text) {
-  const absl::StatusOr<Json::Value> json = codec::ParseJson(text);
-  if (!json.ok()) {
-    return json.status();
-  }
-  absl::Status status;
-  ObjectReader fields(*json, status);
-  core::keyspace::LoadReport report;
-  report.service = fields.String("service");
-  for (const Json::Value& key : fields.Array("keys")) {
-    if (!key.isUInt() || key.asUInt() > core::keyspace::kLastKey) {
-      fields.Fail("'keys' are not numbers of keys");
-      break;
-    }
-    report.keys.push_back(key.asUInt());
-  }
-  for (const Json::Value& it : fields.Array("speeds")) {
-    if (!it.isArray() || it.size() != 3 || !it[0].isString() ||
-        !it[1].isUInt() || !it[2].isUInt()) {
-      fields.Fail("'speeds' are lists of target, answers and milliseconds");
-      break;
-    }
-    report.speeds.push_back(
-        {.target_id = it[0].asString(),
-         .answers = it[1].asUInt(),
-         .mean_time = std::chrono::milliseconds(it[2].asUInt())});
-  }
-  if (!status.ok()) {
-    return status;
-  }
-  return report;
+  return codec::ReadObject<core::keyspace::LoadReport>(
+      text, [&](ObjectReader& fields, absl::Status&) {
+        core::keyspace::LoadReport report;
+        report.service = fields.String("service");
+        for (const Json::Value& key : fields.Array("keys")) {
+          if (!key.isUInt() || key.asUInt() > core::keyspace::kLastKey) {
+            fields.Fail("'keys' are not numbers of keys");
+            break;
+          }
+          report.keys.push_back(key.asUInt());
+        }
+        for (const Json::Value& it : fields.Array("speeds")) {
+          if (!it.isArray() || it.size() != 3 || !it[0].isString() ||
+              !it[1].isUInt() || !it[2].isUInt()) {
+            fields.Fail(
+                "'speeds' are lists of target, answers and milliseconds");
+            break;
+          }
+          report.speeds.push_back(
+              {.target_id = it[0].asString(),
+               .answers = it[1].asUInt(),
+               .mean_time = std::chrono::milliseconds(it[2].asUInt())});
+        }
+        return report;
+      });
 }
 
 // Sent several times a second by each host, so the text is short.
@@ -304,27 +287,21 @@
 }
 
 absl::StatusOr<ReadResult> DecodeRecords(const std::string& text) {
-  const absl::StatusOr<Json::Value> json = codec::ParseJson(text);
-  if (!json.ok()) {
-    return json.status();
-  }
-  absl::Status status;
-  ObjectReader fields(*json, status);
-  ReadResult result{.status = StoreStatus::kOk, .end = fields.Uint("end")};
-  for (const Json::Value& it : fields.Array("records")) {
-    ObjectReader record(it, status);
-    StoredRecord stored{.offset = record.Uint("offset"),
-                        .removed = record.Bool("removed")};
-    if (!absl::Base64Unescape(record.String("key"), &stored.key) ||
-        !absl::Base64Unescape(record.String("value"), &stored.value)) {
-      record.Fail("'key' or 'value' is not base64");
+  return codec::ReadObject<ReadResult>(text, [&](ObjectReader& fields,
+                                                 absl::Status& status) {
+    ReadResult result{.status = StoreStatus::kOk, .end = fields.Uint("end")};
+    for (const Json::Value& it : fields.Array("records")) {
+      ObjectReader record(it, status);
+      StoredRecord stored{.offset = record.Uint("offset"),
+                          .removed = record.Bool("removed")};
+      if (!absl::Base64Unescape(record.String("key"), &stored.key) ||
+          !absl::Base64Unescape(record.String("value"), &stored.value)) {
+        record.Fail("'key' or 'value' is not base64");
+      }
+      result.records.push_back(std::move(stored));
     }
-    result.records.push_back(std::move(stored));
-  }
-  if (!status.ok()) {
-    return status;
-  }
-  return result;
+    return result;
+  });
 }
 
 }  // namespace toucandock::entry
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -83,36 +83,34 @@
   return settings;
 }
 
-SettingsChange CompareSettings(const EntrySettings& running,
-                               const EntrySettings& wanted) {
+SettingsChange TakeOver(const EntrySettings& wanted, EntrySettings& in_force) {
   SettingsChange change;
-  const auto compare = [](std::vector<std::string>& names, const char* name,
-                          const auto& a, const auto& b) {
-    if (a != b) {
-      names.emplace_back(name);
+  const auto apply = [&](const char* name, auto member) {
+    if (in_force.*member != wanted.*member) {
+      in_force.*member = wanted.*member;
+      change.applied.emplace_back(name);
     }
   };
-  compare(change.applied, "stop_limit", running.stop_limit, wanted.stop_limit);
-  compare(change.applied, "retries", running.retries, wanted.retries);
-  std::vector<std::string>& later = change.at_next_start;
-  compare(later, "host_name", running.host_name, wanted.host_name);
-  compare(later, "failure_domain", running.failure_domain,
-          wanted.failure_domain);
-  compare(later, "ip", running.ip, wanted.ip);
-  compare(later, "caller_address", running.caller_address,
-          wanted.caller_address);
-  compare(later, "readiness_address", running.readiness_address,
-          wanted.readiness_address);
-  compare(later, "store_address", running.store_address, wanted.store_address);
-  compare(later, "report_port", running.report_port, wanted.report_port);
-  compare(later, "metrics_port", running.metrics_port, wanted.metrics_port);
-  compare(later, "address_file", running.address_file, wanted.address_file);
-  compare(later, "longest_lease", running.longest_lease, wanted.longest_lease);
-  compare(later, "shortest_membership", running.shortest_membership,
-          wanted.shortest_membership);
-  compare(later, "store_partitions", running.store_partitions,
-          wanted.store_partitions);
-  compare(later, "fleet_starts", running.fleet_starts, wanted.fleet_starts);
+  const auto compare = [&](const char* name, auto member) {
+    if (in_force.*member != wanted.*member) {
+      change.at_next_start.emplace_back(name);
+    }
+  };
+  apply("stop_limit", &EntrySettings::stop_limit);
+  apply("retries", &EntrySettings::retries);
+  compare("host_name", &EntrySettings::host_name);
+  compare("failure_domain", &EntrySettings::failure_domain);
+  compare("ip", &EntrySettings::ip);
+  compare("caller_address", &EntrySettings::caller_address);
+  compare("readiness_address", &EntrySettings::readiness_address);
+  compare("store_address", &EntrySettings::store_address);
+  compare("report_port", &EntrySettings::report_port);
+  compare("metrics_port", &EntrySettings::metrics_port);
+  compare("address_file", &EntrySettings::address_file);
+  compare("longest_lease", &EntrySettings::longest_lease);
+  compare("shortest_membership", &EntrySettings::shortest_membership);
+  compare("store_partitions", &EntrySettings::store_partitions);
+  compare("fleet_starts", &EntrySettings::fleet_starts);
   return change;
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -45,12 +45,12 @@
   std::vector<std::string> at_next_start;
 };
 
+// Takes over the settings that apply at once into those in force.
+SettingsChange TakeOver(const EntrySettings& wanted, EntrySettings& in_force);
+
 absl::StatusOr<EntrySettings> ParseEntrySettings(const std::string& file,
                                                  const std::string& text);
 
-SettingsChange CompareSettings(const EntrySettings& running,
-                               const EntrySettings& wanted);
-
 }  // namespace toucandock::entry
 
 #endif  // TOUCANDOCK_ENTRY_SETTINGS_H_
--- a/src/entry/settings_watch.cc
+++ b/src/entry/settings_watch.cc
@@ -12,12 +12,12 @@
 SettingsWatch::SettingsWatch(boost::asio::io_context& io,
                              std::string file,
                              std::string text,
-                             const EntrySettings& running,
+                             const EntrySettings& in_force,
                              Apply apply)
     : timer_(io),
       file_(std::move(file)),
       text_(std::move(text)),
-      running_(running),
+      in_force_(in_force),
       apply_(std::move(apply)) {}
 
 void SettingsWatch::Start(std::chrono::milliseconds interval) {
@@ -44,13 +44,12 @@
     LogEvent("settings_refused", {{"cause", wanted.status().message()}});
     return;
   }
-  const SettingsChange change = CompareSettings(running_, *wanted);
+  const SettingsChange change = TakeOver(*wanted, in_force_);
   LogEvent("settings_applied",
            {{"applied", absl::StrJoin(change.applied, ",")},
             {"at_next_start", absl::StrJoin(change.at_next_start, ",")}});
-  running_ = *wanted;
   if (!change.applied.empty()) {
-    apply_(running_);
+    apply_(in_force_);
   }
 }
 
--- a/src/entry/settings_watch.h
+++ b/src/entry/settings_watch.h
@@ -15,13 +15,13 @@
 // leave those in force as they are.
 class SettingsWatch {
  public:
-  // Hands over settings of which some that apply at once have changed.
+  // Hands over the settings in force when some of them have changed.
   using Apply = std::function<void(const EntrySettings&)>;
 
   SettingsWatch(boost::asio::io_context& io,
                 std::string file,
                 std::string text,
-                const EntrySettings& running,
+                const EntrySettings& in_force,
                 Apply apply);
 
   // Reads the file again at intervals: it may change without a signal.
@@ -34,7 +34,7 @@
   const std::string file_;
   // As last read, whether or not it is in force.
   std::string text_;
-  EntrySettings running_;
+  EntrySettings in_force_;
   const Apply apply_;
 };
 
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -100,8 +100,7 @@
 }
 
 void Traffic::SetSettings(const EntrySettings& settings) {
-  settings_.stop_limit = settings.stop_limit;
-  settings_.retries = settings.retries;
+  settings_ = settings;
   dispatcher_.SetRetryTerms(settings.retries);
 }
 
@@ -160,7 +159,8 @@
 }
 
 void Traffic::CheckStopped() {
-  const auto passed = std::chrono::steady_clock::now() - stop_began_;
+  const auto now = std::chrono::steady_clock::now();
+  const auto passed = now - stop_began_;
   bool has_work = dispatcher_.running() > 0;
   if (passed >= kBalancerNotices) {
     dispatcher_.BeginRefusing();
@@ -171,18 +171,16 @@
       }
     }
   }
-  if (passed >= kBalancerNotices + kLastRequests && !drops_new_) {
+  if (passed >= kBalancerNotices + kLastRequests && !drops_new_since_) {
     net::DropNewConnections(acceptor_);
-    drops_new_ = true;
-    dropped_at_ = std::chrono::steady_clock::now();
+    drops_new_since_ = now;
   }
   if (passed >= settings_.stop_limit - kEndMargin) {
     dispatcher_.FailAll();
     has_work = false;
   }
   const bool is_last =
-      drops_new_ && !has_work &&
-      std::chrono::steady_clock::now() - dropped_at_ >= kLastRequests;
+      drops_new_since_ && !has_work && now - *drops_new_since_ >= kLastRequests;
   // Once more round the loop, so that the last answers leave.
   stop_timer_.expires_after(kStopCheck);
   stop_timer_.async_wait([this, is_last](error_code ec) {
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,6 @@
   std::string caller_address() const;
   std::string readiness_address() const;
   std::string metrics_address() const;
-  // Takes over what CompareSettings() lists as applied.
   void SetSettings(const EntrySettings& settings);
   void SetView(std::shared_ptr<const RoutingView> view);
   // Ends what runs and then calls `stopped`, before the stop limit.
@@ -54,10 +54,9 @@
   std::vector<std::weak_ptr<CallerConnection>> connections_;
   bool ready_ = false;
   bool stopping_ = false;
-  // No more connections come.
-  bool drops_new_ = false;
   std::chrono::steady_clock::time_point stop_began_{};
-  std::chrono::steady_clock::time_point dropped_at_{};
+  // Since when no more connections come.
+  std::optional<std::chrono::steady_clock::time_point> drops_new_since_;
   std::function<void()> stopped_;
 };
 
--- a/src/observe/request_report.cc
+++ b/src/observe/request_report.cc
@@ -338,6 +338,9 @@
     report.outcome = core::AnswerFor(error).outcome;
     ExplainFailure(last, report);
   } else if (last.event == "caller_left") {
+    if (NumberOf(last, "attempts") == 0) {
+      report.outcome = Outcome::kNotRun;
+    }
     report.conclusion = absl::StrCat("The caller closed its connection after ",
                                      NumberOf(last, "waited_ms"), " ms.");
     report.advice = "Nothing.";
@@ -347,7 +350,7 @@
         "The caller got the failure of a target: ", DescribeAttempt(last), ".");
     report.advice = "Ask those who run the service.";
   } else {
-    report.outcome = Outcome::kRan;
+    // Answers have no line of their own, and lines may be missing.
     report.conclusion = absl::StrCat(
         "It was answered by a later attempt, or still runs: ",
         DescribeAttempt(last), " before. Answers have no line of their own.");
--- a/tests/entry/settings_watch_test.cc
+++ b/tests/entry/settings_watch_test.cc
@@ -6,22 +6,12 @@
 #include <string>
 
 #include "absl/strings/str_replace.h"
+#include "entry/sample_settings.h"
 #include "support/files.h"
 
 namespace toucandock::entry {
 namespace {
 
-constexpr char kSettings[] =
-    "host_name: edge-1\n"
-    "failure_domain: lk-west-a\n"
-    "ip: 10.1.0.15\n"
-    "caller_address: 10.1.0.15:8641\n"
-    "readiness_address: 10.1.0.15:8640\n"
-    "store_address: 10.200.1.7:8642\n"
-    "report_port: 7620\n"
-    "stop_limit: 6s\n"
-    "retries: {ratio: 0.2, slack: 64, window: 10s}\n";
-
 std::string With(const std::string& from, const std::string& to) {
   return absl::StrReplaceAll(kSettings, {{from, to}});
 }
@@ -67,9 +57,14 @@
     CHECK_FALSE(applied);
     const auto moved = ParseEntrySettings("f", With("8641", "8651"));
     REQUIRE(moved.ok());
-    const SettingsChange change = CompareSettings(*settings, *moved);
+    EntrySettings in_force = *settings;
+    const SettingsChange change = TakeOver(*moved, in_force);
     CHECK(change.applied.empty());
     CHECK(change.at_next_start == std::vector<std::string>{"caller_address"});
+
+    SUBCASE("and one that was taken back waits for nothing") {
+      CHECK(TakeOver(*settings, in_force).at_next_start.empty());
+    }
   }
   SUBCASE("a change without a signal is found") {
     watch.Start(std::chrono::milliseconds(10));
--- a/tests/observe/request_report_test.cc
+++ b/tests/observe/request_report_test.cc
@@ -162,6 +162,25 @@
           "timeout passed, after 2500 ms.");
   }
 
+  SUBCASE("a retry of which nothing more was logged") {
+    const RequestReport report = Report(
+        Line("h1", 19, "attempt_failed",
+             "\"request\":\"r1\",\"target\":\"t2\",\"end\":\"not-executed\","
+             "\"status\":503,\"after_ms\":4,\"next\":\"retry\""));
+    CHECK(report.outcome == Outcome::kUnknown);
+    CHECK(absl::StrContains(report.conclusion, "by a later attempt, or still"));
+  }
+
+  SUBCASE("a caller that left") {
+    const auto left = [](const std::string& attempts) {
+      return Line(
+          "h1", 19, "caller_left",
+          "\"request\":\"r1\",\"attempts\":" + attempts + ",\"waited_ms\":300");
+    };
+    CHECK(Report(left("0")).outcome == Outcome::kNotRun);
+    CHECK(Report(left("1")).outcome == Outcome::kUnknown);
+  }
+
   SUBCASE("what lies too far back is no cause") {
     CHECK(Report(Line("h1", 2, "store_lost") +
                  Refusal("owner-unavailable", no_owner))
--- a/tests/process/load.cc
+++ b/tests/process/load.cc
@@ -81,24 +81,15 @@
       options_(options),
       active_(fleet.host_count()),
       answers_(fleet.host_count()) {
-  for (size_t host = 0; host < fleet.host_count(); ++host) {
-    active_[host] = true;
-    for (size_t n = 0; n < options_.threads_per_host; ++n) {
-      threads_.emplace_back([this, host, n] { Run(host, n); });
-    }
+  for (std::atomic<bool>& it : active_) {
+    it = true;
   }
-}
-
-Load::~Load() {
-  Stop();
+  threads_.Start(fleet.host_count(), options_.threads_per_host,
+                 [this](size_t host, size_t thread) { Run(host, thread); });
 }
 
 std::vector<CallerRecord> Load::Stop() {
-  stopping_ = true;
-  for (std::thread& it : threads_) {
-    it.join();
-  }
-  threads_.clear();
+  threads_.Stop();
   const std::lock_guard<std::mutex> lock(mutex_);
   return records_;
 }
@@ -115,7 +106,7 @@
 }
 
 void Load::Run(size_t host, size_t thread) {
-  for (size_t n = 0; !stopping_ && active_[host]; ++n) {
+  for (size_t n = 0; !threads_.stopping() && active_[host]; ++n) {
     const CallOptions call = {
         .method = n % 2 == 0 ? "GET" : "POST",
         .key = absl::StrCat("key-", (n + thread * 7) % options_.keys),
--- a/tests/process/load.h
+++ b/tests/process/load.h
@@ -5,9 +5,9 @@
 #include <chrono>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "process/caller_threads.h"
 #include "process/fleet.h"
 
 namespace toucandock::process {
@@ -66,7 +66,6 @@
 class Load {
  public:
   explicit Load(Fleet& fleet, LoadOptions options = {});
-  ~Load();
 
   Load(const Load&) = delete;
   Load& operator=(const Load&) = delete;
@@ -82,12 +81,12 @@
 
   Fleet& fleet_;
   const LoadOptions options_;
-  std::atomic<bool> stopping_ = false;
   std::vector<std::atomic<bool>> active_;
   std::vector<std::atomic<size_t>> answers_;
   std::mutex mutex_;
   std::vector<CallerRecord> records_;
-  std::vector<std::thread> threads_;
+  // Last, since its destructor waits for what uses the rest.
+  CallerThreads threads_;
 };
 
 }  // namespace toucandock::process
--- a/tests/process/platform_load.cc
+++ b/tests/process/platform_load.cc
@@ -36,23 +36,12 @@
 PlatformLoad::PlatformLoad(PlatformFleet& fleet,
                            const PlatformLoadOptions& options)
     : fleet_(fleet), options_(options), answers_(fleet.host_count()) {
-  for (size_t host = 0; host < fleet.host_count(); ++host) {
-    for (size_t n = 0; n < options_.threads_per_host; ++n) {
-      threads_.emplace_back([this, host, n] { Run(host, n); });
-    }
-  }
-}
-
-PlatformLoad::~PlatformLoad() {
-  Stop();
+  threads_.Start(fleet.host_count(), options_.threads_per_host,
+                 [this](size_t host, size_t thread) { Run(host, thread); });
 }
 
 std::vector<PlatformRecord> PlatformLoad::Stop() {
-  stopping_ = true;
-  for (std::thread& it : threads_) {
-    it.join();
-  }
-  threads_.clear();
+  threads_.Stop();
   const std::lock_guard<std::mutex> lock(mutex_);
   return records_;
 }
@@ -68,7 +57,7 @@
 
 void PlatformLoad::Run(size_t host, size_t thread) {
   http::Client client;
-  for (size_t n = 0; !stopping_; ++n) {
+  for (size_t n = 0; !threads_.stopping(); ++n) {
     PlatformRecord record =
         Call(client, host, n, absl::StrCat("r-", host, "-", thread, "-", n));
     if (record.told == PlatformTold::kAnswer) {
--- a/tests/process/platform_load.h
+++ b/tests/process/platform_load.h
@@ -6,9 +6,9 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "process/caller_threads.h"
 #include "process/platform_fleet.h"
 
 namespace toucandock::process {
@@ -55,7 +55,6 @@
 class PlatformLoad {
  public:
   PlatformLoad(PlatformFleet& fleet, const PlatformLoadOptions& options);
-  ~PlatformLoad();
 
   PlatformLoad(const PlatformLoad&) = delete;
   PlatformLoad& operator=(const PlatformLoad&) = delete;
@@ -76,11 +75,11 @@
 
   PlatformFleet& fleet_;
   const PlatformLoadOptions options_;
-  std::atomic<bool> stopping_ = false;
   std::vector<std::atomic<size_t>> answers_;
   std::mutex mutex_;
   std::vector<PlatformRecord> records_;
-  std::vector<std::thread> threads_;
+  // Last, since its destructor waits for what uses the rest.
+  CallerThreads threads_;
 };
 
 }  // namespace toucandock::process
