Build the tests on arm64

On arm64, doctest's break into the debugger is a call of raise(), which a local variable of that name hid, so that toucandock_tests did not compile. The variable is renamed. Measured: all targets build on arm64; before, the build stopped at grant_coordinator_test.cc.

--- a/tests/core/keyspace/grant_coordinator_test.cc
+++ b/tests/core/keyspace/grant_coordinator_test.cc
@@ -227,9 +227,9 @@
   }
   actions = coordinator.Tick(now);
   REQUIRE(actions.size() == 1);
-  const auto* raise = std::get_if<GrantOrder>(&actions[0]);
-  REQUIRE(raise != nullptr);
-  CHECK_FALSE(raise->kept_connection_only);
+  const auto* fence_raise = std::get_if<GrantOrder>(&actions[0]);
+  REQUIRE(fence_raise != nullptr);
+  CHECK_FALSE(fence_raise->kept_connection_only);
 }
 
 TEST_CASE("no schedule of faults may give a key to two targets") {
