Name content, caller and cause in the log lines of failed attempts

The logs could not tell whether a request that ended a target had ended others before, nor whether a target had ended or one connection was reset. Each attempt_failed line now has the content's fingerprint, the caller's address, the cause and whether the answer bore the request's id; a counter tells the causes apart.

--- a/src/core/request/fingerprint.cc
+++ b/src/core/request/fingerprint.cc
@@ -22,8 +22,12 @@
 // a mistaken reuse of an id, not a forged one. Parts are separated by their
 // lengths, so that moving a byte from one to the next changes the result.
 std::string Fingerprint(const RequestContent& content) {
+  const std::string host =
+      content.host.empty()
+          ? ""
+          : absl::StrCat(content.host.size(), ":", content.host, "/");
   return Hash128(absl::StrCat(
-      content.method.size(), ":", content.path.size(), ":",
+      host, content.method.size(), ":", content.path.size(), ":",
       content.query.size(), ":", content.key.size(), ":", content.method,
       content.path, content.query, content.key, Hash128(content.body)));
 }
--- a/src/core/request/fingerprint.h
+++ b/src/core/request/fingerprint.h
@@ -14,6 +14,8 @@
   absl::string_view query;
   absl::string_view key;
   absl::string_view body;
+  // Empty where requests are not told apart by host.
+  absl::string_view host;
 };
 
 std::string Fingerprint(const RequestContent& content);
--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -40,6 +40,13 @@
   return routes ? routes->config().limits : core::routing::CallerLimits{};
 }
 
+// Without the port, which differs for each connection of a caller.
+std::string CallerConnection::CallerAddress() const {
+  error_code ec;
+  const net::Tcp::endpoint endpoint = socket.remote_endpoint(ec);
+  return ec ? "" : endpoint.address().to_string();
+}
+
 void CallerConnection::Read() {
   if (is_reading_ || closing_ || !socket.is_open() ||
       pending_.size() >= kMostPending) {
@@ -126,7 +133,7 @@
   closing_ = !pending->keep_alive;
   pending_.push_back(pending);
   pending->exchange = dispatcher_.Start(
-      std::move(request), std::chrono::steady_clock::now(),
+      std::move(request), CallerAddress(), std::chrono::steady_clock::now(),
       [self = shared_from_this(), pending](CallerAnswer answer) {
         self->OnAnswer(pending, std::move(answer));
       });
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -64,6 +64,7 @@
   void Leave();
   void CloseGracefully();
   core::routing::CallerLimits Limits() const;
+  std::string CallerAddress() const;
 
   Dispatcher& dispatcher_;
   const net::HeaderNames& names_;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "core/request/attempt_rules.h"
+#include "core/request/fingerprint.h"
 #include "entry/event_log.h"
 #include "entry/exchange.h"
 
@@ -55,6 +56,17 @@
   return load;
 }
 
+// Recognizes a request that is sent again under another id.
+std::string FingerprintOf(const net::HttpRequest& request) {
+  const auto view = [](boost::beast::string_view text) {
+    return absl::string_view(text.data(), text.size());
+  };
+  return core::request::Fingerprint({.method = view(request.method_string()),
+                                     .path = view(request.target()),
+                                     .body = request.body(),
+                                     .host = view(request[http::field::host])});
+}
+
 // Headers that concern one connection only.
 void RemoveHopHeaders(net::HttpRequest& request) {
   for (const http::field field :
@@ -133,6 +145,7 @@
 }
 
 std::shared_ptr<Exchange> Dispatcher::Start(net::HttpRequest request,
+                                            const std::string& caller,
                                             TimePoint now,
                                             CallerAnswerHandler handler) {
   auto exchange = std::make_shared<Exchange>(io_);
@@ -140,6 +153,8 @@
   exchange->handler = std::move(handler);
   exchange->arrived = now;
   exchange->request_id = std::string(exchange->request[names_.request_id]);
+  exchange->caller = caller;
+  exchange->fingerprint = FingerprintOf(exchange->request);
   running_.insert(exchange);
   const net::HttpRequest& it = exchange->request;
   if (view_->routes == nullptr) {
@@ -410,12 +425,18 @@
   exchange->may_have_run =
       exchange->may_have_run || core::request::MayHaveRun(answer.end);
   if (answer.end != AttemptEnd::kAnswered) {
+    metrics_.CountFailedAttempt(service, ToString(answer.cause));
     LogEvent("attempt_failed",
              {{"request", exchange->request_id},
               {"service", service},
               {"target", handle->target.entry.life.id},
               {"born", handle->target.entry.life.born},
               {"end", core::request::ToString(answer.end)},
+              {"cause", ToString(answer.cause)},
+              {"content", exchange->fingerprint},
+              {"caller", exchange->caller},
+              {"answer_has_id", answer.response.find(names_.request_id) !=
+                                    answer.response.end()},
               {"status", answer.response.result_int()},
               {"attempt", exchange->attempts},
               {"after_ms", ToMilliseconds(now - exchange->sent_at).count()},
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -79,7 +79,9 @@
 
   // The handler runs once, perhaps within the call, unless the exchange is
   // cancelled.
+  // `caller`: the address that the request came from.
   std::shared_ptr<Exchange> Start(net::HttpRequest request,
+                                  const std::string& caller,
                                   core::TimePoint now,
                                   CallerAnswerHandler handler);
   // Requests from now on are refused, so that none is cut off by the end of
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -31,6 +31,10 @@
                    .Name("toucandock_entry_retries_total")
                    .Help("Requests sent to a further target")
                    .Register(*registry_)),
+      failed_attempts_(prometheus::BuildCounter()
+                           .Name("toucandock_entry_failed_attempts_total")
+                           .Help("Attempts without a usable answer, by cause")
+                           .Register(*registry_)),
       connections_(prometheus::BuildCounter()
                        .Name("toucandock_entry_target_connections_total")
                        .Help("New connections to targets")
@@ -68,6 +72,12 @@
   retries_.Add({{"service", service}}).Increment();
 }
 
+void EntryMetrics::CountFailedAttempt(const std::string& service,
+                                      absl::string_view cause) {
+  failed_attempts_.Add({{"service", service}, {"cause", std::string(cause)}})
+      .Increment();
+}
+
 void EntryMetrics::CountConnection(const std::string& service) {
   connections_.Add({{"service", service}}).Increment();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "absl/strings/string_view.h"
 #include "core/error_kind.h"
 #include "core/time.h"
 
@@ -29,6 +30,8 @@
                     core::ErrorKind error,
                     core::Duration latency);
   void CountRetry(const std::string& service);
+  // `cause` says why an attempt at a target brought no usable answer.
+  void CountFailedAttempt(const std::string& service, absl::string_view cause);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
   void SetConfigVersion(std::uint64_t version);
@@ -40,6 +43,7 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& failed_attempts_;
   prometheus::Family<prometheus::Counter>& connections_;
   prometheus::Gauge& running_;
   prometheus::Gauge& config_version_;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -21,6 +21,10 @@
 
   net::HttpRequest request;
   std::string request_id;
+  // Address that the request came from.
+  std::string caller;
+  // The same for requests with the same content.
+  std::string fingerprint;
   CallerAnswerHandler handler;
   // Keeps `route` alive.
   std::shared_ptr<const core::routing::RouteTable> routes;
--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -46,8 +46,37 @@
   return kDefaultIdle;
 }
 
+// Whether the connection ended, or what came is no HTTP or too large.
+AttemptCause CauseOfReadError(const error_code& ec) {
+  const bool is_http_error =
+      ec.category() ==
+      http::make_error_code(http::error::bad_method).category();
+  return !is_http_error || ec == http::error::end_of_stream ||
+                 ec == http::error::partial_message
+             ? AttemptCause::kConnectionEnded
+             : AttemptCause::kBadAnswer;
+}
+
 }  // namespace
 
+absl::string_view ToString(AttemptCause cause) {
+  switch (cause) {
+    case AttemptCause::kNone:
+      return "none";
+    case AttemptCause::kConnectRefused:
+      return "connect-refused";
+    case AttemptCause::kConnectFailed:
+      return "connect-failed";
+    case AttemptCause::kConnectionEnded:
+      return "connection-ended";
+    case AttemptCause::kBadAnswer:
+      return "bad-answer";
+    case AttemptCause::kTargetSaysSo:
+      return "target-says-so";
+  }
+  return "";
+}
+
 TargetConnection::TargetConnection(boost::asio::io_context& io,
                                    net::Tcp::endpoint target,
                                    const net::HeaderNames& names)
@@ -70,7 +99,9 @@
       return;
     }
     if (ec) {
-      self->Break();
+      self->Break(ec == boost::asio::error::connection_refused
+                      ? AttemptCause::kConnectRefused
+                      : AttemptCause::kConnectFailed);
       return;
     }
     net::SetConnectionOptions(self->socket_);
@@ -100,7 +131,7 @@
                        return;
                      }
                      if (ec) {
-                       self->Break();
+                       self->Break(CauseOfReadError(ec));
                        return;
                      }
                      self->OnAnswer();
@@ -117,7 +148,7 @@
       id != response.end() && id->value() != request_[names_.request_id];
   if (interim || foreign) {
     if (++skipped_answers_ > kMostSkippedAnswers || ends_with_connection) {
-      Break();
+      Break(AttemptCause::kBadAnswer);
       return;
     }
     ReadAnswer();
@@ -137,13 +168,16 @@
   const bool has_digest = response.find(names_.answer_digest) != response.end();
   if (response.find(names_.not_executed) != response.end() || status == 421) {
     answer.end = AttemptEnd::kNotExecuted;
+    answer.cause = AttemptCause::kTargetSaysSo;
     answer.misdirected = status == 421;
     answer.shed = status == 503 || status == 429;
   } else if (!has_digest ||
              response.find(http::field::content_encoding) != response.end()) {
     answer.end = AttemptEnd::kBroken;
+    answer.cause = AttemptCause::kBadAnswer;
   } else if (status >= 500) {
     answer.end = AttemptEnd::kFailedAnswer;
+    answer.cause = AttemptCause::kTargetSaysSo;
   } else {
     answer.end = AttemptEnd::kAnswered;
   }
@@ -163,8 +197,9 @@
   handler(std::move(answer));
 }
 
-void TargetConnection::Break() {
+void TargetConnection::Break(AttemptCause cause) {
   TargetAnswer answer;
+  answer.cause = cause;
   answer.end = sent_ ? AttemptEnd::kBroken : AttemptEnd::kNotSent;
   const bool is_silent = sent_ && skipped_answers_ == 0 &&
                          !parser_->got_some() && buffer_.size() == 0;
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -12,14 +12,32 @@
 #include <optional>
 #include <string>
 
+#include "absl/strings/string_view.h"
 #include "core/request/attempt_rules.h"
 #include "net/header_names.h"
 
 namespace toucandock::entry {
 
+// Why an attempt has no usable answer.
+enum class AttemptCause {
+  kNone,
+  // No process listens at the target's address.
+  kConnectRefused,
+  kConnectFailed,
+  // The connection was closed or reset before the end of the answer.
+  kConnectionEnded,
+  // What came is not the whole answer of the target to this request.
+  kBadAnswer,
+  // The whole answer says that the target failed or refused.
+  kTargetSaysSo,
+};
+
+absl::string_view ToString(AttemptCause cause);
+
 // What came of one request to a target.
 struct TargetAnswer {
   core::request::AttemptEnd end = core::request::AttemptEnd::kBroken;
+  AttemptCause cause = AttemptCause::kNone;
   // Whole, except for kNotSent and kBroken.
   net::HttpResponse response;
   // The target says that it is not the one that was meant, or does not own the
@@ -55,7 +73,7 @@
   void ReadAnswer();
   void OnAnswer();
   void Finish(TargetAnswer answer, bool keep);
-  void Break();
+  void Break(AttemptCause cause);
   TargetAnswer Judge(net::HttpResponse response) const;
 
   net::Tcp::socket socket_;
--- a/tests/core/request/attempt_registry_test.cc
+++ b/tests/core/request/attempt_registry_test.cc
@@ -136,6 +136,7 @@
       {"POST", "/orders", "a=2", "key", "body"},
       {"POST", "/orders", "a=1", "ke", "ybody"},
       {"POST", "/orders", "a=1", "key", "bodY"},
+      {"POST", "/orders", "a=1", "key", "body", "a.example"},
   };
   for (const RequestContent& it : others) {
     CHECK(Fingerprint(it) != fingerprint);
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -76,7 +76,7 @@
       request.set("Id", absl::StrCat("r", ++sent_));
       request.set("Key", "7");
       dispatcher_.Start(
-          std::move(request), steady_clock::now(),
+          std::move(request), "127.0.0.1", steady_clock::now(),
           [&](CallerAnswer answer) { answers.push_back(std::move(answer)); });
     }
     const auto limit = steady_clock::now() + milliseconds(5'000);
--- a/tests/entry/target_connection_test.cc
+++ b/tests/entry/target_connection_test.cc
@@ -97,12 +97,14 @@
     const std::string whole = Answer("mine", "body");
     const Exchanged it = Exchange(whole.substr(0, whole.size() - 1), true);
     CHECK(it.answer.end == AttemptEnd::kBroken);
+    CHECK(it.answer.cause == AttemptCause::kConnectionEnded);
     CHECK_FALSE(it.usable);
   }
 
   SUBCASE("the target answers with bytes that are no answer") {
-    CHECK(Exchange("nonsense\r\n\r\n", false).answer.end ==
-          AttemptEnd::kBroken);
+    const Exchanged it = Exchange("nonsense\r\n\r\n", false);
+    CHECK(it.answer.end == AttemptEnd::kBroken);
+    CHECK(it.answer.cause == AttemptCause::kBadAnswer);
   }
 
   SUBCASE("an answer without a length") {
@@ -158,11 +160,12 @@
         io,
         net::Tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 1),
         names);
-    AttemptEnd end = AttemptEnd::kAnswered;
+    TargetAnswer answer{.end = AttemptEnd::kAnswered};
     connection->Send({beast_http::verb::get, "/x", 11},
-                     [&end](const TargetAnswer& answer) { end = answer.end; });
+                     [&answer](TargetAnswer it) { answer = std::move(it); });
     io.run();
-    CHECK(end == AttemptEnd::kNotSent);
+    CHECK(answer.end == AttemptEnd::kNotSent);
+    CHECK(answer.cause == AttemptCause::kConnectRefused);
   }
 }
 
