--- /dev/null
+++ b/tests/process/poison_request_test.cc
@@ -0,0 +1,180 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "process/platform_journal.h"
+
+namespace toucandock::process {
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr milliseconds kRouteTimeout{2'000};
+// A host that the store and the other hosts reach acts on what happened this
+// long ago.
+constexpr milliseconds kContact{3'000};
+// A crashed target is started again after this time.
+constexpr milliseconds kDownTime{1'000};
+constexpr milliseconds kSendInterval{250};
+// The request may still be sent this often once it has ended three targets.
+constexpr size_t kCrashLimit = 3;
+constexpr size_t kMostLateRuns = 3;
+// What is refused without being sent is answered well within this.
+constexpr milliseconds kAtOnce{500};
+
+struct PoisonKind {
+  const char* method;
+  const char* path;
+  bool keyed;
+};
+
+constexpr PoisonKind kSafe = {"GET", "/look/1", false};
+constexpr PoisonKind kUnsafe = {"POST", "/lodge/1", false};
+constexpr PoisonKind kKeyed = {"GET", "/calls/1", true};
+
+// A caller that sends the same content again and again under new ids, and
+// targets that end when they begin to run it and come back.
+class PoisonScene {
+ public:
+  explicit PoisonScene(const PlatformFleetOptions& options)
+      : fleet(options), down_since_(fleet.target_count()) {
+    REQUIRE(fleet.PublishConfig(kRouteTimeout));
+    fleet.WaitUntilReady();
+  }
+
+  PlatformRecord Send(size_t host, const PoisonKind& kind, bool crash = true) {
+    http::Request request{
+        .method = kind.method,
+        .path = kind.path,
+        .query = crash ? "crash=1" : "work_ms=1",
+        .headers = {
+            {"Host", "a.example"},
+            {"Request-Id", absl::StrCat(crash ? "poison-" : "good-", ++sent_)},
+            {"Deadline-Ms", "2000"}}};
+    if (kind.keyed) {
+      request.headers.emplace_back("Shard-Key", "7");
+    }
+    if (std::string(kind.method) == "POST") {
+      request.body = "order 17";
+    }
+    PlatformRecord record{.host = host, .sent_at = Clock::now()};
+    const http::ExchangeResult result = client_.Exchange(
+        fleet.CallerAddress(host), request, {.timeout = milliseconds(4'000)});
+    record.answered_at = Clock::now();
+    record.status = result.response.status;
+    record.body = result.response.body;
+    return record;
+  }
+
+  // Sends through each of the hosts in turn for as long as given.
+  std::vector<PlatformRecord> SendFor(milliseconds time,
+                                      const PoisonKind& kind,
+                                      const std::vector<size_t>& hosts) {
+    std::vector<PlatformRecord> records;
+    const Clock::time_point end = Clock::now() + time;
+    for (size_t n = 0; Clock::now() < end; ++n) {
+      records.push_back(Send(hosts[n % hosts.size()], kind));
+      RestartTargets();
+      std::this_thread::sleep_for(kSendInterval);
+    }
+    return records;
+  }
+
+  void RestartTargets() {
+    for (size_t n = 0; n < fleet.target_count(); ++n) {
+      if (!fleet.target(n).process->exit_code()) {
+        continue;
+      }
+      if (down_since_[n] == Clock::time_point{}) {
+        down_since_[n] = Clock::now();
+      } else if (Clock::now() - down_since_[n] >= kDownTime) {
+        down_since_[n] = {};
+        fleet.StartTarget(n);
+      }
+    }
+  }
+
+  // When each target began to run the request that ends it.
+  std::vector<Clock::time_point> Crashes() {
+    std::vector<Clock::time_point> times;
+    for (const PlatformJournalEntry& it : ReadPlatformJournals(fleet)) {
+      if (it.event == PlatformEvent::kStart &&
+          absl::StartsWith(it.request_id, "poison-")) {
+        times.push_back(it.at);
+      }
+    }
+    return times;
+  }
+
+  void CheckContained() {
+    const std::vector<Clock::time_point> crashes = Crashes();
+    REQUIRE(crashes.size() >= kCrashLimit);
+    const Clock::time_point known = crashes[kCrashLimit - 1] + kContact;
+    const auto late =
+        std::count_if(crashes.begin(), crashes.end(),
+                      [known](Clock::time_point it) { return it > known; });
+    CAPTURE(crashes.size());
+    CHECK(static_cast<size_t>(late) <= kMostLateRuns);
+  }
+
+  PlatformFleet fleet;
+
+ private:
+  http::Client client_;
+  std::vector<Clock::time_point> down_since_;
+  int sent_ = 0;
+};
+
+void CheckRefused(const PlatformRecord& record) {
+  // Not a promise that it has not run, and no invitation to come back.
+  CHECK(record.status == 502);
+  CHECK(absl::StrContains(record.body, "crashed-targets"));
+  CHECK(record.answered_at - record.sent_at < kAtOnce);
+}
+
+}  // namespace
+
+// Guards against a request that ends each target that runs it being sent to
+// further targets once three have ended under it, whichever hosts saw them end
+// (issue 16, BUDGET).
+TEST_CASE("on the platform, a request that crashes targets must be contained") {
+  PoisonScene scene({.hosts = 3, .keyed_targets = 4, .plain_targets = 6});
+  const std::vector<size_t> all = {0, 1, 2};
+
+  SUBCASE("a safe one, which a host also sends again by itself") {
+    const auto records = scene.SendFor(milliseconds(9'000), kSafe, all);
+    scene.CheckContained();
+    CheckRefused(records.back());
+  }
+
+  SUBCASE("one that must not run twice, of which each host sees one crash") {
+    const auto records = scene.SendFor(milliseconds(9'000), kUnsafe, all);
+    scene.CheckContained();
+    CheckRefused(records.back());
+  }
+
+  SUBCASE("one for a key, whose owners end one after the other") {
+    const auto records = scene.SendFor(milliseconds(20'000), kKeyed, all);
+    scene.CheckContained();
+    CheckRefused(records.back());
+  }
+
+  // Others are served as before.
+  for (int n = 0; n < 20; ++n) {
+    scene.RestartTargets();
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  for (const size_t host : all) {
+    CHECK(scene.Send(host, kSafe, false).status == 200);
+  }
+}
+
+}  // namespace toucandock::process
