--- a/src/core/discovery/target_directory.h
+++ b/src/core/discovery/target_directory.h
@@ -28,6 +28,8 @@
   std::string service;
   std::string address;
   std::string failure_domain;
+  // Of the target's software.
+  std::string version;
   // Requests that the target runs at a time.
   std::uint32_t slots = 1;
   bool draining = false;
--- a/src/core/error_kind.cc
+++ b/src/core/error_kind.cc
@@ -10,7 +10,7 @@
 using enum Outcome;
 
 // Indexed by ErrorKind.
-constexpr std::array<ErrorAnswer, 28> kAnswers = {{
+constexpr std::array<ErrorAnswer, 29> kAnswers = {{
     {kNone, "none", 200, kRan, false, 0, "No error"},
     {kMalformedRequest, "malformed-request", 400, kNotRun, false, 3,
      "The request is malformed"},
@@ -40,6 +40,9 @@
      "A request with this id was already started"},
     {kPoisonRequest, "poison-request", 422, kNotRun, false, 4,
      "The request is refused because it crashed targets"},
+    {kCrashedTargets, "crashed-targets", 502, kRan, false, 4,
+     "The same request crashed the targets that ran it; it was not sent to "
+     "another one. Do not send it again"},
     {kOutcomeUnknown, "outcome-unknown", 502, kUnknown, false, 4,
      "The request was sent but no answer arrived"},
     {kAnswerTimeout, "answer-timeout", 504, kUnknown, false, 4,
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -22,6 +22,7 @@
   kAttemptNotRecorded,
   kDuplicateRequest,
   kPoisonRequest,
+  kCrashedTargets,
   kOutcomeUnknown,
   kAnswerTimeout,
   kAnswerIncomplete,
--- /dev/null
+++ b/src/core/request/crash_detector.cc
@@ -0,0 +1,88 @@
+#include "core/request/crash_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucandock::core::request {
+
+using discovery::ListedTarget;
+using discovery::TargetEntry;
+using discovery::TargetLife;
+
+absl::string_view ToString(CrashEvidence evidence) {
+  return evidence == CrashEvidence::kConnectRefused ? "connect-refused"
+                                                    : "new-life";
+}
+
+void CrashDetector::OnBroken(BrokenAttempt attempt) {
+  if (attempts_.size() >= terms_.most_attempts) {
+    attempts_.pop_front();
+  }
+  attempts_.push_back(std::move(attempt));
+}
+
+void CrashDetector::OnAlive(const TargetLife& target, TimePoint at) {
+  std::erase_if(attempts_, [&target, at](const BrokenAttempt& it) {
+    return it.target.life == target && it.at <= at;
+  });
+}
+
+bool CrashDetector::IsPending(const TargetLife& target) const {
+  return std::any_of(
+      attempts_.begin(), attempts_.end(),
+      [&target](const BrokenAttempt& it) { return it.target.life == target; });
+}
+
+std::vector<Crash> CrashDetector::OnConnectRefused(const TargetLife& target,
+                                                   TimePoint now) {
+  return Conclude(
+      CrashEvidence::kConnectRefused,
+      [&target](const BrokenAttempt& it) { return it.target.life == target; },
+      now);
+}
+
+std::vector<Crash> CrashDetector::OnTargets(
+    const std::map<std::string, std::vector<ListedTarget>>& targets,
+    TimePoint now) {
+  if (attempts_.empty()) {
+    return {};
+  }
+  const auto is_replaced_by = [](const TargetEntry& ended,
+                                 const TargetEntry& listed) {
+    const bool same_id = listed.life.id == ended.life.id;
+    return (same_id && listed.life.born > ended.life.born) ||
+           (!same_id && listed.address == ended.address);
+  };
+  return Conclude(
+      CrashEvidence::kNewLife,
+      [&](const BrokenAttempt& attempt) {
+        return std::any_of(
+            targets.begin(), targets.end(), [&](const auto& service) {
+              return std::any_of(service.second.begin(), service.second.end(),
+                                 [&](const ListedTarget& it) {
+                                   return is_replaced_by(attempt.target,
+                                                         it.entry);
+                                 });
+            });
+      },
+      now);
+}
+
+std::vector<Crash> CrashDetector::Conclude(CrashEvidence evidence,
+                                           const IsOver& is_over,
+                                           TimePoint now) {
+  std::erase_if(attempts_, [this, now](const BrokenAttempt& it) {
+    return it.at + terms_.memory <= now;
+  });
+  std::vector<Crash> crashes;
+  std::erase_if(attempts_, [&](const BrokenAttempt& it) {
+    const bool over = is_over(it);
+    if (over) {
+      crashes.push_back({.attempt = it, .evidence = evidence});
+    }
+    return over;
+  });
+  return crashes;
+}
+
+}  // namespace toucandock::core::request
--- /dev/null
+++ b/src/core/request/crash_detector.h
@@ -0,0 +1,84 @@
+#ifndef TOUCANDOCK_CORE_REQUEST_CRASH_DETECTOR_H_
+#define TOUCANDOCK_CORE_REQUEST_CRASH_DETECTOR_H_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "core/discovery/target_directory.h"
+#include "core/time.h"
+
+namespace toucandock::core::request {
+
+// An attempt whose connection ended before the answer, at a target that was
+// listed as in use.
+struct BrokenAttempt {
+  discovery::TargetEntry target;
+  // Of the request, once with its caller and once for all callers.
+  std::string caller_fingerprint;
+  std::string content_fingerprint;
+  std::string request_id;
+  TimePoint at;
+};
+
+// From what it is concluded that a target has ended.
+enum class CrashEvidence {
+  // No process listens at its address.
+  kConnectRefused,
+  // Another process has its id or its address.
+  kNewLife,
+};
+
+absl::string_view ToString(CrashEvidence evidence);
+
+struct Crash {
+  BrokenAttempt attempt;
+  CrashEvidence evidence = CrashEvidence::kConnectRefused;
+};
+
+struct CrashTerms {
+  // A crashed target is listed again after some seconds.
+  Duration memory = std::chrono::seconds(10);
+  // Attempts that are kept; with more, the oldest are dropped.
+  size_t most_attempts = 256;
+};
+
+// Tells targets that ended while they ran a request from connections that were
+// merely reset: an attempt that broke counts as a crash only when its target is
+// found to have ended.
+class CrashDetector {
+ public:
+  explicit CrashDetector(const CrashTerms& terms) : terms_(terms) {}
+
+  void OnBroken(BrokenAttempt attempt);
+  // The target took a connection or a request after `at`: what broke before did
+  // not end it.
+  void OnAlive(const discovery::TargetLife& target, TimePoint at);
+  // It is not known yet whether the target has ended.
+  bool IsPending(const discovery::TargetLife& target) const;
+  std::vector<Crash> OnConnectRefused(const discovery::TargetLife& target,
+                                      TimePoint now);
+  // Targets that are listed now, by service.
+  std::vector<Crash> OnTargets(
+      const std::map<std::string, std::vector<discovery::ListedTarget>>&
+          targets,
+      TimePoint now);
+
+ private:
+  using IsOver = std::function<bool(const BrokenAttempt&)>;
+
+  std::vector<Crash> Conclude(CrashEvidence evidence,
+                              const IsOver& is_over,
+                              TimePoint now);
+
+  const CrashTerms terms_;
+  std::deque<BrokenAttempt> attempts_;
+};
+
+}  // namespace toucandock::core::request
+
+#endif  // TOUCANDOCK_CORE_REQUEST_CRASH_DETECTOR_H_
--- a/src/core/request/fingerprint.cc
+++ b/src/core/request/fingerprint.cc
@@ -32,4 +32,9 @@
       content.path, content.query, content.key, Hash128(content.body)));
 }
 
+std::string CallerFingerprint(absl::string_view caller,
+                              absl::string_view fingerprint) {
+  return Hash128(absl::StrCat(caller, "/", fingerprint));
+}
+
 }  // namespace toucandock::core::request
--- a/src/core/request/fingerprint.h
+++ b/src/core/request/fingerprint.h
@@ -20,6 +20,10 @@
 
 std::string Fingerprint(const RequestContent& content);
 
+// Of the request as one caller sends it.
+std::string CallerFingerprint(absl::string_view caller,
+                              absl::string_view fingerprint);
+
 }  // namespace toucandock::core::request
 
 #endif  // TOUCANDOCK_CORE_REQUEST_FINGERPRINT_H_
--- a/src/core/request/poison_registry.cc
+++ b/src/core/request/poison_registry.cc
@@ -17,55 +17,81 @@
   return absl::StrCat(key.service, "/id/", key.request_id);
 }
 
+bool ReachesLimit(size_t crashes, const CrashReport& report) {
+  return crashes >= report.crash_limit;
+}
+
 }  // namespace
 
-PoisonRegistry::PoisonRegistry(const PoisonLimits& limits) : limits_(limits) {}
+PoisonRegistry::PoisonRegistry(const PoisonLimits& limits)
+    : limits_(limits), proven_(limits.proof) {}
 
 // Counts a crash for the request's id and for its content. Returns false when
-// a recent whole answer proves that the request is not the cause: it was in
-// flight when another one crashed its target.
+// nothing new is known by it: it was counted before, or a recent whole answer
+// proves that the request is not the cause and was only in flight when another
+// one crashed its target.
 bool PoisonRegistry::Report(const CrashReport& report, TimePoint now) {
   Expire(now);
-  if (IsProven(report.key)) {
+  if (report.age >= limits_.retention ||
+      IsProven(report.key, report.release.version, now)) {
     return false;
   }
-  Count(NameOfContent(report.key), report, now);
+  bool counted = Count(NameOfContent(report.key), report, now);
   if (!report.key.request_id.empty()) {
-    Count(NameOfId(report.key), report, now);
+    counted = Count(NameOfId(report.key), report, now) || counted;
   }
-  return true;
+  return counted;
 }
 
-// A whole answer to the request arrived.
-void PoisonRegistry::Prove(const PoisonKey& key, TimePoint now) {
+// A whole answer to the request arrived from a target that runs the version.
+// Returns whether that ended a suspicion.
+bool PoisonRegistry::Prove(const PoisonKey& key,
+                           const std::string& version,
+                           TimePoint now) {
   Expire(now);
-  if (proven_.size() >= limits_.proofs) {
-    proven_before_ = std::exchange(proven_, {});
-    proven_since_ = now;
-  }
-  proven_.insert(util::Hash64(NameOfContent(key)));
-  for (const std::string& name : {NameOfContent(key), NameOfId(key)}) {
-    if (!IsOverLimit(name)) {
-      suspects_.erase(name);
-    }
+  const std::string content = NameOfContent(key);
+  proven_.Add(content, version, now);
+  bool cleared = suspects_.erase(content) > 0;
+  // An id that crashed targets stays refused: its request has been run.
+  if (const std::string id = NameOfId(key);
+      !key.request_id.empty() && !IsOverLimit(id, now)) {
+    cleared = suspects_.erase(id) > 0 || cleared;
   }
+  return cleared;
+}
+
+// The request was answered in whole a moment ago.
+bool PoisonRegistry::IsProven(const PoisonKey& key,
+                              const std::string& version,
+                              TimePoint now) {
+  return proven_.Contains(NameOfContent(key), version, now);
 }
 
 PoisonVerdict PoisonRegistry::VerdictOn(const PoisonKey& key, TimePoint now) {
   Expire(now);
-  if (!key.request_id.empty() && IsOverLimit(NameOfId(key))) {
+  if (!key.request_id.empty() && IsOverLimit(NameOfId(key), now)) {
     return PoisonVerdict::kSameRequest;
   }
-  return IsOverLimit(NameOfContent(key)) ? PoisonVerdict::kSameContent
-                                         : PoisonVerdict::kNone;
+  return IsOverLimit(NameOfContent(key), now) ? PoisonVerdict::kSameContent
+                                              : PoisonVerdict::kNone;
 }
 
-// Returns the crashes in force, for a host that has joined.
+// Returns the crashes in force, for other hosts: those of the requests with the
+// most crashes first, so that these are told when there is no room for all.
 std::vector<CrashReport> PoisonRegistry::Reports(TimePoint now) {
   Expire(now);
-  std::vector<CrashReport> reports;
+  std::vector<const Suspect*> suspects;
   for (const auto& [name, suspect] : suspects_) {
-    for (const Crash& crash : suspect.crashes) {
+    suspects.push_back(&suspect);
+  }
+  std::stable_sort(suspects.begin(), suspects.end(),
+                   [](const Suspect* a, const Suspect* b) {
+                     return std::pair(a->crashes.size(), a->last_crash) >
+                            std::pair(b->crashes.size(), b->last_crash);
+                   });
+  std::vector<CrashReport> reports;
+  for (const Suspect* suspect : suspects) {
+    for (const Crash& crash : suspect->crashes) {
       CrashReport report = crash.report;
       report.age = now - crash.at;
       reports.push_back(std::move(report));
@@ -74,55 +100,110 @@
   return reports;
 }
 
-void PoisonRegistry::Count(const std::string& name,
+std::vector<Suspicion> PoisonRegistry::Suspicions(TimePoint now) {
+  Expire(now);
+  std::vector<Suspicion> suspicions;
+  for (const auto& [name, suspect] : suspects_) {
+    const Crash& last = suspect.crashes.back();
+    suspicions.push_back({.key = last.report.key,
+                          .crashes = suspect.crashes.size(),
+                          .in_force = IsOverLimit(suspect, now),
+                          .release = last.report.release,
+                          .age = now - suspect.last_crash});
+  }
+  return suspicions;
+}
+
+// The same number on all hosts that have the same verdicts and the same crashes
+// of requests that are not refused; 0 when nothing is suspected. Ages are left
+// out, since hosts learn of a crash at slightly different times.
+std::uint32_t PoisonRegistry::Digest(TimePoint now) {
+  Expire(now);
+  std::uint64_t digest = 0;
+  for (const auto& [name, suspect] : suspects_) {
+    const bool at_limit =
+        ReachesLimit(suspect.crashes.size(), suspect.crashes.back().report);
+    if (at_limit) {
+      const bool lapsed = suspect.last_crash + limits_.verdict <= now;
+      digest ^= util::Hash64(absl::StrCat(name, lapsed ? "/lapsed" : "/over"));
+      continue;
+    }
+    for (const Crash& crash : suspect.crashes) {
+      digest ^= util::Hash64(absl::StrCat(name, "/", crash.report.target));
+    }
+  }
+  return static_cast<std::uint32_t>(digest ^ digest >> 32);
+}
+
+void PoisonRegistry::SetReleasesInUse(ReleasesInUse releases) {
+  releases_ = std::move(releases);
+}
+
+bool PoisonRegistry::Count(const std::string& name,
                            const CrashReport& report,
                            TimePoint now) {
   auto it = suspects_.find(name);
   if (it == suspects_.end()) {
-    // Each request has up to two names.
-    if (suspects_.size() >= 2 * limits_.requests) {
-      // The oldest suspicion goes; at worst its request crashes more targets.
-      suspects_.erase(std::min_element(
-          suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
-            return a.second.last_crash < b.second.last_crash;
-          }));
-    }
+    MakeRoom();
     it = suspects_.emplace(name, Suspect{}).first;
   }
   Suspect& suspect = it->second;
-  const TimePoint at = now - report.age;
+  const TimePoint at = now - std::max(report.age, Duration{});
   const bool known = std::any_of(
       suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash& crash) {
         return crash.report.target == report.target &&
                std::chrono::abs(crash.at - at) < limits_.same_crash;
       });
-  if (known || suspect.crashes.size() >= report.crash_limit) {
+  if (known) {
+    return false;
+  }
+  if (ReachesLimit(suspect.crashes.size(), report)) {
+    if (at < suspect.crashes.front().at) {
+      return false;
+    }
+    suspect.crashes.erase(suspect.crashes.begin());
+  }
+  const auto later =
+      std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
+                   [at](const Crash& crash) { return crash.at > at; });
+  suspect.crashes.insert(later, {report, at});
+  suspect.last_crash = suspect.crashes.back().at;
+  return true;
+}
+
+// Drops the suspicion with the fewest crashes, of these the oldest; at worst
+// its request crashes more targets. Each request has up to two names.
+void PoisonRegistry::MakeRoom() {
+  if (suspects_.size() < 2 * limits_.requests) {
     return;
   }
-  suspect.crashes.push_back({report, at});
-  suspect.last_crash = std::max(suspect.last_crash, at);
+  suspects_.erase(std::min_element(
+      suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.second.crashes.size(), a.second.last_crash) <
+               std::pair(b.second.crashes.size(), b.second.last_crash);
+      }));
 }
 
-bool PoisonRegistry::IsOverLimit(const std::string& name) const {
+bool PoisonRegistry::IsOverLimit(const std::string& name, TimePoint now) const {
   const auto it = suspects_.find(name);
-  return it != suspects_.end() &&
-         it->second.crashes.size() >=
-             it->second.crashes.back().report.crash_limit;
+  return it != suspects_.end() && IsOverLimit(it->second, now);
 }
 
-bool PoisonRegistry::IsProven(const PoisonKey& key) const {
-  const std::uint64_t hash = util::Hash64(NameOfContent(key));
-  return proven_.contains(hash) || proven_before_.contains(hash);
+bool PoisonRegistry::IsOverLimit(const Suspect& suspect, TimePoint now) const {
+  const CrashReport& last = suspect.crashes.back().report;
+  return ReachesLimit(suspect.crashes.size(), last) &&
+         now < suspect.last_crash + limits_.verdict &&
+         !IsReplaced(last.release);
+}
+
+// While no target of the service is listed, nothing is known of its release.
+bool PoisonRegistry::IsReplaced(const TargetRelease& release) const {
+  const auto it = releases_.find(release.service);
+  return !release.version.empty() && it != releases_.end() &&
+         !it->second.empty() && !it->second.contains(release.version);
 }
 
 void PoisonRegistry::Expire(TimePoint now) {
-  if (now - proven_since_ >= 2 * limits_.proof) {
-    proven_.clear();
-  }
-  if (now - proven_since_ >= limits_.proof) {
-    proven_before_ = std::exchange(proven_, {});
-    proven_since_ = now;
-  }
   std::erase_if(suspects_, [&](const auto& it) {
     return it.second.last_crash + limits_.retention <= now;
   });
--- a/src/core/request/poison_registry.h
+++ b/src/core/request/poison_registry.h
@@ -4,10 +4,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
-#include "absl/container/flat_hash_set.h"
+#include "core/request/proven_contents.h"
 #include "core/time.h"
 #include "core/unit.h"
 
@@ -15,14 +16,24 @@
 
 // Recognises a request when it is sent again.
 struct PoisonKey {
+  // Empty where a content is the same request whatever service runs it.
   std::string service;
-  // Empty when the caller gave none.
+  // Empty when the caller gave none, or when it changes with each attempt.
   std::string request_id;
   std::string fingerprint;
 
   bool operator==(const PoisonKey&) const = default;
 };
 
+// What a target ran when it ended.
+struct TargetRelease {
+  std::string service;
+  // Of the service's software; empty when unknown.
+  std::string version;
+
+  bool operator==(const TargetRelease&) const = default;
+};
+
 // One target that ended while it ran the request.
 struct CrashReport {
   PoisonKey key;
@@ -31,6 +42,7 @@
   std::uint32_t crash_limit = 2;
   // Time since the crash.
   Duration age{};
+  TargetRelease release;
 
   bool operator==(const CrashReport&) const = default;
 };
@@ -45,25 +57,49 @@
 
 struct PoisonLimits {
   size_t requests = 4'096;
+  // A verdict holds for this long after the last crash.
+  Duration verdict = std::chrono::minutes(10);
+  // Crashes are remembered for this long. After the end of a verdict and within
+  // this time, one further crash renews it.
   Duration retention = std::chrono::minutes(10);
   // Reports of one target that are less apart are about the same crash: several
   // copies of a request may be in flight when their target ends.
   Duration same_crash = std::chrono::seconds(1);
-  // A whole answer proves for this long that the request crashes nothing.
-  Duration proof = std::chrono::minutes(1);
-  size_t proofs = 32'768;
+  ProofTerms proof;
 };
 
+// A content that was in flight when targets ended.
+struct Suspicion {
+  PoisonKey key;
+  size_t crashes = 0;
+  // Requests with it are refused now.
+  bool in_force = false;
+  // Of the last crash.
+  TargetRelease release;
+  Duration age{};
+};
+
+// Versions that the targets in use run, by service.
+using ReleasesInUse = std::map<std::string, std::set<std::string>>;
+
 // Requests that crashed targets, as this host knows from its own attempts and
-// from its peers' reports.
+// from its peers' reports. Hosts that know the same reports come to the same
+// verdicts, in whatever order the reports arrived.
 class PoisonRegistry {
  public:
   explicit PoisonRegistry(const PoisonLimits& limits);
 
   bool Report(const CrashReport& report, TimePoint now);
-  void Prove(const PoisonKey& key, TimePoint now);
+  bool Prove(const PoisonKey& key, const std::string& version, TimePoint now);
+  bool IsProven(const PoisonKey& key,
+                const std::string& version,
+                TimePoint now);
   PoisonVerdict VerdictOn(const PoisonKey& key, TimePoint now);
   std::vector<CrashReport> Reports(TimePoint now);
+  std::vector<Suspicion> Suspicions(TimePoint now);
+  std::uint32_t Digest(TimePoint now);
+  // A verdict ends when no target in use runs the version that crashed last.
+  void SetReleasesInUse(ReleasesInUse releases);
 
  private:
   struct Crash {
@@ -71,22 +107,22 @@
     TimePoint at;
   };
   struct Suspect {
+    // At most as many as lead to a verdict, the latest ones.
     std::vector<Crash> crashes;
     TimePoint last_crash;
   };
 
-  void Count(const std::string& name, const CrashReport& report, TimePoint now);
-  bool IsOverLimit(const std::string& name) const;
-  bool IsProven(const PoisonKey& key) const;
+  bool Count(const std::string& name, const CrashReport& report, TimePoint now);
+  void MakeRoom();
+  bool IsOverLimit(const std::string& name, TimePoint now) const;
+  bool IsOverLimit(const Suspect& suspect, TimePoint now) const;
+  bool IsReplaced(const TargetRelease& release) const;
   void Expire(TimePoint now);
 
   const PoisonLimits limits_;
   std::map<std::string, Suspect> suspects_;
-  // Hashes of contents with a whole answer, in two generations; the older one
-  // is dropped when the newer is full or old.
-  absl::flat_hash_set<std::uint64_t> proven_;
-  absl::flat_hash_set<std::uint64_t> proven_before_;
-  TimePoint proven_since_;
+  ProvenContents proven_;
+  ReleasesInUse releases_;
 };
 
 }  // namespace toucandock::core::request
--- a/src/daemon/poison_service.cc
+++ b/src/daemon/poison_service.cc
@@ -56,7 +56,8 @@
 
 void PoisonService::OnAnswer(const PoisonKey& key) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  registry_.Prove(key, hooks_.now());
+  // The text of toucandockd names no versions of software.
+  registry_.Prove(key, "", hooks_.now());
 }
 
 void PoisonService::OnInstance(const core::TargetId& target,
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -28,6 +28,10 @@
 constexpr milliseconds kResolveRetry{300};
 // Addresses of targets that left are kept for orders to them.
 constexpr size_t kMostAddresses = 20'000;
+// Key of the record about requests that crash targets. It is kept in the stream
+// of owners, which each host reads or has read for it already; no service has
+// such a name.
+constexpr char kPoisonKey[] = "/poison";
 // The lease stays this part of what targets accept at most.
 constexpr double kLeasePart = 0.6;
 
@@ -88,6 +92,7 @@
              followers_,
              SourceTermsFor(settings),
              HooksForRelay()),
+      poison_(PoisonControlTerms{}, HooksForPoison()),
       directory_(core::discovery::DirectoryTerms{}) {}
 
 absl::Status Control::Start() {
@@ -221,6 +226,10 @@
   if (record.removed) {
     return;
   }
+  if (record.key == kPoisonKey) {
+    poison_.OnRecord(record.value);
+    return;
+  }
   auto table = DecodeOwnership(record.value);
   if (!table.ok()) {
     LogEvent("ownership_unreadable",
@@ -337,6 +346,7 @@
 void Control::Tick() {
   ApplyLapses();
   RunCoordinators();
+  poison_.Tick(leads_ && IsActive());
   tick_timer_.expires_after(leads_ ? kTickInterval : 5 * kTickInterval);
   tick_timer_.async_wait([this](const error_code& ec) {
     if (!ec) {
@@ -369,6 +379,11 @@
 
 void Control::OnTargetsChanged() {
   const core::TimePoint now = LeaseClockNow();
+  core::request::ReleasesInUse releases;
+  for (const auto& [id, listed] : directory_.targets()) {
+    releases[listed.entry.service].insert(listed.entry.version);
+  }
+  poison_.SetReleasesInUse(std::move(releases));
   for (auto& [service, coordinator] : coordinators_) {
     std::vector<core::keyspace::OwnerTarget> targets;
     for (const auto& [id, listed] : directory_.targets()) {
@@ -506,6 +521,7 @@
   }
   view->ownership = tables_;
   view->live_hosts = live_hosts_;
+  view->poison = poison_.view();
   view->complete = routes_ != nullptr && known_[Stream::kTargets] &&
                    known_[Stream::kOwnership];
   publish_(std::move(view));
@@ -582,9 +598,54 @@
               ScheduleMembership({});
             }
           },
+      .poison_digest = [this] { return poison_.Digest(); },
+      .poison_messages = [this] { return poison_.Messages(); },
+      .on_poison_news =
+          [this](const PoisonNews& news, const std::string& from) {
+            const size_t learned = poison_.OnPeerNews(news);
+            if (learned > 0) {
+              LogEvent("poison_news_received",
+                       {{"from", from},
+                        {"crashes", news.crashes.size()},
+                        {"proofs", news.proofs.size()},
+                        {"new", learned}});
+            }
+          },
+      .on_duty_host_digest =
+          [this](std::uint32_t digest) { poison_.OnDutyHostDigest(digest); },
   };
 }
 
+PoisonControlHooks Control::HooksForPoison() {
+  return {
+      .now = LeaseClockNow,
+      .wall_now = std::chrono::system_clock::now,
+      .broadcast = [this](const std::string& text) { relay_.Broadcast(text); },
+      .store = [this](const std::string& value,
+                      auto done) { StorePoison(value, std::move(done)); },
+      .changed = [this] { MarkChanged(); },
+  };
+}
+
+// Appends whatever the stream ends with: a lost race with another host's record
+// is made up for by the host that reads both.
+void Control::StorePoison(const std::string& value,
+                          std::function<void(bool)> done) {
+  platform_.append(Stream::kOwnership, std::nullopt, kPoisonKey, value,
+                   [this, done = std::move(done)](const AppendResult& result) {
+                     if (result.status == StoreStatus::kOk &&
+                         result.offset == ownership_end_) {
+                       // Nothing that this host has not read lies before the
+                       // record.
+                       ownership_end_ = result.offset + 1;
+                       for (auto& [service, coordinator] : coordinators_) {
+                         coordinator->OnEnd(ownership_end_);
+                       }
+                     }
+                     done(result.status == StoreStatus::kOk);
+                   });
+}
+
 // The larger of what the store's group and the greetings show: with too few
 // hosts in mind, each would take too large a share of common limits.
 void Control::NoteLiveHosts() {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -19,6 +19,7 @@
 #include "entry/peer_json.h"
 #include "entry/peer_relay.h"
 #include "entry/platform_hooks.h"
+#include "entry/poison_control.h"
 #include "entry/routing_view.h"
 #include "entry/settings.h"
 #include "entry/stream_follower.h"
@@ -42,6 +43,9 @@
   std::string peer_address() const { return relay_.address(); }
   // Load of this host's own requests; sent on to the host that decides.
   void OnLoad(const core::keyspace::LoadReport& report);
+  // Targets that ended under this host's own requests, and whole answers to
+  // requests that are suspected.
+  void OnPoisonNews(const PoisonNews& news) { poison_.OnOwnNews(news); }
   // Hands the duty on before the process ends.
   void Leave();
 
@@ -70,6 +74,8 @@
   void MarkChanged();
   void Publish();
   PeerRelayHooks HooksForRelay();
+  PoisonControlHooks HooksForPoison();
+  void StorePoison(const std::string& value, std::function<void(bool)> done);
   void NoteLiveHosts();
   core::keyspace::MembershipRenewal MembershipNow() const;
   void ScheduleMembership(core::Duration delay);
@@ -85,6 +91,7 @@
   boost::asio::steady_timer membership_timer_;
   Followers followers_;
   PeerRelay relay_;
+  PoisonControl poison_;
   std::map<Stream, bool> known_;
   std::shared_ptr<const core::routing::RouteTable> routes_;
   core::discovery::TargetDirectory directory_;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -85,14 +85,16 @@
                        std::string failure_domain,
                        const core::balance::RetryWindowTerms& retries,
                        const DispatchTerms& terms,
-                       ReportLoad report_load)
+                       DispatchHooks hooks)
     : io_(io),
       names_(std::move(names)),
       failure_domain_(std::move(failure_domain)),
       retry_terms_(retries),
       terms_(terms),
-      report_load_(std::move(report_load)),
+      hooks_(std::move(hooks)),
       view_(std::make_shared<RoutingView>()),
+      crashes_(core::request::CrashTerms{}),
+      proven_(terms.proof),
       report_timer_(io),
       pump_timer_(io),
       random_(std::random_device{}()) {
@@ -102,7 +104,14 @@
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::SetView(std::shared_ptr<const RoutingView> view) {
+  const bool has_new_suspects =
+      view->poison->suspected != view_->poison->suspected;
   view_ = std::move(view);
+  const TimePoint now = Now();
+  ReportCrashes(crashes_.OnTargets(view_->targets, now), now);
+  if (has_new_suspects) {
+    ClearSuspects(now);
+  }
   std::map<core::discovery::TargetLife, HandlePtr> handles;
   by_service_.clear();
   for (const auto& [service, targets] : view_->targets) {
@@ -154,7 +163,9 @@
   exchange->arrived = now;
   exchange->request_id = std::string(exchange->request[names_.request_id]);
   exchange->caller = caller;
-  exchange->fingerprint = FingerprintOf(exchange->request);
+  exchange->content_fingerprint = FingerprintOf(exchange->request);
+  exchange->caller_fingerprint =
+      core::request::CallerFingerprint(caller, exchange->content_fingerprint);
   running_.insert(exchange);
   const net::HttpRequest& it = exchange->request;
   if (view_->routes == nullptr) {
@@ -214,6 +225,10 @@
       report.keys.push_back(key);
     }
   }
+  if (IsRefusedAsPoison(*exchange)) {
+    FailAsPoison(exchange);
+    return exchange;
+  }
   RetriesOf(exchange->service).OnRequest(now);
   ordinary_times_.try_emplace(exchange->service, kAssumedTime);
   if (!TryDispatch(exchange, now)) {
@@ -294,7 +309,13 @@
   return pick < 0 ? nullptr : handles[pick];
 }
 
+// Returns false when the request has to wait for a target.
 bool Dispatcher::TryDispatch(const ExchangePtr& exchange, TimePoint now) {
+  // The verdict may have come while the request waited or was at a target.
+  if (IsRefusedAsPoison(*exchange)) {
+    FailAsPoison(exchange);
+    return true;
+  }
   const HandlePtr handle = ChooseTarget(*exchange, now);
   if (handle == nullptr) {
     return false;
@@ -404,6 +425,7 @@
     // The others that are kept are likely to have ended, too.
     handle->idle.clear();
   }
+  LookForCrash(*exchange, handle, answer, now);
   if (exchange->done) {
     Pump(service);
     return;
@@ -433,7 +455,7 @@
               {"born", handle->target.entry.life.born},
               {"end", core::request::ToString(answer.end)},
               {"cause", ToString(answer.cause)},
-              {"content", exchange->fingerprint},
+              {"content", exchange->content_fingerprint},
               {"caller", exchange->caller},
               {"answer_has_id", answer.response.find(names_.request_id) !=
                                     answer.response.end()},
@@ -467,6 +489,173 @@
   Pump(service);
 }
 
+bool Dispatcher::IsRefusedAsPoison(const Exchange& exchange) const {
+  const auto& refused = view_->poison->refused;
+  return !refused.empty() && (refused.contains(exchange.caller_fingerprint) ||
+                              refused.contains(exchange.content_fingerprint));
+}
+
+// Earlier copies began to run, so this is no promise that nothing has run, and
+// the caller is not asked to come back.
+void Dispatcher::FailAsPoison(const ExchangePtr& exchange) {
+  Fail(exchange, ErrorKind::kCrashedTargets,
+       "targets ended under the same content");
+}
+
+// What the end of an attempt says of its target and of requests that may have
+// ended it.
+void Dispatcher::LookForCrash(const Exchange& exchange,
+                              const HandlePtr& handle,
+                              const TargetAnswer& answer,
+                              TimePoint now) {
+  const core::discovery::TargetEntry& target = handle->target.entry;
+  if (answer.cause == AttemptCause::kConnectionEnded) {
+    OnBroken(exchange, handle,
+             answer.rejected_connection ? terms_.rejected_probe_delay
+                                        : terms_.probe_delay,
+             now);
+    return;
+  }
+  if (answer.cause == AttemptCause::kConnectRefused) {
+    ReportCrashes(crashes_.OnConnectRefused(target.life, now), now);
+    return;
+  }
+  const bool is_alive = answer.end == AttemptEnd::kAnswered ||
+                        answer.end == AttemptEnd::kFailedAnswer || answer.shed;
+  if (is_alive) {
+    crashes_.OnAlive(target.life, exchange.sent_at);
+  }
+  if (answer.end == AttemptEnd::kAnswered &&
+      http::to_status_class(answer.response.result()) ==
+          http::status_class::successful) {
+    NoteWholeAnswer(exchange, target.version, now);
+  }
+}
+
+// The request may have ended its target, or only its connection has ended.
+void Dispatcher::OnBroken(const Exchange& exchange,
+                          const HandlePtr& handle,
+                          Duration probe_delay,
+                          TimePoint now) {
+  // A target that leaves ends as planned.
+  if (!handles_.contains(handle->target.entry.life)) {
+    return;
+  }
+  crashes_.OnBroken({.target = handle->target.entry,
+                     .caller_fingerprint = exchange.caller_fingerprint,
+                     .content_fingerprint = exchange.content_fingerprint,
+                     .request_id = exchange.request_id,
+                     .at = now});
+  // One probe serves all requests that the target had.
+  if (handle->is_probed) {
+    return;
+  }
+  handle->is_probed = true;
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+  timer->expires_after(probe_delay);
+  timer->async_wait([this, handle, timer](const boost::system::error_code&) {
+    handle->is_probed = false;
+    if (crashes_.IsPending(handle->target.entry.life)) {
+      ProbeTarget(handle);
+    }
+  });
+}
+
+// Finds out whether a process still listens at the target's address.
+void Dispatcher::ProbeTarget(const HandlePtr& handle) {
+  metrics_.CountConnection(handle->target.entry.service);
+  const TimePoint began = Now();
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+  auto socket = std::make_shared<net::Tcp::socket>(io_);
+  socket->async_connect(
+      handle->endpoint, [this, handle, timer, socket,
+                         began](const boost::system::error_code& ec) {
+        timer->cancel();
+        const TimePoint now = Now();
+        const core::discovery::TargetLife& life = handle->target.entry.life;
+        if (!ec) {
+          crashes_.OnAlive(life, began);
+        } else if (ec == boost::asio::error::connection_refused) {
+          ReportCrashes(crashes_.OnConnectRefused(life, now), now);
+        }
+      });
+  timer->expires_after(terms_.probe_limit);
+  timer->async_wait([socket](const boost::system::error_code& ec) {
+    if (!ec) {
+      boost::system::error_code ignored;
+      socket->close(ignored);
+    }
+  });
+}
+
+// Tells the control thread which requests were in flight when targets ended,
+// but for those that were answered in whole a moment ago.
+void Dispatcher::ReportCrashes(const std::vector<core::request::Crash>& crashes,
+                               TimePoint now) {
+  PoisonNews news;
+  for (const core::request::Crash& it : crashes) {
+    const core::discovery::TargetEntry& target = it.attempt.target;
+    metrics_.CountTargetCrash(target.service,
+                              core::request::ToString(it.evidence));
+    bool is_proven = true;
+    for (const std::string& fingerprint :
+         {it.attempt.caller_fingerprint, it.attempt.content_fingerprint}) {
+      if (proven_.Contains(fingerprint, target.version, now)) {
+        continue;
+      }
+      is_proven = false;
+      news.crashes.push_back(
+          {.key = {.fingerprint = fingerprint},
+           .target = absl::StrCat(target.life.id, "/", target.life.born),
+           .crash_limit = kCrashLimit,
+           .age = now - it.attempt.at,
+           .release = {.service = target.service, .version = target.version}});
+    }
+    LogEvent("target_crash",
+             {{"target", target.life.id},
+              {"born", target.life.born},
+              {"service", target.service},
+              {"evidence", core::request::ToString(it.evidence)},
+              {"request", it.attempt.request_id},
+              {"content", it.attempt.content_fingerprint},
+              {"age_ms", ToMilliseconds(now - it.attempt.at).count()},
+              {"is_proven", is_proven}});
+  }
+  if (!news.empty()) {
+    hooks_.report_poison(news);
+  }
+}
+
+void Dispatcher::NoteWholeAnswer(const Exchange& exchange,
+                                 const std::string& version,
+                                 TimePoint now) {
+  PoisonNews news;
+  const auto& suspected = view_->poison->suspected;
+  for (const std::string& it :
+       {exchange.caller_fingerprint, exchange.content_fingerprint}) {
+    proven_.Add(it, version, now);
+    if (!suspected.empty() && suspected.contains(it)) {
+      news.proofs.push_back({.fingerprint = it, .version = version});
+    }
+  }
+  if (!news.empty()) {
+    hooks_.report_poison(news);
+  }
+}
+
+// Speaks for suspected requests that were answered through this host.
+void Dispatcher::ClearSuspects(TimePoint now) {
+  PoisonNews news;
+  for (const auto& [fingerprint, version] : view_->poison->suspected) {
+    if (proven_.Contains(fingerprint, version, now)) {
+      news.proofs.push_back({.fingerprint = fingerprint, .version = version});
+    }
+  }
+  if (!news.empty()) {
+    hooks_.report_poison(news);
+  }
+}
+
 // Keeps the request until a target has room or its keys have an owner.
 void Dispatcher::Wait(const ExchangePtr& exchange, TimePoint now) {
   std::list<ExchangePtr>& queue = waiting_[exchange->service];
@@ -637,6 +826,7 @@
             {"last_target",
              exchange->tried.empty() ? "" : exchange->tried.back().id},
             {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()},
+            {"content", exchange->content_fingerprint},
             {"config", InputsOf(*exchange).config}});
   Finish(exchange, {.error = error});
 }
@@ -709,7 +899,7 @@
         it->answer_time = Duration{};
       }
     }
-    report_load_(report);
+    hooks_.report_load(report);
     report = {};
   }
   report_timer_.expires_after(terms_.report_interval);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -17,8 +17,11 @@
 #include "core/balance/target_picker.h"
 #include "core/error_kind.h"
 #include "core/keyspace/key_samples.h"
+#include "core/request/crash_detector.h"
+#include "core/request/proven_contents.h"
 #include "core/time.h"
 #include "entry/entry_metrics.h"
+#include "entry/poison_json.h"
 #include "entry/routing_view.h"
 #include "entry/target_handle.h"
 #include "net/header_names.h"
@@ -45,6 +48,17 @@
   size_t most_waiting = 2'000;
   // Load reports name at most this many keys.
   size_t most_reported_keys = 2'000;
+  // A target at which a request broke off is asked whether it still takes
+  // connections after this time, if no other request has shown it. A process
+  // that ends closes its connections a moment before its port.
+  core::Duration probe_delay = std::chrono::milliseconds(200);
+  // The same for a target that rejected a new connection. Those that have too
+  // many are not to be pressed; most answer another request meanwhile.
+  core::Duration rejected_probe_delay = std::chrono::milliseconds(700);
+  // A target that does not even refuse a connection for this long is silent.
+  core::Duration probe_limit = std::chrono::milliseconds(500);
+  // Two fingerprints for each request of the last minutes; 16 bytes each.
+  core::request::ProofTerms proof{.most = 4'096};
 };
 
 // What the caller gets: a target's answer, or a failure of this host.
@@ -56,7 +70,13 @@
 };
 
 using CallerAnswerHandler = std::function<void(CallerAnswer)>;
-using ReportLoad = std::function<void(const core::keyspace::LoadReport&)>;
+
+struct DispatchHooks {
+  std::function<void(const core::keyspace::LoadReport&)> report_load;
+  // Requests that were in flight when their target ended, and whole answers to
+  // suspected ones.
+  std::function<void(const PoisonNews&)> report_poison;
+};
 
 class Exchange;
 
@@ -70,7 +90,7 @@
              std::string failure_domain,
              const core::balance::RetryWindowTerms& retries,
              const DispatchTerms& terms,
-             ReportLoad report_load);
+             DispatchHooks hooks);
   ~Dispatcher();
 
   void SetView(std::shared_ptr<const RoutingView> view);
@@ -124,6 +144,23 @@
   void NoteLoad(Exchange& exchange,
                 const TargetAnswer& answer,
                 core::TimePoint now);
+  bool IsRefusedAsPoison(const Exchange& exchange) const;
+  void FailAsPoison(const ExchangePtr& exchange);
+  void LookForCrash(const Exchange& exchange,
+                    const HandlePtr& handle,
+                    const TargetAnswer& answer,
+                    core::TimePoint now);
+  void OnBroken(const Exchange& exchange,
+                const HandlePtr& handle,
+                core::Duration probe_delay,
+                core::TimePoint now);
+  void ProbeTarget(const HandlePtr& handle);
+  void ReportCrashes(const std::vector<core::request::Crash>& crashes,
+                     core::TimePoint now);
+  void NoteWholeAnswer(const Exchange& exchange,
+                       const std::string& version,
+                       core::TimePoint now);
+  void ClearSuspects(core::TimePoint now);
   void Wait(const ExchangePtr& exchange, core::TimePoint now);
   void StartPumping();
   void Pump(const std::string& service);
@@ -149,7 +186,7 @@
   const DispatchTerms terms_;
   const core::balance::PickTerms pick_terms_;
   const core::balance::LoadTerms load_terms_;
-  const ReportLoad report_load_;
+  const DispatchHooks hooks_;
   std::shared_ptr<const RoutingView> view_;
   std::map<core::discovery::TargetLife, HandlePtr> handles_;
   std::map<std::string, std::vector<HandlePtr>> by_service_;
@@ -159,6 +196,8 @@
   // Smoothed time of an answer by service.
   std::map<std::string, core::FloatSeconds> ordinary_times_;
   std::map<std::string, core::keyspace::LoadReport> reports_;
+  core::request::CrashDetector crashes_;
+  core::request::ProvenContents proven_;
   boost::asio::steady_timer report_timer_;
   boost::asio::steady_timer pump_timer_;
   std::minstd_rand random_;
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -6,6 +6,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <utility>
+
 #include "entry/event_log.h"
 
 namespace toucandock::entry {
@@ -39,6 +41,16 @@
                        .Name("toucandock_entry_target_connections_total")
                        .Help("New connections to targets")
                        .Register(*registry_)),
+      target_crashes_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_crashed_attempts_total")
+              .Help("Requests that targets ran when they ended, by evidence")
+              .Register(*registry_)),
+      poison_(prometheus::BuildGauge()
+                  .Name("toucandock_entry_poison")
+                  .Help("Fingerprints of requests that were in flight when "
+                        "targets ended, and reports about them")
+                  .Register(*registry_)),
       running_(prometheus::BuildGauge()
                    .Name("toucandock_entry_running_requests")
                    .Help("Requests that have no answer yet")
@@ -78,6 +90,24 @@
       .Increment();
 }
 
+void EntryMetrics::CountTargetCrash(const std::string& service,
+                                    absl::string_view evidence) {
+  target_crashes_
+      .Add({{"service", service}, {"evidence", std::string(evidence)}})
+      .Increment();
+}
+
+void EntryMetrics::SetPoison(const PoisonView& poison) {
+  const std::pair<const char*, double> values[] = {
+      {"suspected", static_cast<double>(poison.suspected.size())},
+      {"refused", static_cast<double>(poison.refused.size())},
+      {"reports_sent", static_cast<double>(poison.reports_sent)},
+      {"reports_received", static_cast<double>(poison.reports_received)}};
+  for (const auto& [name, value] : values) {
+    poison_.Add({{"what", name}}).Set(value);
+  }
+}
+
 void EntryMetrics::CountConnection(const std::string& service) {
   connections_.Add({{"service", service}}).Increment();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -7,6 +7,7 @@
 #include "absl/strings/string_view.h"
 #include "core/error_kind.h"
 #include "core/time.h"
+#include "entry/routing_view.h"
 
 namespace prometheus {
 class Registry;
@@ -32,6 +33,11 @@
   void CountRetry(const std::string& service);
   // `cause` says why an attempt at a target brought no usable answer.
   void CountFailedAttempt(const std::string& service, absl::string_view cause);
+  // `evidence` says from what it was concluded that a target had ended.
+  void CountTargetCrash(const std::string& service, absl::string_view evidence);
+  // Requests that were in flight when targets ended, those that are refused,
+  // and reports about them to and from other hosts since the start.
+  void SetPoison(const PoisonView& poison);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
   void SetConfigVersion(std::uint64_t version);
@@ -45,6 +51,8 @@
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
   prometheus::Family<prometheus::Counter>& connections_;
+  prometheus::Family<prometheus::Counter>& target_crashes_;
+  prometheus::Family<prometheus::Gauge>& poison_;
   prometheus::Gauge& running_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& dropped_lines_;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -23,8 +23,9 @@
   std::string request_id;
   // Address that the request came from.
   std::string caller;
-  // The same for requests with the same content.
-  std::string fingerprint;
+  // The same for requests with the same content, and for those of this caller.
+  std::string content_fingerprint;
+  std::string caller_fingerprint;
   CallerAnswerHandler handler;
   // Keeps `route` alive.
   std::shared_ptr<const core::routing::RouteTable> routes;
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -220,11 +220,13 @@
     value.append(greeting.hosts);
     value.append(greeting.has_duty ? 1 : 0);
     value.append(Json::UInt64(greeting.store_up.count()));
+    value.append(greeting.poison_digest);
     for (const std::string& it : greeting.substitutes) {
       value.append(it);
     }
   } else {
     value.append(greeting.store_lost ? 1 : 0);
+    value.append(greeting.poison_digest);
   }
   return codec::WriteJson(value);
 }
@@ -234,8 +236,8 @@
   if (!json.ok()) {
     return json.status();
   }
-  constexpr Json::ArrayIndex kHelloSize = 1;
-  constexpr Json::ArrayIndex kAnswerSize = 9;
+  constexpr Json::ArrayIndex kHelloSize = 2;
+  constexpr Json::ArrayIndex kAnswerSize = 10;
   if (!json->isArray() ||
       (json->size() != kHelloSize && json->size() < kAnswerSize)) {
     return absl::InvalidArgumentError("not a greeting");
@@ -247,8 +249,12 @@
           "a greeting holds whole numbers, then addresses");
     }
   }
+  if (!(*json)[json->size() == kHelloSize ? 1 : 9].isUInt()) {
+    return absl::InvalidArgumentError("a digest has 32 bits");
+  }
   if (json->size() == kHelloSize) {
-    return PeerGreeting{.store_lost = (*json)[0].asUInt64() != 0};
+    return PeerGreeting{.store_lost = (*json)[0].asUInt64() != 0,
+                        .poison_digest = (*json)[1].asUInt()};
   }
   const auto state = [&json](Json::ArrayIndex i) {
     return StreamState{.next = (*json)[i].asUInt64(),
@@ -261,6 +267,7 @@
     substitutes.push_back((*json)[i].asString());
   }
   return PeerGreeting{.is_answer = true,
+                      .poison_digest = (*json)[9].asUInt(),
                       .config = state(0),
                       .targets = state(2),
                       .ownership = state(4),
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANDOCK_ENTRY_PEER_JSON_H_
 #define TOUCANDOCK_ENTRY_PEER_JSON_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
   bool is_answer = false;
   // In a greeting: the sender's own calls to the store fail.
   bool store_lost = false;
+  // Of what the sender knows of requests that crash targets.
+  std::uint32_t poison_digest = 0;
   StreamState config;
   StreamState targets;
   StreamState ownership;
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -180,7 +180,38 @@
 void PeerRelay::SendGreeting(const std::string& address) {
   if (const auto to = net::ParseEndpoint(address); to.ok()) {
     Send({to->address(), to->port()},
-         EncodeGreeting({.store_lost = hooks_.store_lost()}));
+         EncodeGreeting({.store_lost = hooks_.store_lost(),
+                         .poison_digest = hooks_.poison_digest()}));
+  }
+}
+
+void PeerRelay::Broadcast(const std::string& text) {
+  std::set<std::string> addresses = hooks_.sources();
+  if (tracker_.IsDutyHostLost(LeaseClockNow())) {
+    addresses.insert(substitutes_.begin(), substitutes_.end());
+  }
+  std::set<udp::endpoint> endpoints;
+  for (const std::string& address : addresses) {
+    if (const auto to = net::ParseEndpoint(address); to.ok()) {
+      endpoints.emplace(to->address(), to->port());
+    }
+  }
+  for (const auto& [endpoint, greeter] : greeters_) {
+    endpoints.insert(endpoint);
+  }
+  for (const udp::endpoint& it : endpoints) {
+    Send(it, text);
+  }
+}
+
+// A host that knows something else is told all that this one knows. It answers
+// in the same way, so that a message that got lost is made up for.
+void PeerRelay::CompareDigests(const PeerGreeting& greeting) {
+  if (greeting.poison_digest == hooks_.poison_digest()) {
+    return;
+  }
+  for (const std::string& it : hooks_.poison_messages()) {
+    Send(sender_, it);
   }
 }
 
@@ -222,6 +253,15 @@
 }
 
 void PeerRelay::OnDatagram(const std::string& text) {
+  if (IsPoisonNews(text)) {
+    const auto news = DecodePoisonNews(text);
+    if (!news.ok()) {
+      LogEvent("datagram_unreadable", {{"cause", news.status().message()}});
+      return;
+    }
+    hooks_.on_poison_news(*news, sender_.address().to_string());
+    return;
+  }
   if (const auto greeting = DecodeGreeting(text); greeting.ok()) {
     if (greeting->is_answer) {
       OnAnswer(*greeting);
@@ -251,12 +291,14 @@
       kOutagePart * static_cast<double>(greeters_.size())) {
     hooks_.on_outage_reported();
   }
+  CompareDigests(greeting);
   const bool has_duty = hooks_.is_source();
   if (!has_duty && !tracker_.is_substitute()) {
     return;
   }
   const auto up_since = hooks_.store_up_since();
   PeerGreeting answer{.is_answer = true,
+                      .poison_digest = hooks_.poison_digest(),
                       .config = StateOf(Stream::kConfig),
                       .targets = StateOf(Stream::kTargets),
                       .ownership = StateOf(Stream::kOwnership),
@@ -289,7 +331,9 @@
   tracker_.OnAnswer(answer.has_duty ? core::relay::SourceKind::kDutyHost
                                     : core::relay::SourceKind::kSubstitute,
                     fresh, now);
+  CompareDigests(answer);
   if (answer.has_duty) {
+    hooks_.on_duty_host_digest(answer.poison_digest);
     substitutes_ = answer.substitutes;
     tracker_.SetSubstitute(std::find(substitutes_.begin(), substitutes_.end(),
                                      address()) != substitutes_.end());
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -21,6 +21,7 @@
 #include "core/relay/source_tracker.h"
 #include "core/time.h"
 #include "entry/peer_json.h"
+#include "entry/poison_json.h"
 #include "entry/record_cache.h"
 #include "entry/stream_follower.h"
 #include "entry/table_history.h"
@@ -50,6 +51,15 @@
   std::function<void(int hosts)> on_answer;
   // The host that has the duty was heard and is no longer.
   std::function<void()> on_duty_host_lost;
+  // What this host knows of requests that crash targets: a digest, and all of
+  // it as messages.
+  std::function<std::uint32_t()> poison_digest;
+  std::function<std::vector<std::string>()> poison_messages;
+  // A message of another host about such requests, and the digest of the host
+  // that has the duty.
+  std::function<void(const PoisonNews& news, const std::string& from)>
+      on_poison_news;
+  std::function<void(std::uint32_t digest)> on_duty_host_digest;
 };
 
 // Lets one host read the store for all. Each host greets the one that has the
@@ -70,6 +80,8 @@
   std::string address() const;
   void SendLoad(const std::string& address,
                 const core::keyspace::LoadReport& report);
+  // Sends a message to all hosts that this one knows.
+  void Broadcast(const std::string& text);
   // This host has read records itself or from the source.
   void NoteRecords(Stream stream, const ReadResult& result, bool complete);
   // The store has answered a read of this host.
@@ -86,6 +98,7 @@
   void OnAnswer(const PeerGreeting& answer);
   void UseSource(const PeerGreeting& answer);
   void SendGreeting(const std::string& address);
+  void CompareDigests(const PeerGreeting& greeting);
   std::vector<std::string> ChooseSubstitutes() const;
   void UpdateFollowers();
   absl::Status OpenPort();
--- a/src/entry/platform_hooks.h
+++ b/src/entry/platform_hooks.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,8 +49,8 @@
 
 struct AppendResult {
   StoreStatus status = StoreStatus::kUnavailable;
-  // After kConflict: where the stream ends.
-  core::Offset end = 0;
+  // After kOk: where the record is.
+  core::Offset offset = 0;
 };
 
 struct DutyResult {
@@ -71,9 +72,9 @@
                      std::chrono::milliseconds wait,
                      std::function<void(ReadResult)>)>
       read;
-  // Appends one record if the stream ends at `at`.
+  // Appends one record; with `at`, only if the stream ends there.
   std::function<void(Stream,
-                     core::Offset at,
+                     std::optional<core::Offset> at,
                      const std::string& key,
                      const std::string& value,
                      std::function<void(AppendResult)>)>
--- /dev/null
+++ b/src/entry/poison_control.cc
@@ -0,0 +1,245 @@
+#include "entry/poison_control.h"
+
+#include <algorithm>
+#include <map>
+
+#include "entry/event_log.h"
+
+namespace toucandock::entry {
+namespace {
+
+using core::request::CrashReport;
+using core::request::PoisonKey;
+using core::request::Suspicion;
+using std::chrono::milliseconds;
+
+// A host that knows very much more than another tells it in parts, at each
+// greeting.
+constexpr size_t kMostMessages = 4;
+
+PoisonKey KeyOf(const std::string& fingerprint) {
+  return {.fingerprint = fingerprint};
+}
+
+std::int64_t Milliseconds(core::Duration time) {
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+}  // namespace
+
+PoisonControl::PoisonControl(const PoisonControlTerms& terms,
+                             PoisonControlHooks hooks)
+    : terms_(terms),
+      hooks_(std::move(hooks)),
+      registry_(terms.registry),
+      view_(std::make_shared<PoisonView>()) {}
+
+void PoisonControl::OnOwnNews(const PoisonNews& news) {
+  PoisonNews forward;
+  Merge(news, forward);
+  if (forward.empty()) {
+    return;
+  }
+  reports_sent_ += forward.crashes.size();
+  LogEvent("poison_news_sent", {{"crashes", forward.crashes.size()},
+                                {"proofs", forward.proofs.size()}});
+  hooks_.broadcast(EncodePoisonNews(forward));
+  UpdateView();
+}
+
+// What is new is passed on, so that hosts which greet only this one learn it
+// from here. As only new things are passed on, messages do not circle.
+size_t PoisonControl::OnPeerNews(const PoisonNews& news) {
+  PoisonNews forward;
+  const size_t learned = Merge(news, forward);
+  reports_received_ += learned;
+  if (!forward.empty() && ++forwards_ <= terms_.most_forwards) {
+    hooks_.broadcast(EncodePoisonNews(forward));
+  }
+  if (learned > 0) {
+    UpdateView();
+  }
+  return learned;
+}
+
+// Returns how much was new, and puts into `forward` what others should know:
+// the same, and proofs against crashes that this host knows to be innocent.
+size_t PoisonControl::Merge(const PoisonNews& news, PoisonNews& forward) {
+  const core::TimePoint now = hooks_.now();
+  size_t learned = 0;
+  for (const PoisonProof& it : news.proofs) {
+    if (registry_.Prove(KeyOf(it.fingerprint), it.version, now)) {
+      ++learned;
+      forward.proofs.push_back(it);
+    }
+  }
+  for (const CrashReport& it : news.crashes) {
+    if (registry_.IsProven(it.key, it.release.version, now)) {
+      forward.proofs.push_back(
+          {.fingerprint = it.key.fingerprint, .version = it.release.version});
+    } else if (registry_.Report(it, now)) {
+      ++learned;
+      forward.crashes.push_back(it);
+    }
+  }
+  if (learned > 0) {
+    NoteUnsaved();
+  }
+  return learned;
+}
+
+void PoisonControl::OnRecord(const std::string& value) {
+  const auto crashes = DecodePoisonRecord(value, hooks_.wall_now());
+  if (!crashes.ok()) {
+    LogEvent("poison_record_unreadable",
+             {{"cause", crashes.status().message()}});
+    return;
+  }
+  stored_.clear();
+  size_t learned = 0;
+  for (const CrashReport& it : *crashes) {
+    stored_.emplace(it.key.fingerprint, it.target);
+    learned += registry_.Report(it, hooks_.now()) ? 1 : 0;
+  }
+  NoteUnsaved();
+  if (learned > 0) {
+    reports_received_ += learned;
+    LogEvent("poison_record_read",
+             {{"crashes", crashes->size()}, {"new", learned}});
+    UpdateView();
+  }
+}
+
+// The crashes of a request that is refused need not all be on the store: as
+// many as lead to the verdict suffice.
+void PoisonControl::NoteUnsaved() {
+  std::map<std::string, size_t> stored;
+  std::map<std::string, size_t> known;
+  for (const CrashReport& it : registry_.Reports(hooks_.now())) {
+    ++known[it.key.fingerprint];
+  }
+  for (const auto& [fingerprint, target] : stored_) {
+    ++stored[fingerprint];
+  }
+  bool is_unsaved = false;
+  for (const CrashReport& it : registry_.Reports(hooks_.now())) {
+    const std::string& fingerprint = it.key.fingerprint;
+    const bool verdict_is_stored =
+        known[fingerprint] >= kCrashLimit && stored[fingerprint] >= kCrashLimit;
+    is_unsaved = is_unsaved || (!verdict_is_stored &&
+                                !stored_.contains({fingerprint, it.target}));
+  }
+  if (!is_unsaved) {
+    unsaved_since_ = std::nullopt;
+  } else if (!unsaved_since_) {
+    unsaved_since_ = hooks_.now();
+  }
+}
+
+void PoisonControl::OnDutyHostDigest(std::uint32_t digest) {
+  if (unsaved_since_ && digest == Digest()) {
+    unsaved_since_ = hooks_.now();
+  }
+}
+
+void PoisonControl::SetReleasesInUse(core::request::ReleasesInUse releases) {
+  registry_.SetReleasesInUse(std::move(releases));
+}
+
+void PoisonControl::Tick(bool has_duty) {
+  const core::TimePoint now = hooks_.now();
+  if (now - view_at_ >= terms_.view_interval) {
+    UpdateView();
+    forwards_ = 0;
+  }
+  const core::Duration wait =
+      has_duty ? terms_.store_batch : terms_.store_alone;
+  if (unsaved_since_ && !storing_ && now >= store_after_ &&
+      now - *unsaved_since_ >= wait) {
+    Store();
+  }
+}
+
+void PoisonControl::Store() {
+  const std::vector<CrashReport> reports = registry_.Reports(hooks_.now());
+  std::set<Named> named;
+  for (const CrashReport& it : reports) {
+    named.emplace(it.key.fingerprint, it.target);
+  }
+  storing_ = true;
+  hooks_.store(EncodePoisonRecord(reports, hooks_.wall_now()), [this,
+                                                                named =
+                                                                    std::move(
+                                                                        named)](
+                                                                   bool
+                                                                       stored) {
+    storing_ = false;
+    store_after_ = hooks_.now() + terms_.store_retry;
+    LogEvent("poison_stored", {{"crashes", named.size()}, {"stored", stored}});
+    if (stored) {
+      stored_ = named;
+      unsaved_since_ = std::nullopt;
+      NoteUnsaved();
+    }
+  });
+}
+
+std::uint32_t PoisonControl::Digest() {
+  return registry_.Digest(hooks_.now());
+}
+
+std::vector<std::string> PoisonControl::Messages() {
+  std::vector<std::string> messages;
+  PoisonNews news;
+  for (CrashReport& it : registry_.Reports(hooks_.now())) {
+    news.crashes.push_back(std::move(it));
+    if (news.crashes.size() == kMostNews) {
+      messages.push_back(EncodePoisonNews(std::exchange(news, {})));
+    }
+    if (messages.size() == kMostMessages) {
+      return messages;
+    }
+  }
+  if (!news.empty()) {
+    messages.push_back(EncodePoisonNews(news));
+  }
+  return messages;
+}
+
+// Verdicts also end as time passes and as targets are released.
+void PoisonControl::UpdateView() {
+  view_at_ = hooks_.now();
+  auto view = std::make_shared<PoisonView>();
+  for (const Suspicion& it : registry_.Suspicions(hooks_.now())) {
+    const std::string& fingerprint = it.key.fingerprint;
+    view->suspected[fingerprint] = it.release.version;
+    if (!it.in_force) {
+      continue;
+    }
+    view->refused.insert(fingerprint);
+    if (!view_->refused.contains(fingerprint)) {
+      LogEvent("poison_verdict", {{"fingerprint", fingerprint},
+                                  {"crashes", it.crashes},
+                                  {"service", it.release.service},
+                                  {"version", it.release.version},
+                                  {"last_crash_age_ms", Milliseconds(it.age)}});
+    }
+  }
+  for (const std::string& it : view_->refused) {
+    if (!view->refused.contains(it)) {
+      LogEvent("poison_verdict_ended", {{"fingerprint", it}});
+    }
+  }
+  view->reports_sent = reports_sent_;
+  view->reports_received = reports_received_;
+  const bool differs = view->suspected != view_->suspected ||
+                       view->refused != view_->refused ||
+                       view->reports_sent != view_->reports_sent ||
+                       view->reports_received != view_->reports_received;
+  if (differs) {
+    view_ = std::move(view);
+    hooks_.changed();
+  }
+}
+
+}  // namespace toucandock::entry
--- /dev/null
+++ b/src/entry/poison_json.cc
@@ -0,0 +1,169 @@
+#include "entry/poison_json.h"
+
+#include <algorithm>
+
+#include "codec/json.h"
+
+namespace toucandock::entry {
+namespace {
+
+using codec::ObjectReader;
+using core::request::CrashReport;
+using std::chrono::milliseconds;
+
+// Tells the datagram from the others, which are JSON.
+constexpr char kTag = 'P';
+// Longer ids, names and versions are not taken from others.
+constexpr size_t kMostTextBytes = 300;
+// Most crashes in a record of the store, which takes 256 KB.
+constexpr size_t kMostStored = 700;
+// Times of crashes are not older than this.
+constexpr milliseconds kMostAge{std::chrono::hours(24)};
+
+// A crash is a list: fingerprint, target, service, version of its software, and
+// milliseconds.
+constexpr Json::ArrayIndex kCrashSize = 5;
+
+Json::Value ToJson(const CrashReport& crash, std::int64_t time_ms) {
+  Json::Value value(Json::arrayValue);
+  value.append(crash.key.fingerprint);
+  value.append(crash.target);
+  value.append(crash.release.service);
+  value.append(crash.release.version);
+  value.append(Json::Int64(time_ms));
+  return value;
+}
+
+bool IsShortText(const Json::Value& value) {
+  return value.isString() && value.asString().size() <= kMostTextBytes;
+}
+
+// Leaves the age to the caller; `time_ms` is the last member.
+absl::StatusOr<CrashReport> ParseCrash(const Json::Value& value,
+                                       std::int64_t& time_ms) {
+  if (!value.isArray() || value.size() != kCrashSize ||
+      !value[kCrashSize - 1].isInt64()) {
+    return absl::InvalidArgumentError("a crash is a list of texts and a time");
+  }
+  for (Json::ArrayIndex n = 0; n + 1 < kCrashSize; ++n) {
+    if (!IsShortText(value[n])) {
+      return absl::InvalidArgumentError("a member of a crash is no short text");
+    }
+  }
+  if (value[0].asString().empty() || value[1].asString().empty()) {
+    return absl::InvalidArgumentError("a crash names no request or no target");
+  }
+  time_ms = value[kCrashSize - 1].asInt64();
+  return CrashReport{.key = {.fingerprint = value[0].asString()},
+                     .target = value[1].asString(),
+                     .crash_limit = kCrashLimit,
+                     .release = {.service = value[2].asString(),
+                                 .version = value[3].asString()}};
+}
+
+milliseconds AgeOf(const CrashReport& crash) {
+  return std::chrono::duration_cast<milliseconds>(crash.age);
+}
+
+milliseconds SinceEpoch(WallTime at) {
+  return std::chrono::duration_cast<milliseconds>(at.time_since_epoch());
+}
+
+}  // namespace
+
+bool IsPoisonNews(const std::string& text) {
+  return !text.empty() && text.front() == kTag;
+}
+
+std::string EncodePoisonNews(const PoisonNews& news) {
+  Json::Value value;
+  Json::Value& crashes = value["crashes"] = Json::Value(Json::arrayValue);
+  for (const CrashReport& it : news.crashes) {
+    crashes.append(ToJson(it, AgeOf(it).count()));
+  }
+  Json::Value& proofs = value["proofs"] = Json::Value(Json::arrayValue);
+  for (const PoisonProof& it : news.proofs) {
+    Json::Value proof(Json::arrayValue);
+    proof.append(it.fingerprint);
+    proof.append(it.version);
+    proofs.append(std::move(proof));
+  }
+  return kTag + codec::WriteJson(value);
+}
+
+// One entry that cannot be read fails the whole: it comes from a peer, which
+// sends all of it again.
+absl::StatusOr<PoisonNews> DecodePoisonNews(const std::string& text) {
+  if (!IsPoisonNews(text)) {
+    return absl::InvalidArgumentError("not news of crashes");
+  }
+  return codec::ReadObject<PoisonNews>(
+      text.substr(1), [](ObjectReader& fields, absl::Status& status) {
+        PoisonNews news;
+        const Json::Value& crashes = fields.Array("crashes");
+        const Json::Value& proofs = fields.Array("proofs");
+        if (crashes.size() > kMostNews || proofs.size() > kMostNews) {
+          fields.Fail("more crashes or proofs than a message may hold");
+          return news;
+        }
+        for (const Json::Value& it : crashes) {
+          std::int64_t age_ms = 0;
+          auto crash = ParseCrash(it, age_ms);
+          if (!crash.ok() || age_ms < 0 || age_ms > kMostAge.count()) {
+            fields.Fail("'crashes' holds an entry that is not a crash");
+            status.Update(crash.status());
+            return news;
+          }
+          crash->age = milliseconds(age_ms);
+          news.crashes.push_back(*std::move(crash));
+        }
+        for (const Json::Value& it : proofs) {
+          if (!it.isArray() || it.size() != 2 || !IsShortText(it[0]) ||
+              !IsShortText(it[1])) {
+            fields.Fail("'proofs' are lists of fingerprint and version");
+            return news;
+          }
+          news.proofs.push_back(
+              {.fingerprint = it[0].asString(), .version = it[1].asString()});
+        }
+        return news;
+      });
+}
+
+std::string EncodePoisonRecord(const std::vector<CrashReport>& crashes,
+                               WallTime now) {
+  Json::Value value;
+  Json::Value& list = value["crashes"] = Json::Value(Json::arrayValue);
+  for (const CrashReport& it : crashes) {
+    if (list.size() >= kMostStored) {
+      break;
+    }
+    list.append(ToJson(it, (SinceEpoch(now) - AgeOf(it)).count()));
+  }
+  return codec::WriteJson(value);
+}
+
+// Entries that cannot be read are left out. Clocks of hosts differ by seconds
+// and may step: a crash that lies ahead counts as one of this moment.
+absl::StatusOr<std::vector<CrashReport>> DecodePoisonRecord(
+    const std::string& text,
+    WallTime now) {
+  using Crashes = std::vector<CrashReport>;
+  return codec::ReadObject<Crashes>(
+      text, [now](ObjectReader& fields, absl::Status&) {
+        Crashes crashes;
+        for (const Json::Value& it : fields.Array("crashes")) {
+          std::int64_t at_ms = 0;
+          auto crash = ParseCrash(it, at_ms);
+          const std::int64_t now_ms = SinceEpoch(now).count();
+          if (!crash.ok() || at_ms < now_ms - kMostAge.count()) {
+            continue;
+          }
+          crash->age = milliseconds(std::max<std::int64_t>(0, now_ms - at_ms));
+          crashes.push_back(*std::move(crash));
+        }
+        return crashes;
+      });
+}
+
+}  // namespace toucandock::entry
--- a/src/entry/target_handle.h
+++ b/src/entry/target_handle.h
@@ -26,6 +26,8 @@
   // Since the last load report.
   std::uint32_t answers = 0;
   core::Duration answer_time{};
+  // It is being found out whether the target has ended.
+  bool is_probed = false;
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -35,7 +35,7 @@
 Traffic::Traffic(boost::asio::io_context& io,
                  const EntrySettings& settings,
                  const net::HeaderNames& names,
-                 ReportLoad report_load)
+                 DispatchHooks hooks)
     : io_(io),
       settings_(settings),
       names_(names),
@@ -44,7 +44,7 @@
                   settings.failure_domain,
                   settings.retries,
                   DispatchTerms{},
-                  std::move(report_load)),
+                  std::move(hooks)),
       acceptor_(io),
       readiness_(io,
                  [this](const net::HttpRequest&) {
@@ -58,6 +58,7 @@
           io,
           [this](const net::HttpRequest&) {
             EntryMetrics& metrics = dispatcher_.metrics();
+            metrics.SetPoison(*dispatcher_.view().poison);
             metrics.SetRunning(dispatcher_.running());
             const auto& routes = dispatcher_.view().routes;
             metrics.SetConfigVersion(routes ? routes->config().version : 0);
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -24,7 +24,7 @@
   Traffic(boost::asio::io_context& io,
           const EntrySettings& settings,
           const net::HeaderNames& names,
-          ReportLoad report_load);
+          DispatchHooks hooks);
 
   absl::Status Listen();
   // "IP:PORT" of the ports that were bound.
--- /dev/null
+++ b/tests/core/request/crash_detector_test.cc
@@ -0,0 +1,109 @@
+#include "core/request/crash_detector.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace toucandock::core::request {
+namespace {
+
+using discovery::ListedTarget;
+using discovery::TargetEntry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+TargetEntry Target(const std::string& id,
+                   std::int64_t born,
+                   const std::string& address) {
+  return {.life = {.id = id, .born = born},
+          .service = "lodger",
+          .address = address,
+          .version = "v1"};
+}
+
+BrokenAttempt Attempt(const TargetEntry& target,
+                      const std::string& request,
+                      TimePoint at) {
+  return {.target = target, .request_id = request, .at = at};
+}
+
+std::vector<Crash> See(CrashDetector& detector,
+                       const TargetEntry& listed,
+                       TimePoint now) {
+  return detector.OnTargets({{listed.service, {{.entry = listed}}}}, now);
+}
+
+}  // namespace
+
+TEST_CASE("a crash must be concluded from the end of the target only") {
+  CrashDetector detector({.memory = seconds(10), .most_attempts = 3});
+  const TargetEntry target = Target("i-1", 100, "10.0.0.1:80");
+  detector.OnBroken(Attempt(target, "r1", kStart));
+  detector.OnBroken(Attempt(target, "r2", kStart));
+
+  SUBCASE("nothing listens at its address: all that it ran is told") {
+    const auto crashes =
+        detector.OnConnectRefused(target.life, kStart + seconds(1));
+    REQUIRE(crashes.size() == 2);
+    CHECK(crashes[0].evidence == CrashEvidence::kConnectRefused);
+    CHECK(crashes[1].attempt.request_id == "r2");
+
+    SUBCASE("and only once") {
+      CHECK(
+          detector.OnConnectRefused(target.life, kStart + seconds(2)).empty());
+    }
+  }
+
+  SUBCASE("another one is refused a connection") {
+    CHECK(
+        detector.OnConnectRefused({.id = "i-2", .born = 100}, kStart).empty());
+    CHECK(detector.IsPending(target.life));
+  }
+
+  SUBCASE("it took a request later, so that only connections were reset") {
+    detector.OnAlive(target.life, kStart + milliseconds(1));
+    CHECK_FALSE(detector.IsPending(target.life));
+    CHECK(detector.OnConnectRefused(target.life, kStart + seconds(1)).empty());
+  }
+
+  SUBCASE("it answers a request that it had taken before") {
+    detector.OnAlive(target.life, kStart - milliseconds(1));
+    CHECK(detector.OnConnectRefused(target.life, kStart + seconds(1)).size() ==
+          2);
+  }
+
+  SUBCASE("it is listed as before, or as an earlier life") {
+    CHECK(See(detector, target, kStart + seconds(1)).empty());
+    CHECK(See(detector, Target("i-1", 99, "10.0.0.1:80"), kStart).empty());
+  }
+
+  SUBCASE("a later life has its id") {
+    const auto crashes =
+        See(detector, Target("i-1", 200, "10.0.0.9:80"), kStart + seconds(3));
+    REQUIRE(crashes.size() == 2);
+    CHECK(crashes[0].evidence == CrashEvidence::kNewLife);
+  }
+
+  SUBCASE("another target has its address") {
+    CHECK(See(detector, Target("i-7", 50, "10.0.0.1:80"), kStart + seconds(3))
+              .size() == 2);
+  }
+
+  SUBCASE("its end shows too late to have to do with the request") {
+    CHECK(detector.OnConnectRefused(target.life, kStart + seconds(10)).empty());
+  }
+
+  SUBCASE("many attempts break: the oldest are forgotten") {
+    detector.OnBroken(Attempt(target, "r3", kStart));
+    detector.OnBroken(Attempt(target, "r4", kStart));
+    const auto crashes = detector.OnConnectRefused(target.life, kStart);
+    REQUIRE(crashes.size() == 3);
+    CHECK(crashes[0].attempt.request_id == "r2");
+  }
+}
+
+}  // namespace toucandock::core::request
--- a/tests/core/request/poison_registry_test.cc
+++ b/tests/core/request/poison_registry_test.cc
@@ -85,7 +85,7 @@
   }
 
   SUBCASE("it was answered in whole a moment ago") {
-    registry.Prove(kOther, kStart);
+    registry.Prove(kOther, "", kStart);
     for (const char* target : {"callboard/a", "callboard/b", "callboard/c"}) {
       CHECK_FALSE(registry.Report(Crash(kOther, target),
                                   kStart + std::chrono::seconds(30)));
@@ -93,7 +93,7 @@
     CHECK(registry.VerdictOn(kOther, kStart) == PoisonVerdict::kNone);
 
     SUBCASE("but begins to crash targets later") {
-      const TimePoint later = kStart + 2 * kLimits.proof;
+      const TimePoint later = kStart + 2 * kLimits.proof.lifetime;
       CHECK(registry.Report(Crash(kOther, "callboard/a"), later));
       CHECK(registry.Report(Crash(kOther, "callboard/b"), later));
       CHECK(registry.VerdictOn(kOther, later) == PoisonVerdict::kSameRequest);
@@ -102,13 +102,103 @@
 
   SUBCASE("it is answered in whole after the first crash") {
     registry.Report(Crash(kOther, "callboard/a"), kStart);
-    registry.Prove(kOther, kStart);
-    const TimePoint later = kStart + 2 * kLimits.proof;
+    registry.Prove(kOther, "", kStart);
+    const TimePoint later = kStart + 2 * kLimits.proof.lifetime;
     registry.Report(Crash(kOther, "callboard/b"), later);
     CHECK(registry.VerdictOn(kOther, later) == PoisonVerdict::kNone);
   }
 }
 
+TEST_CASE("a verdict must end when the request may run again, and only then") {
+  const PoisonLimits limits{.verdict = std::chrono::minutes(10),
+                            .retention = std::chrono::hours(1),
+                            .same_crash = std::chrono::hours(1)};
+  PoisonRegistry registry(limits);
+  const PoisonKey key{.fingerprint = "f"};
+  const auto crash = [&key](const std::string& target,
+                            const std::string& version) {
+    return CrashReport{.key = key,
+                       .target = target,
+                       .crash_limit = 3,
+                       .release = {.service = "s", .version = version}};
+  };
+  registry.SetReleasesInUse({{"s", {"v1"}}});
+  for (const char* target : {"a", "b", "c"}) {
+    registry.Report(crash(target, "v1"), kStart);
+  }
+  REQUIRE(registry.VerdictOn(key, kStart) == PoisonVerdict::kSameContent);
+
+  SUBCASE("a copy that was under way is answered in whole") {
+    CHECK(registry.Prove(key, "v1", kStart));
+    CHECK(registry.VerdictOn(key, kStart) == PoisonVerdict::kNone);
+
+    SUBCASE("and a late report of the same crashes changes nothing") {
+      CHECK_FALSE(registry.Report(crash("a", "v1"), kStart));
+    }
+  }
+
+  SUBCASE("time passes") {
+    const TimePoint later = kStart + limits.verdict;
+    CHECK(registry.VerdictOn(key, later) == PoisonVerdict::kNone);
+
+    SUBCASE("and one further crash brings it back") {
+      registry.Report(crash("d", "v1"), later);
+      CHECK(registry.VerdictOn(key, later) == PoisonVerdict::kSameContent);
+    }
+    SUBCASE("and a report of a crash that is known does not") {
+      CHECK_FALSE(registry.Report(crash("c", "v1"), later));
+      CHECK(registry.VerdictOn(key, later) == PoisonVerdict::kNone);
+    }
+  }
+
+  SUBCASE("the service is released") {
+    registry.SetReleasesInUse({{"s", {"v1", "v2"}}});
+    CHECK(registry.VerdictOn(key, kStart) == PoisonVerdict::kSameContent);
+    registry.SetReleasesInUse({{"s", {"v2"}}});
+    CHECK(registry.VerdictOn(key, kStart) == PoisonVerdict::kNone);
+
+    SUBCASE("and the new version crashes, too") {
+      registry.Report(crash("d", "v2"), kStart);
+      CHECK(registry.VerdictOn(key, kStart) == PoisonVerdict::kSameContent);
+    }
+  }
+
+  SUBCASE("all its targets are away, which says nothing of a release") {
+    registry.SetReleasesInUse({{"other", {"v9"}}});
+    CHECK(registry.VerdictOn(key, kStart) == PoisonVerdict::kSameContent);
+  }
+}
+
+TEST_CASE("hosts that know the same crashes must come to the same digest") {
+  const PoisonLimits limits{.same_crash = std::chrono::hours(1)};
+  PoisonRegistry one(limits);
+  PoisonRegistry other(limits);
+  const auto crash = [](const std::string& target) {
+    return CrashReport{
+        .key = {.fingerprint = "f"}, .target = target, .crash_limit = 3};
+  };
+  CHECK(one.Digest(kStart) == 0);
+  one.Report(crash("a"), kStart);
+  other.Report(crash("b"), kStart);
+  CHECK(one.Digest(kStart) != other.Digest(kStart));
+
+  SUBCASE("in whatever order they learn of them") {
+    one.Report(crash("b"), kStart + std::chrono::milliseconds(3));
+    other.Report(crash("a"), kStart + std::chrono::milliseconds(9));
+    CHECK(one.Digest(kStart) == other.Digest(kStart));
+  }
+
+  SUBCASE("and, once a request is refused, whichever crashes led to it") {
+    for (const char* target : {"c", "d", "e"}) {
+      one.Report(crash(target), kStart);
+    }
+    for (const char* target : {"x", "y"}) {
+      other.Report(crash(target), kStart);
+    }
+    CHECK(one.Digest(kStart) == other.Digest(kStart));
+  }
+}
+
 TEST_CASE("the registry of suspects must not grow without bound") {
   PoisonRegistry registry({.requests = 4});
   for (int n = 0; n < 100; ++n) {
@@ -121,6 +211,19 @@
   CHECK(std::any_of(reports.begin(), reports.end(), [](const auto& it) {
     return it.key.fingerprint == "f99";
   }));
+
+  // Thousands of false suspicions must not push out a verdict.
+  for (const char* target : {"callboard/b", "callboard/c"}) {
+    registry.Report(Crash({"callboard", "", "f99"}, target), kStart);
+  }
+  for (int n = 0; n < 100; ++n) {
+    registry.Report(
+        Crash({"callboard", "", absl::StrCat("g", n)}, "callboard/a"),
+        kStart + std::chrono::seconds(100 + n));
+  }
+  CHECK(registry.VerdictOn({"callboard", "", "f99"},
+                           kStart + std::chrono::seconds(200)) ==
+        PoisonVerdict::kSameContent);
 }
 
 }  // namespace toucandock::core::request
--- /dev/null
+++ b/tests/entry/dispatcher_poison_test.cc
@@ -0,0 +1,277 @@
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "core/request/fingerprint.h"
+#include "entry/dispatcher.h"
+#include "http/raw_target.h"
+
+namespace toucandock::entry {
+namespace {
+
+using core::ErrorKind;
+using http::RawConnection;
+using http::RawTarget;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+namespace beast_http = boost::beast::http;
+
+constexpr char kCaller[] = "10.0.0.7";
+// Longer than a target is left alone before it is asked whether it lives.
+constexpr milliseconds kProbed{1'500};
+
+std::string FingerprintOf(const std::string& path) {
+  return core::request::Fingerprint(
+      {.method = "GET", .path = path, .host = "h"});
+}
+
+// A dispatcher with one service without keys.
+class Host {
+ public:
+  Host()
+      : dispatcher_(io_,
+                    {.request_id = "Id",
+                     .deadline = "Deadline",
+                     .key = "Key",
+                     .expected_target = "Expected",
+                     .not_executed = "Not-Run",
+                     .target_load = "Load",
+                     .answer_digest = "Digest"},
+                    "a",
+                    {},
+                    DispatchTerms{},
+                    {.report_load = [](const core::keyspace::LoadReport&) {},
+                     .report_poison =
+                         [this](const PoisonNews& it) {
+                           crashes.insert(crashes.end(), it.crashes.begin(),
+                                          it.crashes.end());
+                           proofs.insert(proofs.end(), it.proofs.begin(),
+                                         it.proofs.end());
+                         }}) {}
+
+  void SetView(const std::vector<std::string>& addresses,
+               const PoisonView& poison = {}) {
+    auto view = std::make_shared<RoutingView>();
+    core::routing::RouteConfig config{.version = 1};
+    config.routes = {{.host = "h",
+                      .path_prefix = "/",
+                      .services = {{.service = "s"}},
+                      .idempotent = true,
+                      .timeout = milliseconds(4'000),
+                      .latency_goal = milliseconds(2'000),
+                      .max_attempts = 3}};
+    config.services = {{.name = "s"}};
+    view->routes = std::make_shared<core::routing::RouteTable>(config);
+    for (const std::string& it : addresses) {
+      view->targets["s"].push_back({.entry = {.life = {.id = it, .born = 1},
+                                              .service = "s",
+                                              .address = it,
+                                              .version = "v1",
+                                              .slots = 4}});
+    }
+    view->poison = std::make_shared<PoisonView>(poison);
+    dispatcher_.SetView(std::move(view));
+  }
+
+  void Start(const std::string& path) {
+    net::HttpRequest request{beast_http::verb::get, path, 11};
+    request.set(beast_http::field::host, "h");
+    request.set("Id", absl::StrCat("r", ++sent_));
+    dispatcher_.Start(
+        std::move(request), kCaller, steady_clock::now(),
+        [this](CallerAnswer it) { answers.push_back(std::move(it)); });
+  }
+
+  void RunFor(milliseconds time) {
+    RunUntil([] { return false; }, time);
+  }
+  void RunUntil(const std::function<bool()>& done,
+                milliseconds limit = milliseconds(5'000)) {
+    const auto end = steady_clock::now() + limit;
+    while (!done() && steady_clock::now() < end) {
+      io_.run_one_for(milliseconds(5));
+    }
+  }
+  void RunUntilAnswered() {
+    RunUntil([this, n = answers.size()] { return answers.size() > n; });
+  }
+
+  std::vector<CallerAnswer> answers;
+  std::vector<core::request::CrashReport> crashes;
+  std::vector<PoisonProof> proofs;
+
+ private:
+  boost::asio::io_context io_;
+  Dispatcher dispatcher_;
+  int sent_ = 0;
+};
+
+void Respond(RawConnection& connection, const std::string& request) {
+  const size_t begin = request.find("Id: ");
+  if (begin == std::string::npos) {
+    return;
+  }
+  const std::string id =
+      request.substr(begin + 4, request.find('\r', begin) - begin - 4);
+  connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\nId: ", id,
+                                "\r\nDigest: d\r\nContent-Length: 0\r\n\r\n"));
+}
+
+}  // namespace
+
+TEST_CASE("a refused request must not reach a target from any state") {
+  RawTarget target([](RawConnection& connection) {
+    if (connection.ReadRequest().empty()) {
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    connection.Reset();
+  });
+  Host host;
+  const PoisonView poison{.refused = {FingerprintOf("/x")}};
+
+  SUBCASE("it arrives after the verdict") {
+    host.SetView({target.address()}, poison);
+    host.Start("/x");
+    REQUIRE(host.answers.size() == 1);
+    CHECK(host.answers[0].error == ErrorKind::kCrashedTargets);
+    CHECK(target.connections() == 0);
+  }
+
+  SUBCASE("the verdict is about this caller's requests only") {
+    const std::string other =
+        core::request::CallerFingerprint("10.9.9.9", FingerprintOf("/x"));
+    host.SetView({}, {.refused = {other}});
+    host.Start("/x");
+    CHECK(host.answers.empty());
+    host.SetView({}, {.refused = {core::request::CallerFingerprint(
+                          kCaller, FingerprintOf("/x"))}});
+    CHECK(host.answers.size() == 1);
+  }
+
+  SUBCASE("it waits for a target when the verdict arrives") {
+    host.SetView({});
+    host.Start("/x");
+    host.Start("/y");
+    CHECK(host.answers.empty());
+    host.SetView({}, poison);
+    REQUIRE(host.answers.size() == 1);
+    CHECK(host.answers[0].error == ErrorKind::kCrashedTargets);
+  }
+
+  SUBCASE("it is about to be sent again when the verdict arrives") {
+    host.SetView({target.address()});
+    host.Start("/x");
+    host.RunUntil([&target] { return target.connections() == 1; });
+    host.SetView({target.address()}, poison);
+    host.RunUntilAnswered();
+    REQUIRE(host.answers.size() == 1);
+    CHECK(host.answers[0].error == ErrorKind::kCrashedTargets);
+    CHECK(target.connections() == 1);
+  }
+}
+
+// Targets are declared before the host, which has to close its connections
+// before they can end.
+TEST_CASE("requests must be suspected only when their target has ended") {
+  SUBCASE("its port is closed when the connection ends") {
+    RawTarget* ended = nullptr;
+    RawTarget target([&ended](RawConnection& connection) {
+      connection.ReadRequest();
+      ended->Stop();
+      connection.Reset();
+    });
+    ended = &target;
+
+    SUBCASE("while it was in use") {
+      Host host;
+      host.SetView({target.address()});
+      host.Start("/x");
+      host.RunUntil([&host] { return host.crashes.size() == 2; });
+      REQUIRE(host.crashes.size() == 2);
+      CHECK(host.crashes[0].key.fingerprint ==
+            core::request::CallerFingerprint(kCaller, FingerprintOf("/x")));
+      CHECK(host.crashes[1].key.fingerprint == FingerprintOf("/x"));
+      CHECK(host.crashes[0].target == target.address() + "/1");
+      CHECK(host.crashes[0].release ==
+            core::request::TargetRelease{.service = "s", .version = "v1"});
+    }
+
+    SUBCASE("but the same content was answered a moment before") {
+      RawTarget good([](RawConnection& connection) {
+        Respond(connection, connection.ReadRequest());
+      });
+      Host host;
+      host.SetView({good.address()});
+      host.Start("/x");
+      host.RunUntilAnswered();
+      host.SetView({target.address()});
+      host.Start("/x");
+      host.RunFor(kProbed);
+      CHECK(host.crashes.empty());
+    }
+  }
+
+  SUBCASE("it had left the list before, so that its end was planned") {
+    RawTarget* ended = nullptr;
+    RawTarget target([&ended](RawConnection& connection) {
+      connection.ReadRequest();
+      std::this_thread::sleep_for(milliseconds(200));
+      ended->Stop();
+      connection.Reset();
+    });
+    ended = &target;
+    Host host;
+    host.SetView({target.address()});
+    host.Start("/x");
+    host.RunUntil([&target] { return target.connections() == 1; });
+    host.SetView({});
+    host.RunFor(kProbed);
+    CHECK(host.crashes.empty());
+  }
+
+  SUBCASE("it resets connections, but lives") {
+    RawTarget target([](RawConnection& connection) {
+      connection.ReadRequest();
+      connection.Reset();
+    });
+    Host host;
+    host.SetView({target.address()});
+    host.Start("/x");
+    host.RunFor(kProbed);
+    CHECK(host.crashes.empty());
+    CHECK_FALSE(host.answers.empty());
+  }
+}
+
+TEST_CASE("a host must speak for suspected requests that it saw answered") {
+  RawTarget target([](RawConnection& connection) {
+    Respond(connection, connection.ReadRequest());
+  });
+  Host host;
+  const PoisonView suspicion{.suspected = {{FingerprintOf("/x"), "v1"}}};
+
+  SUBCASE("before the suspicion") {
+    host.SetView({target.address()});
+    host.Start("/x");
+    host.RunUntilAnswered();
+    CHECK(host.proofs.empty());
+    host.SetView({target.address()}, suspicion);
+  }
+  SUBCASE("after it") {
+    host.SetView({target.address()}, suspicion);
+    host.Start("/x");
+    host.RunUntilAnswered();
+  }
+  REQUIRE(host.proofs.size() == 1);
+  CHECK(host.proofs[0].fingerprint == FingerprintOf("/x"));
+  CHECK(host.proofs[0].version == "v1");
+}
+
+}  // namespace toucandock::entry
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -46,7 +46,8 @@
                     "a",
                     {},
                     DispatchTerms{},
-                    [](const core::keyspace::LoadReport&) {}) {
+                    {.report_load = [](const core::keyspace::LoadReport&) {},
+                     .report_poison = [](const PoisonNews&) {}}) {
     const core::discovery::TargetLife life{.id = "t1", .born = 1};
     auto view = std::make_shared<RoutingView>();
     core::routing::RouteConfig config{.version = 1};
--- a/tests/entry/peer_json_test.cc
+++ b/tests/entry/peer_json_test.cc
@@ -50,6 +50,7 @@
 
 TEST_CASE("what hosts tell each other must arrive as it was sent") {
   const PeerGreeting answer{.is_answer = true,
+                            .poison_digest = 17,
                             .config = {.next = 3, .fresh = true},
                             .targets = {.next = 70},
                             .ownership = {.next = 9, .fresh = true},
@@ -58,10 +59,12 @@
                             .has_duty = true,
                             .substitutes = {"10.0.0.1:7620", "10.0.0.2:7620"}};
   CHECK(*DecodeGreeting(EncodeGreeting(answer)) == answer);
-  const PeerGreeting hello{.store_lost = true};
+  const PeerGreeting hello{.store_lost = true, .poison_digest = 4'000'000'000};
   CHECK(*DecodeGreeting(EncodeGreeting(hello)) == hello);
-  CHECK_FALSE(DecodeGreeting("[1,2]").ok());
-  CHECK_FALSE(DecodeGreeting("[1,1,1,1,1,1,1,1,1,7]").ok());
+  CHECK_FALSE(DecodeGreeting("[1]").ok());
+  CHECK_FALSE(DecodeGreeting("[1,2,3]").ok());
+  CHECK_FALSE(DecodeGreeting("[1,4294967296]").ok());
+  CHECK_FALSE(DecodeGreeting("[1,1,1,1,1,1,1,1,1,1,7]").ok());
   CHECK_FALSE(DecodeGreeting(R"([1,1,1,1,1,1,1,"x",1])").ok());
 
   const core::keyspace::LoadReport report{
--- /dev/null
+++ b/tests/entry/poison_control_test.cc
@@ -0,0 +1,378 @@
+#include "entry/poison_control.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucandock::entry {
+namespace {
+
+using core::request::CrashReport;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr core::Duration kTick = milliseconds(100);
+// Greetings, in which digests are compared.
+constexpr int kTicksPerGreeting = 3;
+constexpr core::Duration kContact = seconds(3);
+
+CrashReport Crash(const std::string& content, const std::string& target) {
+  return {.key = {.fingerprint = content},
+          .target = target,
+          .crash_limit = kCrashLimit,
+          .release = {.service = "lodger", .version = "v1"}};
+}
+
+// Hosts that greet the first one, which has the duty, and a store. Messages and
+// calls take no time; what is cut is lost.
+class Hosts {
+ public:
+  explicit Hosts(size_t count) {
+    for (size_t n = 0; n < count; ++n) {
+      hosts_.emplace_back();
+    }
+    for (size_t n = 0; n < count; ++n) {
+      Start(n);
+    }
+  }
+
+  // A new process, which reads the store if it can.
+  void Start(size_t n) {
+    hosts_[n].control = std::make_unique<PoisonControl>(
+        PoisonControlTerms{},
+        PoisonControlHooks{
+            .now = [this] { return now_; },
+            .wall_now = [this] { return WallTime(now_.time_since_epoch()); },
+            .broadcast = [this, n](const std::string& text) { Send(n, text); },
+            .store = [this, n](const std::string& value,
+                               auto done) { Write(n, value, done); },
+            .changed = [] {}});
+    hosts_[n].read = 0;
+    Read(n);
+  }
+
+  void Pass(core::Duration time) {
+    for (const core::TimePoint end = now_ + time; now_ < end;) {
+      now_ += kTick;
+      ++ticks_;
+      for (size_t n = 0; n < hosts_.size(); ++n) {
+        hosts_[n].control->Tick(n == 0);
+        Read(n);
+        if (ticks_ % kTicksPerGreeting == 0) {
+          Greet(n);
+        }
+      }
+    }
+  }
+
+  void Report(size_t n, const CrashReport& crash) {
+    hosts_[n].control->OnOwnNews({.crashes = {crash}});
+  }
+
+  PoisonControl& control(size_t n) { return *hosts_[n].control; }
+  bool Refuses(size_t n, const std::string& content) {
+    return control(n).view()->refused.contains(content);
+  }
+  size_t AllThatRefuse(const std::string& content) {
+    size_t count = 0;
+    for (size_t n = 0; n < hosts_.size(); ++n) {
+      count += Refuses(n, content) ? 1 : 0;
+    }
+    return count;
+  }
+
+  bool peers_cut = false;
+  bool loses_first_messages = false;
+  // Of the hosts that are cut off from the store.
+  std::vector<bool> store_cut = std::vector<bool>(16, false);
+  size_t messages = 0;
+  std::vector<std::string> records;
+
+ private:
+  struct Host {
+    std::unique_ptr<PoisonControl> control;
+    size_t read = 0;
+  };
+
+  void Deliver(size_t to, const std::string& text) {
+    ++messages;
+    const auto news = DecodePoisonNews(text);
+    REQUIRE(news.ok());
+    hosts_[to].control->OnPeerNews(*news);
+  }
+
+  // Each host knows the one with the duty, which knows all.
+  void Send(size_t from, const std::string& text) {
+    if (peers_cut || loses_first_messages) {
+      return;
+    }
+    for (size_t n = 0; n < hosts_.size(); ++n) {
+      if (n != from && (n == 0 || from == 0)) {
+        Deliver(n, text);
+      }
+    }
+  }
+
+  void Greet(size_t n) {
+    if (n == 0 || peers_cut) {
+      return;
+    }
+    const auto compare = [this](size_t from, size_t to) {
+      if (control(from).Digest() != control(to).Digest()) {
+        for (const std::string& it : control(from).Messages()) {
+          Deliver(to, it);
+        }
+      }
+    };
+    compare(0, n);
+    compare(n, 0);
+    control(n).OnDutyHostDigest(control(0).Digest());
+  }
+
+  void Write(size_t n,
+             const std::string& value,
+             const std::function<void(bool)>& done) {
+    if (!store_cut[n]) {
+      records.push_back(value);
+    }
+    done(!store_cut[n]);
+  }
+
+  void Read(size_t n) {
+    Host& host = hosts_[n];
+    if (store_cut[n]) {
+      return;
+    }
+    for (; host.read < records.size(); ++host.read) {
+      host.control->OnRecord(records[host.read]);
+    }
+  }
+
+  core::TimePoint now_{std::chrono::hours(1'000)};
+  int ticks_ = 0;
+  std::vector<Host> hosts_;
+};
+
+}  // namespace
+
+TEST_CASE("hosts must add up the crashes that each of them saw") {
+  Hosts hosts(4);
+  const auto crash_at_three = [&hosts] {
+    for (size_t n = 1; n < 4; ++n) {
+      hosts.Report(n, Crash("f", absl::StrCat("i-", n, "/1")));
+    }
+  };
+
+  SUBCASE("two crashes are no verdict") {
+    hosts.Report(1, Crash("f", "i-1/1"));
+    hosts.Report(2, Crash("f", "i-2/1"));
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 0);
+  }
+
+  SUBCASE("several hosts had copies at one target, which ended once") {
+    for (size_t n = 0; n < 4; ++n) {
+      hosts.Report(n, Crash("f", "i-1/1"));
+    }
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 0);
+  }
+
+  SUBCASE("three hosts saw one each") {
+    crash_at_three();
+    CHECK(hosts.AllThatRefuse("f") == 4);
+    hosts.Pass(kContact);
+    // One record for crashes of one moment, and none when nothing is new.
+    CHECK(hosts.records.size() == 1);
+
+    SUBCASE("and a host that starts later reads them") {
+      hosts.peers_cut = true;
+      hosts.Start(2);
+      hosts.Pass(kTick);
+      CHECK(hosts.Refuses(2, "f"));
+    }
+
+    SUBCASE("and all hosts start anew at once") {
+      for (size_t n = 0; n < 4; ++n) {
+        hosts.Start(n);
+      }
+      hosts.Pass(kTick);
+      CHECK(hosts.AllThatRefuse("f") == 4);
+    }
+  }
+
+  SUBCASE("the messages of the first moment are lost") {
+    hosts.loses_first_messages = true;
+    crash_at_three();
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 4);
+  }
+
+  SUBCASE("the store is away for all") {
+    hosts.store_cut.assign(16, true);
+    crash_at_three();
+    CHECK(hosts.AllThatRefuse("f") == 4);
+
+    SUBCASE("and is told when it is back") {
+      hosts.Pass(kContact);
+      hosts.store_cut.assign(16, false);
+      hosts.Pass(seconds(2));
+      CHECK_FALSE(hosts.records.empty());
+    }
+  }
+
+  SUBCASE("the store is away for the host with the duty only") {
+    hosts.store_cut[0] = true;
+    crash_at_three();
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 4);
+  }
+
+  SUBCASE("the hosts do not reach each other, but the store") {
+    hosts.peers_cut = true;
+    crash_at_three();
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 4);
+  }
+
+  SUBCASE("a host was paused meanwhile") {
+    hosts.peers_cut = true;
+    hosts.store_cut[3] = true;
+    hosts.Report(1, Crash("f", "i-1/1"));
+    hosts.Report(2, Crash("f", "i-2/1"));
+    hosts.Report(2, Crash("f", "i-3/1"));
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 3);
+    hosts.peers_cut = false;
+    hosts.Pass(seconds(1));
+    CHECK(hosts.Refuses(3, "f"));
+  }
+}
+
+TEST_CASE("a whole answer anywhere must clear a request everywhere") {
+  Hosts hosts(4);
+  for (const char* target : {"i-1/1", "i-2/1", "i-3/1"}) {
+    hosts.Report(1, Crash("f", target));
+  }
+  REQUIRE(hosts.AllThatRefuse("f") == 4);
+
+  SUBCASE("of a copy that was under way through another host") {
+    hosts.control(3).OnOwnNews(
+        {.proofs = {{.fingerprint = "f", .version = "v1"}}});
+    CHECK(hosts.AllThatRefuse("f") == 0);
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 0);
+  }
+
+  SUBCASE("even when the message about it is lost") {
+    hosts.loses_first_messages = true;
+    hosts.control(3).OnOwnNews(
+        {.proofs = {{.fingerprint = "f", .version = "v1"}}});
+    hosts.loses_first_messages = false;
+    hosts.Pass(kContact);
+    CHECK(hosts.AllThatRefuse("f") == 0);
+  }
+
+  SUBCASE("but not one of another version of the service") {
+    hosts.control(3).OnOwnNews(
+        {.crashes = {Crash("g", "i-1/1")},
+         .proofs = {{.fingerprint = "g", .version = "v0"}}});
+    CHECK(hosts.control(0).view()->suspected.contains("g"));
+  }
+}
+
+TEST_CASE("many or false reports must cost bounded memory and messages") {
+  Hosts hosts(3);
+  PoisonNews news;
+  for (int n = 0; n < 5'000; ++n) {
+    news.crashes.push_back(Crash(absl::StrCat("f", n), "i-1/1"));
+    if (news.crashes.size() == kMostNews) {
+      hosts.control(1).OnPeerNews(news);
+      news = {};
+    }
+  }
+  hosts.Pass(seconds(10));
+  const size_t most = 2 * PoisonControlTerms{}.registry.requests;
+  CHECK(hosts.control(0).view()->suspected.size() <= most);
+  for (const std::string& it : hosts.control(1).Messages()) {
+    CHECK(it.size() < 60'000);
+  }
+  for (const std::string& it : hosts.records) {
+    CHECK(it.size() < 262'144);
+  }
+  // Two hosts tell the third and each other; each greeting holds 4 messages.
+  CHECK(hosts.messages < 2 * 2 * 4 * 40);
+}
+
+TEST_CASE("damaged or oversized news of crashes must be turned away") {
+  const PoisonNews news{.crashes = {Crash("f", "i-1/1")},
+                        .proofs = {{.fingerprint = "g", .version = "v1"}}};
+  REQUIRE(*DecodePoisonNews(EncodePoisonNews(news)) == news);
+  const std::string huge(1'000'000, 'x');
+  const std::string deep = std::string(50'000, '[') + std::string(50'000, ']');
+  const std::vector<std::string> bad = {
+      "",
+      "P",
+      "P[]",
+      "P{}",
+      R"(P{"crashes":[]})",
+      R"(P{"crashes":{},"proofs":[]})",
+      R"(P{"crashes":[7],"proofs":[]})",
+      R"(P{"crashes":[["f","t","s","v"]],"proofs":[]})",
+      R"(P{"crashes":[["f","t","s","v",-1]],"proofs":[]})",
+      R"(P{"crashes":[["f","t","s","v",1e300]],"proofs":[]})",
+      R"(P{"crashes":[["f","t","s","v",99999999999]],"proofs":[]})",
+      R"(P{"crashes":[["","t","s","v",1]],"proofs":[]})",
+      R"(P{"crashes":[["f","t",7,"v",1]],"proofs":[]})",
+      R"(P{"crashes":[],"proofs":[["f"]]})",
+      R"(P{"crashes":[],"crashes":[],"proofs":[]})",
+      absl::StrCat(R"(P{"crashes":[[")", huge,
+                   R"(","t","s","v",1]],"proofs":[]})"),
+      absl::StrCat("P", deep),
+      absl::StrCat(R"(P{"proofs":[],"crashes":)", deep, "}"),
+      std::string("P\xff\x00\x01", 4)};
+  for (const std::string& it : bad) {
+    CAPTURE(it.substr(0, 80));
+    CHECK_FALSE(DecodePoisonNews(it).ok());
+  }
+  PoisonNews many;
+  for (size_t n = 0; n <= kMostNews; ++n) {
+    many.crashes.push_back(Crash("f", absl::StrCat("i-", n)));
+  }
+  CHECK_FALSE(DecodePoisonNews(EncodePoisonNews(many)).ok());
+}
+
+TEST_CASE("one odd entry of the stored record must cost itself only") {
+  const WallTime now{std::chrono::hours(500'000)};
+  const std::string good = EncodePoisonRecord({Crash("f", "i-1/1")}, now);
+  const auto whole = DecodePoisonRecord(good, now + seconds(5));
+  REQUIRE(whole.ok());
+  REQUIRE(whole->size() == 1);
+  CHECK(whole->front().age == seconds(5));
+
+  const std::string entry = good.substr(good.find("[["));
+  for (const char* odd :
+       {"7", "[]", R"([1,2,3,4,5])", R"(["f","t","s","v","now"])",
+        R"(["f","t","s","v",1e400])", R"(["f","t","s","v",-5])"}) {
+    CAPTURE(odd);
+    const auto crashes = DecodePoisonRecord(
+        absl::StrCat(R"({"crashes":[)", odd, ",", entry.substr(1)), now);
+    // A number beyond every type makes the text no JSON.
+    if (crashes.ok()) {
+      CHECK(crashes->size() == 1);
+    }
+  }
+
+  SUBCASE("the clock of its writer is ahead") {
+    const auto ahead = DecodePoisonRecord(good, now - seconds(20));
+    REQUIRE(ahead.ok());
+    REQUIRE(ahead->size() == 1);
+    CHECK(ahead->front().age == seconds(0));
+  }
+}
+
+}  // namespace toucandock::entry
--- a/tests/entry/traffic_test.cc
+++ b/tests/entry/traffic_test.cc
@@ -48,7 +48,8 @@
                   .caller_address = "127.0.0.1:0",
                   .readiness_address = "127.0.0.1:0"},
                  {.request_id = "Id"},
-                 [](const core::keyspace::LoadReport&) {}) {
+                 {.report_load = [](const core::keyspace::LoadReport&) {},
+                  .report_poison = [](const PoisonNews&) {}}) {
     REQUIRE(traffic_.Listen().ok());
     auto view = std::make_shared<RoutingView>();
     view->routes =
--- a/tests/process/poison_request_test.cc
+++ b/tests/process/poison_request_test.cc
@@ -159,6 +159,36 @@
     const auto records = scene.SendFor(milliseconds(9'000), kUnsafe, all);
     scene.CheckContained();
     CheckRefused(records.back());
+    const size_t ended = scene.Crashes().size();
+
+    SUBCASE("also by a host that starts later") {
+      scene.fleet.host(1).process->Kill();
+      scene.fleet.StartHost(1);
+      scene.fleet.WaitUntilReady();
+      CheckRefused(scene.Send(1, kUnsafe));
+    }
+
+    SUBCASE("also when all hosts were killed at once") {
+      for (const size_t host : all) {
+        scene.fleet.host(host).process->Kill();
+      }
+      for (const size_t host : all) {
+        scene.fleet.StartHost(host);
+      }
+      scene.fleet.WaitUntilReady();
+      for (const size_t host : all) {
+        CheckRefused(scene.Send(host, kUnsafe));
+      }
+    }
+    CHECK(scene.Crashes().size() == ended);
+  }
+
+  SUBCASE("while the store is away, so that only hosts tell each other") {
+    REQUIRE(scene.fleet.SetStoreFault("down=1"));
+    const auto records = scene.SendFor(milliseconds(6'000), kUnsafe, all);
+    scene.CheckContained();
+    CheckRefused(records.back());
+    REQUIRE(scene.fleet.SetStoreFault("down=0"));
   }
 
   SUBCASE("one for a key, whose owners end one after the other") {
--- a/tests/proxy/caller_front_test.cc
+++ b/tests/proxy/caller_front_test.cc
@@ -130,7 +130,7 @@
             .on_answer =
                 [this](const core::request::PoisonKey& key) {
                   const std::lock_guard<std::mutex> lock(mutex_);
-                  poison_.Prove(key, Now());
+                  poison_.Prove(key, "", Now());
                 },
             .wait_for_slot =
                 [this](const SlotRequest& it) { return gate_.Wait(it); },
