Read damaged YAML texts without looping for ever

A settings file, or a configuration of toucandockd, that is damaged in some ways let the process loop and take memory without end. Cause: YAML::LoadAll finds the same document again after some tokens. Change: at most two documents are looked for, then the first is loaded.

--- a/src/codec/yaml_reader.cc
+++ b/src/codec/yaml_reader.cc
@@ -1,7 +1,10 @@
 #include "codec/yaml_reader.h"
 
+#include <yaml-cpp/eventhandler.h>
+
 #include <algorithm>
 #include <limits>
+#include <sstream>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -17,6 +20,48 @@
   return std::max(node.Mark().line, 0) + 1;
 }
 
+// Notes where the first node of a document stands.
+class FirstNode : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark& mark) override { mark_ = mark; }
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& mark, YAML::anchor_t) override { Note(mark); }
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override { Note(mark); }
+  void OnScalar(const YAML::Mark& mark,
+                const std::string&,
+                YAML::anchor_t,
+                const std::string&) override {
+    Note(mark);
+  }
+  void OnSequenceStart(const YAML::Mark& mark,
+                       const std::string&,
+                       YAML::anchor_t,
+                       YAML::EmitterStyle::value) override {
+    Note(mark);
+  }
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark& mark,
+                  const std::string&,
+                  YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {
+    Note(mark);
+  }
+  void OnMapEnd() override {}
+
+  int line() const { return std::max(mark_.line, 0) + 1; }
+
+ private:
+  void Note(const YAML::Mark& mark) {
+    if (!noted_) {
+      noted_ = true;
+      mark_ = mark;
+    }
+  }
+
+  YAML::Mark mark_;
+  bool noted_ = false;
+};
+
 }  // namespace
 
 void YamlFaults::Add(int line,
@@ -255,13 +300,17 @@
                       const std::string& text,
                       YAML::Node& root) {
   try {
-    const std::vector<YAML::Node> documents = YAML::LoadAll(text);
-    if (documents.size() > 1) {
+    // Not LoadAll(): on some damaged texts it finds the same document for ever.
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    FirstNode first;
+    FirstNode second;
+    if (parser.HandleNextDocument(first) && parser.HandleNextDocument(second)) {
       return absl::InvalidArgumentError(absl::StrCat(
-          file, ":", LineOfNode(documents[1]),
+          file, ":", second.line(),
           ": a second document starts here; remove the line with ---"));
     }
-    root = documents.empty() ? YAML::Node() : documents[0];
+    root = YAML::Load(text);
   } catch (const YAML::Exception& e) {
     return absl::InvalidArgumentError(
         absl::StrCat(file, ":", e.mark.line + 1, ": not YAML: ", e.msg));
