Let an odd entry of another writer cost itself only

Other operators saw hosts end, or stop following the list of targets, because of one odd entry. Deep nesting did not end a host.

--- a/src/codec/json.cc
+++ b/src/codec/json.cc
@@ -39,6 +39,13 @@
   return absl::InvalidArgumentError(absl::StrCat("not JSON: ", errors));
 }
 
+bool IsShortToken(const std::string& text) {
+  constexpr size_t kMostBytes = 255;
+  return !text.empty() && text.size() <= kMostBytes &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return absl::ascii_isgraph(c); });
+}
+
 std::string WriteJson(const Json::Value& value) {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
@@ -76,6 +83,24 @@
   return value.asUInt64();
 }
 
+std::uint64_t ObjectReader::UintUpTo(const char* name, std::uint64_t most) {
+  const std::uint64_t value = Uint(name);
+  if (value > most) {
+    Fail(absl::StrCat("'", name, "' is above ", most));
+    return 0;
+  }
+  return value;
+}
+
+std::string ObjectReader::Name(const char* name) {
+  std::string value = String(name);
+  if (!IsShortToken(value)) {
+    Fail(absl::StrCat("'", name, "' is not a name"));
+    return "";
+  }
+  return value;
+}
+
 bool ObjectReader::Bool(const char* name) {
   const Json::Value& value = Get(name);
   if (!value.isBool()) {
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -15,6 +15,9 @@
 
 absl::StatusOr<Json::Value> ParseJson(const std::string& text);
 
+// 1 to 255 visible ASCII characters, without spaces.
+bool IsShortToken(const std::string& text);
+
 std::string WriteJson(const Json::Value& value);
 
 Json::Value Uint(std::uint64_t value);
@@ -27,6 +30,10 @@
 
   std::string String(const char* name);
   std::uint64_t Uint(const char* name);
+  // An error beyond `most`, so that no cast cuts the number down to another.
+  std::uint64_t UintUpTo(const char* name, std::uint64_t most);
+  // A name that may stand in a header: up to 255 visible ASCII characters.
+  std::string Name(const char* name);
   bool Bool(const char* name);
   double Number(const char* name);
   std::chrono::nanoseconds Nanoseconds(const char* name);
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -24,6 +24,7 @@
   return static_cast<Json::ArrayIndex>(lives.size() - 1);
 }
 
+constexpr std::uint64_t kMostHosts = 100'000;
 // Longer times count as this one.
 constexpr std::chrono::milliseconds kMostStoreUp{std::chrono::hours(1)};
 
@@ -252,6 +253,10 @@
   if (!(*json)[json->size() == kHelloSize ? 1 : 9].isUInt()) {
     return absl::InvalidArgumentError("a digest has 32 bits");
   }
+  // The number of hosts divides what they share.
+  if (json->size() >= kAnswerSize && (*json)[6].asUInt64() > kMostHosts) {
+    return absl::InvalidArgumentError("more hosts than a fleet can have");
+  }
   if (json->size() == kHelloSize) {
     return PeerGreeting{.store_lost = (*json)[0].asUInt64() != 0,
                         .poison_digest = (*json)[1].asUInt()};
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -4,12 +4,14 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/system/error_code.hpp>
 #include <cerrno>
 #include <cstdint>
 #include <iterator>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 
 namespace toucandock::net {
@@ -30,8 +32,11 @@
 absl::StatusOr<Tcp::endpoint> ParseEndpoint(const std::string& address) {
   const size_t colon = address.rfind(':');
   std::uint32_t port = 0;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port > 65'535) {
+  // The number parser would skip spaces.
+  const std::string digits =
+      colon == std::string::npos ? "" : address.substr(colon + 1);
+  if (!std::all_of(digits.begin(), digits.end(), absl::ascii_isdigit) ||
+      !absl::SimpleAtoi(digits, &port) || port > 65'535) {
     return absl::InvalidArgumentError("'" + address + "' is not IP:PORT");
   }
   boost::system::error_code ec;
--- a/tests/process/platform_fleet.cc
+++ b/tests/process/platform_fleet.cc
@@ -129,14 +129,26 @@
       R"("/healthz","maxConnections":130,"sharded":true},{"name":"lodger",)"
       R"("healthPath":"/healthz","maxConnections":130}]})",
       ++config_version_, rules);
+  return Append("keyed.op", "operator", "config", text);
+}
+
+bool PlatformFleet::WriteTargetEntry(const std::string& id,
+                                     const std::string& text) {
+  return Append("keyed.servers", "target", id, text);
+}
+
+bool PlatformFleet::Append(const std::string& topic,
+                           const std::string& writer,
+                           const std::string& key,
+                           const std::string& value) {
   const http::ExchangeResult result = client_.Exchange(
       store_address_,
       {.method = "POST",
        .path = "/log-append",
-       .query = "topic=keyed.op&part=0",
-       .headers = {{"Stand-In-Writer", "operator"}},
+       .query = absl::StrCat("topic=", topic, "&part=0"),
+       .headers = {{"Stand-In-Writer", writer}},
        .body = platform::EncodeFrame(
-           platform::EncodeKeyedRecord({.key = "config", .value = text}))},
+           platform::EncodeKeyedRecord({.key = key, .value = value}))},
       {.timeout = kCallTimeout});
   return result.progress == http::Progress::kComplete &&
          result.response.status == 200;
--- a/tests/process/platform_fleet.h
+++ b/tests/process/platform_fleet.h
@@ -59,6 +59,8 @@
 
   // Writes the next version of the configuration to the store.
   bool PublishConfig(std::chrono::milliseconds timeout);
+  // Writes an entry to the list of targets, as another writer.
+  bool WriteTargetEntry(const std::string& id, const std::string& text);
   bool IsReady(size_t host);
   void WaitUntilReady();
   std::string Metrics(size_t host);
@@ -89,6 +91,10 @@
   bool Post(const std::string& address,
             const std::string& path,
             const std::string& query);
+  bool Append(const std::string& topic,
+              const std::string& writer,
+              const std::string& key,
+              const std::string& value);
 
   const PlatformFleetOptions options_;
   WorkFolder folder_;
--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -88,6 +88,54 @@
   CheckPromises(fleet, load.Stop(), {{.from = began, .to = ended}});
 }
 
+// Guards against hosts that end, or stop following the list of targets, because
+// of an entry that no target writes (issue 16).
+TEST_CASE("on the platform, odd entries of another writer stop no host") {
+  PlatformFleet fleet({});
+  Prepare(fleet);
+  PlatformLoad load(fleet, {});
+  WaitForAll(fleet, load, 20);
+  const std::string entry =
+      R"({"service":"lodger","address":"127.0.0.1:%s","zone":"z","version":)"
+      R"("v1","concurrency":%s,"state":"ready","warmupLeft":"%s",)"
+      R"("sequence":1,"born":%s})";
+  const auto with = [&entry](const char* port, const char* slots,
+                             const char* warm_up, const char* born) {
+    std::string text = entry;
+    for (const char* it : {port, slots, warm_up, born}) {
+      text.replace(text.find("%s"), 2, it);
+    }
+    return text;
+  };
+  const std::string deep(20'000, '[');
+  REQUIRE(fleet.WriteTargetEntry("odd-1", deep));
+  REQUIRE(fleet.WriteTargetEntry("odd-2", with("99999", "4", "0ms", "7")));
+  REQUIRE(fleet.WriteTargetEntry("odd-3", with("0", "4", "0ms", "7")));
+  REQUIRE(fleet.WriteTargetEntry("odd-4", with("80", "1e400", "0ms", "7")));
+  REQUIRE(fleet.WriteTargetEntry("odd-5", with("80", "4", "nans", "7")));
+  REQUIRE(fleet.WriteTargetEntry("a b&after=%\r\nX: 1",
+                                 with("80", "4", "0ms", "7")));
+  REQUIRE(fleet.WriteTargetEntry("\xff\xfe", with("80", "4", "0ms", "7")));
+  REQUIRE(fleet.WriteTargetEntry(
+      "i-0", with("80", "4", "0ms", "18446744073709551615")));
+
+  SUBCASE("and the list is followed on") {
+    fleet.target(4).process->Kill();
+    fleet.StartTarget(4);
+    WaitForAll(fleet, load, 100);
+  }
+  SUBCASE("and a host that starts reads it") {
+    fleet.host(0).process->Kill();
+    fleet.StartHost(0);
+    load.WaitForAnswers(0, 100, kRecovery);
+  }
+  for (size_t n = 0; n < fleet.host_count(); ++n) {
+    CHECK_FALSE(fleet.host(n).process->exit_code());
+  }
+  const FaultInterval whole{.from = {}, .to = Clock::time_point::max()};
+  CheckPromises(fleet, load.Stop(), {whole});
+}
+
 TEST_CASE("on the platform, a planned stop cuts no request") {
   PlatformFleet fleet({});
   Prepare(fleet);
