Tie an answer to its request by its id, or by a connection of its own

Other operators' callers were told 'not run, try again' for requests that a target had run, after a faulty target had written an earlier refusal once more on a kept connection. Cause here: an answer without an id, or with two, was taken for the answer to whatever request was under way, and a request that was refused could be sent again under the same id over the same connection.

Change: without an id, only the first answer of a connection counts; on a kept one it is no answer, and the outcome is unknown. Two ids that differ are no answer. A request takes no connection that carried it before, and one without an id takes a new one.

Open: answers to grants bear no id; a repeated one on a kept connection cannot be told apart.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -324,6 +324,34 @@
   return true;
 }
 
+// The most recently used connection that still works and has not carried the
+// request before. Answers to requests without an id can only be told apart on
+// connections of their own.
+std::shared_ptr<TargetConnection> Dispatcher::TakeIdleConnection(
+    const Exchange& exchange,
+    TargetHandle& handle,
+    milliseconds most_idle) {
+  if (exchange.request_id.empty()) {
+    return nullptr;
+  }
+  const auto is_used = [&exchange](const auto& connection) {
+    return std::any_of(
+        exchange.used_connections.begin(), exchange.used_connections.end(),
+        [&connection](const auto& it) { return it.lock() == connection; });
+  };
+  for (size_t n = handle.idle.size(); n > 0; --n) {
+    std::shared_ptr<TargetConnection> it = handle.idle[n - 1];
+    if (is_used(it)) {
+      continue;
+    }
+    handle.idle.erase(handle.idle.begin() + static_cast<std::ptrdiff_t>(n) - 1);
+    if (it->IsUsable(most_idle)) {
+      return it;
+    }
+  }
+  return nullptr;
+}
+
 void Dispatcher::SendTo(const ExchangePtr& exchange,
                         const HandlePtr& handle,
                         TimePoint now) {
@@ -336,14 +364,7 @@
   const milliseconds most_idle = exchange->route->idempotent
                                      ? terms_.kept_connection
                                      : terms_.fresh_connection;
-  exchange->connection = nullptr;
-  while (!handle->idle.empty() && !exchange->connection) {
-    std::shared_ptr<TargetConnection> it = std::move(handle->idle.back());
-    handle->idle.pop_back();
-    if (it->IsUsable(most_idle)) {
-      exchange->connection = std::move(it);
-    }
-  }
+  exchange->connection = TakeIdleConnection(*exchange, *handle, most_idle);
   if (exchange->attempts > 1) {
     metrics_.CountRetry(exchange->service);
   }
@@ -352,6 +373,7 @@
     exchange->connection =
         std::make_shared<TargetConnection>(io_, handle->endpoint, names_);
   }
+  exchange->used_connections.push_back(exchange->connection);
   net::HttpRequest request = exchange->request;
   RemoveHopHeaders(request);
   const milliseconds left = ToMilliseconds(exchange->answer_by - now);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -137,6 +137,10 @@
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
   HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
   bool HasConnectionRoom(const TargetHandle& handle) const;
+  static std::shared_ptr<TargetConnection> TakeIdleConnection(
+      const Exchange& exchange,
+      TargetHandle& handle,
+      std::chrono::milliseconds most_idle);
   void SendTo(const ExchangePtr& exchange,
               const HandlePtr& handle,
               core::TimePoint now);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -46,6 +46,10 @@
   std::vector<core::discovery::TargetLife> tried;
   std::shared_ptr<TargetHandle> at;
   std::shared_ptr<TargetConnection> connection;
+  // Connections of earlier attempts. All attempts bear the same id, so that
+  // what a target writes once more there could be taken for the answer to a
+  // later attempt.
+  std::vector<std::weak_ptr<TargetConnection>> used_connections;
   core::TimePoint sent_at{};
 };
 
--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -143,10 +143,12 @@
   net::HttpResponse response = parser_->release();
   const bool interim = http::to_status_class(response.result()) ==
                        http::status_class::informational;
-  const auto id = response.find(names_.request_id);
-  const bool foreign =
-      id != response.end() && id->value() != request_[names_.request_id];
-  if (interim || foreign) {
+  const AnswerOwner owner = OwnerOf(response);
+  if (owner == AnswerOwner::kUnclear && !interim) {
+    Break(AttemptCause::kBadAnswer);
+    return;
+  }
+  if (interim || owner == AnswerOwner::kOther) {
     if (++skipped_answers_ > kMostSkippedAnswers || ends_with_connection) {
       Break(AttemptCause::kBadAnswer);
       return;
@@ -155,11 +157,35 @@
     return;
   }
   const bool keep = !ends_with_connection && response.keep_alive() &&
-                    written_ && buffer_.size() == 0 && id != response.end();
+                    written_ && buffer_.size() == 0 &&
+                    response.count(names_.request_id) > 0;
   idle_limit_ = AnnouncedIdle(response);
   Finish(Judge(std::move(response)), keep);
 }
 
+// To which request an answer belongs. Without an id, only the first answer of a
+// connection is surely that to its first request: on a kept one, it may be an
+// answer to an earlier request that the target has written once more.
+TargetConnection::AnswerOwner TargetConnection::OwnerOf(
+    const net::HttpResponse& response) const {
+  const auto ids = response.equal_range(names_.request_id);
+  if (ids.first == ids.second) {
+    return is_kept_ || skipped_answers_ > 0 ? AnswerOwner::kUnclear
+                                            : AnswerOwner::kThis;
+  }
+  bool has_own = false;
+  bool has_other = false;
+  for (auto it = ids.first; it != ids.second; ++it) {
+    const bool is_own = it->value() == request_[names_.request_id];
+    has_own = has_own || is_own;
+    has_other = has_other || !is_own;
+  }
+  if (has_own && has_other) {
+    return AnswerOwner::kUnclear;
+  }
+  return has_own ? AnswerOwner::kThis : AnswerOwner::kOther;
+}
+
 // Only a whole answer with the target's digest is the target's own answer to
 // this request.
 TargetAnswer TargetConnection::Judge(net::HttpResponse response) const {
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -69,11 +69,14 @@
   bool IsUsable(std::chrono::milliseconds most_idle);
 
  private:
+  enum class AnswerOwner { kThis, kOther, kUnclear };
+
   void Write();
   void ReadAnswer();
   void OnAnswer();
   void Finish(TargetAnswer answer, bool keep);
   void Break(AttemptCause cause);
+  AnswerOwner OwnerOf(const net::HttpResponse& response) const;
   TargetAnswer Judge(net::HttpResponse response) const;
 
   net::Tcp::socket socket_;
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -144,4 +144,25 @@
   }
 }
 
+// All attempts of a request bear the same id, so that an earlier refusal that a
+// target writes once more could not be told from the answer to a later attempt.
+TEST_CASE("a request must not be sent again over a connection it was sent on") {
+  RawTarget target([](RawConnection& connection) {
+    for (std::string it = connection.ReadRequest(); !it.empty();
+         it = connection.ReadRequest()) {
+      if (connection.number() > 0) {
+        Respond(connection, it);
+        continue;
+      }
+      // Refuses, and says so again as the next request comes.
+      connection.Write(absl::StrCat(
+          "HTTP/1.1 503 Full\r\nId: ", it.substr(it.find("Id: ") + 4, 2),
+          "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+    }
+  });
+  OneTarget host(target.address());
+  CHECK(AllAnswered(host.Send(1), 1));
+  CHECK(target.connections() == 2);
+}
+
 }  // namespace toucandock::entry
--- a/tests/entry/target_connection_test.cc
+++ b/tests/entry/target_connection_test.cc
@@ -224,4 +224,77 @@
   }
 }
 
+// Guards against a refusal that a target writes once more being taken for the
+// answer to a later request, which the target runs (issue 16: REFUSED, TWICE).
+TEST_CASE("an answer of an earlier exchange must not answer a later one") {
+  const std::string refusal =
+      "HTTP/1.1 503 Full\r\nId: first\r\nNot-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const std::string without_id =
+      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  // Refuses the first request, and writes `bytes` when it has read the second.
+  const auto send_two = [&refusal](const std::string& bytes) {
+    RawTarget target([&](RawConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(refusal);
+      connection.ReadRequest();
+      connection.Write(bytes);
+      connection.IsClosedWithin(milliseconds(5'000));
+    });
+    boost::asio::io_context io;
+    const net::HeaderNames names = Names();
+    const auto connection = std::make_shared<TargetConnection>(
+        io, *net::ParseEndpoint(target.address()), names);
+    Exchanged last;
+    for (const char* id : {"first", "second"}) {
+      net::HttpRequest request{beast_http::verb::post, "/x", 11};
+      request.set("Id", id);
+      connection->Send(std::move(request), [&](TargetAnswer it) {
+        last.answer = std::move(it);
+        last.usable = connection->IsUsable(kLongIdle);
+      });
+      io.run_for(milliseconds(500));
+      io.restart();
+    }
+    connection->Abandon();
+    return last;
+  };
+
+  SUBCASE("the refusal comes again, then the answer") {
+    const Exchanged it = send_two(refusal + Answer("second", "body"));
+    CHECK(it.answer.end == AttemptEnd::kAnswered);
+    CHECK(it.answer.response.body() == "body");
+  }
+  SUBCASE("it comes without an id") {
+    const Exchanged it = send_two(without_id);
+    CHECK(it.answer.end == AttemptEnd::kBroken);
+    CHECK(it.answer.cause == AttemptCause::kBadAnswer);
+    CHECK_FALSE(it.usable);
+  }
+  SUBCASE("it comes with both ids") {
+    CHECK(send_two("HTTP/1.1 503 Full\r\nId: second\r\nId: first\r\n"
+                   "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+              .answer.end == AttemptEnd::kBroken);
+  }
+  SUBCASE("it says that another target was meant, without an id") {
+    CHECK(send_two("HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n").answer.end ==
+          AttemptEnd::kBroken);
+  }
+  SUBCASE("a success comes without an id") {
+    CHECK(send_two("HTTP/1.1 200 OK\r\nDigest: d\r\nContent-Length: 0\r\n"
+                   "\r\n")
+              .answer.end == AttemptEnd::kBroken);
+  }
+  SUBCASE("the later request is refused itself") {
+    const Exchanged it = send_two(
+        "HTTP/1.1 503 Full\r\nId: second\r\nNot-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n");
+    CHECK(it.answer.end == AttemptEnd::kNotExecuted);
+    CHECK(it.usable);
+  }
+  SUBCASE("the first answer of a connection needs no id") {
+    CHECK(Exchange(without_id, false).answer.end == AttemptEnd::kNotExecuted);
+  }
+}
+
 }  // namespace toucandock::entry
