Give up answers and requests that have no end

A faulty target may send bytes that never become an answer until the caller closes. Causes found here: the extension of a chunk and trailers were buffered without a limit (the new test had not ended after 10 s), each body was taken up to 64 MB with no bound over all connections of a host with 260 MB, and the answer to a request that must not be repeated was read on for as long as it came after its caller had been told 504.

Change: limits for the head (16 KB), for what is not parsed yet (128 KB), for one body (16 MB) and for all answers that are being read (64 MB); beyond them the connection is closed and the request decided as for a broken answer. An answer that nobody waits for ends 2 s after the deadline. The same bound on unparsed bytes holds for callers, the readiness and metrics ports, control calls and toucandockd. Evidence: with the limits of before, 4 of the 10 cases and the common bound fail; all pass now.

--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -57,6 +57,7 @@
   parser_.emplace();
   parser_->header_limit(limits.header_bytes);
   parser_->body_limit(limits.body_bytes);
+  buffer_.max_size(limits.header_bytes + net::kMostUnparsedBytes);
   active_at_ = Clock::now();
   begun_at_ = {};
   http::async_read(socket, buffer_, *parser_,
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -370,8 +370,8 @@
   }
   if (!exchange->connection) {
     metrics_.CountConnection(exchange->service);
-    exchange->connection =
-        std::make_shared<TargetConnection>(io_, handle->endpoint, names_);
+    exchange->connection = std::make_shared<TargetConnection>(
+        io_, handle->endpoint, names_, answer_memory_);
   }
   exchange->used_connections.push_back(exchange->connection);
   net::HttpRequest request = exchange->request;
@@ -769,6 +769,7 @@
       exchange->at = nullptr;
     }
     Fail(exchange, ErrorKind::kAnswerTimeout, "no answer in time");
+    EndLateAnswer(exchange);
     return;
   }
   if (exchange->may_have_run) {
@@ -894,14 +895,36 @@
   running_.erase(exchange);
   exchange->timer.cancel();
   exchange->handler = nullptr;
-  // What must not be repeated runs to its end; its answer is dropped.
   if (exchange->connection && exchange->route->idempotent) {
     exchange->connection->Abandon();
     exchange->connection = nullptr;
     exchange->at->load.OnCancelled();
     exchange->at = nullptr;
     Pump(exchange->service);
+    return;
+  }
+  EndLateAnswer(exchange);
+}
+
+// What must not be repeated runs to its end when nobody waits for its answer
+// any more. The target stops at the deadline that it got; an answer that still
+// goes on some time later has no end.
+void Dispatcher::EndLateAnswer(const ExchangePtr& exchange) {
+  if (!exchange->connection) {
+    return;
   }
+  exchange->timer.expires_at(exchange->answer_by + terms_.late_answer_limit);
+  exchange->timer.async_wait(
+      [this, exchange](const boost::system::error_code& ec) {
+        if (ec || !exchange->connection) {
+          return;
+        }
+        exchange->connection->Abandon();
+        exchange->connection = nullptr;
+        exchange->at->load.OnCancelled();
+        exchange->at = nullptr;
+        Pump(exchange->service);
+      });
 }
 
 // Tells the host that decides about owners which keys were asked for.
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -35,6 +35,9 @@
   double hold_of_time_left = 0.33;
   // Answers that targets make at the very deadline are still passed on.
   core::Duration timeout_margin = std::chrono::milliseconds(30);
+  // Answers that nobody waits for any more may go on for this long after the
+  // deadline, at which targets stop.
+  core::Duration late_answer_limit = std::chrono::seconds(2);
   // Connections of requests that must not run twice; older ones may have been
   // closed by the target in the same moment.
   std::chrono::milliseconds fresh_connection{1'500};
@@ -178,6 +181,7 @@
             core::ErrorKind error,
             const char* cause);
   void Finish(const ExchangePtr& exchange, CallerAnswer answer);
+  void EndLateAnswer(const ExchangePtr& exchange);
   void LeaveQueue(const ExchangePtr& exchange);
   void SendReports();
   core::balance::RetryWindow& RetriesOf(const std::string& service);
@@ -200,6 +204,8 @@
   // Smoothed time of an answer by service.
   std::map<std::string, core::FloatSeconds> ordinary_times_;
   std::map<std::string, core::keyspace::LoadReport> reports_;
+  const std::shared_ptr<AnswerMemory> answer_memory_ =
+      std::make_shared<AnswerMemory>();
   core::request::CrashDetector crashes_;
   core::request::ProvenContents proven_;
   boost::asio::steady_timer report_timer_;
--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -19,7 +19,9 @@
 // Late answers to earlier requests that are skipped before a connection is
 // given up.
 constexpr int kMostSkippedAnswers = 4;
-constexpr std::uint64_t kMostBodyBytes = 64ULL << 20;
+// Of one answer; those of the users' targets have some kilobytes.
+constexpr std::uint64_t kMostBodyBytes = 16ULL << 20;
+constexpr std::uint32_t kMostHeadBytes = 16U << 10;
 // Idle connections are used for at most this part of the time that the target
 // announces.
 constexpr int kIdlePercent = 60;
@@ -79,8 +81,17 @@
 
 TargetConnection::TargetConnection(boost::asio::io_context& io,
                                    net::Tcp::endpoint target,
-                                   const net::HeaderNames& names)
-    : socket_(io), target_(std::move(target)), names_(names) {}
+                                   const net::HeaderNames& names,
+                                   std::shared_ptr<AnswerMemory> memory)
+    : socket_(io),
+      target_(std::move(target)),
+      names_(names),
+      memory_(std::move(memory)),
+      buffer_(net::kMostUnparsedBytes) {}
+
+TargetConnection::~TargetConnection() {
+  ReleaseBytes();
+}
 
 void TargetConnection::Send(net::HttpRequest request,
                             TargetAnswerHandler handler) {
@@ -122,20 +133,44 @@
 }
 
 void TargetConnection::ReadAnswer() {
+  ReleaseBytes();
   parser_.emplace();
+  parser_->header_limit(kMostHeadBytes);
   parser_->body_limit(kMostBodyBytes);
-  // An error, also of writing, shows as an end of reading.
-  http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](error_code ec, size_t) {
-                     if (!self->handler_) {
-                       return;
-                     }
-                     if (ec) {
-                       self->Break(CauseOfReadError(ec));
-                       return;
-                     }
-                     self->OnAnswer();
-                   });
+  ReadSome();
+}
+
+// Reads in parts, so that what is held is known while the answer grows. An
+// error, also of writing, shows as an end of reading.
+void TargetConnection::ReadSome() {
+  http::async_read_some(socket_, buffer_, *parser_,
+                        [self = shared_from_this()](error_code ec, size_t) {
+                          if (!self->handler_) {
+                            self->ReleaseBytes();
+                            return;
+                          }
+                          if (ec) {
+                            self->Break(CauseOfReadError(ec));
+                          } else if (!self->HoldBytes()) {
+                            self->Break(AttemptCause::kBadAnswer);
+                          } else if (self->parser_->is_done()) {
+                            self->OnAnswer();
+                          } else {
+                            self->ReadSome();
+                          }
+                        });
+}
+
+// Returns false when there is no room for what was read.
+bool TargetConnection::HoldBytes() {
+  const size_t bytes = parser_->get().body().capacity();
+  memory_->held += bytes - held_bytes_;
+  held_bytes_ = bytes;
+  return memory_->held <= memory_->limit;
+}
+
+void TargetConnection::ReleaseBytes() {
+  memory_->held -= std::exchange(held_bytes_, 0);
 }
 
 void TargetConnection::OnAnswer() {
@@ -212,6 +247,7 @@
 }
 
 void TargetConnection::Finish(TargetAnswer answer, bool keep) {
+  ReleaseBytes();
   TargetAnswerHandler handler = std::move(handler_);
   handler_ = nullptr;
   if (keep) {
@@ -237,6 +273,7 @@
 }
 
 void TargetConnection::Abandon() {
+  ReleaseBytes();
   handler_ = nullptr;
   net::Reset(socket_);
 }
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -55,13 +55,24 @@
 
 using TargetAnswerHandler = std::function<void(TargetAnswer)>;
 
+// Bytes of answers that are read and not whole yet, of all connections of a
+// traffic thread.
+struct AnswerMemory {
+  size_t held = 0;
+  // A quarter of the memory of the users' hosts. Beyond it, the answer that
+  // grows is given up.
+  size_t limit = 64 << 20;
+};
+
 // One connection to a target; one request at a time. It may be used again only
 // after a whole answer to its own request with nothing behind it.
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
   TargetConnection(boost::asio::io_context& io,
                    net::Tcp::endpoint target,
-                   const net::HeaderNames& names);
+                   const net::HeaderNames& names,
+                   std::shared_ptr<AnswerMemory> memory);
+  ~TargetConnection();
 
   void Send(net::HttpRequest request, TargetAnswerHandler handler);
   // Resets the connection; the handler is not called any more.
@@ -73,6 +84,9 @@
 
   void Write();
   void ReadAnswer();
+  void ReadSome();
+  bool HoldBytes();
+  void ReleaseBytes();
   void OnAnswer();
   void Finish(TargetAnswer answer, bool keep);
   void Break(AttemptCause cause);
@@ -82,6 +96,9 @@
   net::Tcp::socket socket_;
   const net::Tcp::endpoint target_;
   const net::HeaderNames& names_;
+  const std::shared_ptr<AnswerMemory> memory_;
+  // Of the answer that is being read, counted in `memory_`.
+  size_t held_bytes_ = 0;
   boost::beast::flat_buffer buffer_;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,8 +16,10 @@
 
 // Servers close idle connections after several seconds; younger ones are safe.
 constexpr std::chrono::milliseconds kIdleLimit{4'000};
-// Largest answer that is taken, such as a page of records.
-constexpr std::uint64_t kMostBodyBytes = 64ULL << 20;
+// Largest answer that is taken. The largest that are asked for are pages of
+// newest records: 1 MB of values in base64 and their keys.
+constexpr std::uint64_t kMostBodyBytes = 4ULL << 20;
+constexpr std::uint32_t kMostHeadBytes = 16U << 10;
 
 }  // namespace
 
@@ -80,6 +82,7 @@
       return;
     }
     parser_.emplace();
+    parser_->header_limit(kMostHeadBytes);
     parser_->body_limit(kMostBodyBytes);
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](error_code ec, size_t) {
@@ -117,7 +120,7 @@
   Tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::weak_ptr<Pool> pool_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMostUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpRequest request_;
   CallHandler handler_;
--- a/src/net/responder.cc
+++ b/src/net/responder.cc
@@ -62,7 +62,7 @@
 
   boost::asio::steady_timer timer_;
   const Respond& respond_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMostUnparsedBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   HttpResponse response_;
 };
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -18,6 +19,11 @@
 // a peer that went silent without a reset is noticed.
 inline constexpr std::chrono::milliseconds kSilenceLimit{2'500};
 
+// Bytes of a message, besides its headers, that a connection may hold before it
+// can parse them, such as the extension of a chunk. A peer may send these
+// without end.
+inline constexpr size_t kMostUnparsedBytes = 128U << 10;
+
 absl::StatusOr<Tcp::endpoint> ParseEndpoint(const std::string& address);
 
 void SetConnectionOptions(Tcp::socket& socket);
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,7 +36,7 @@
 // A dispatcher with one service that has one target and owns all keys there.
 class OneTarget {
  public:
-  explicit OneTarget(const std::string& address)
+  explicit OneTarget(const std::string& address, bool idempotent = true)
       : dispatcher_(io_,
                     {.request_id = "Id",
                      .deadline = "Deadline",
@@ -51,13 +53,14 @@
     const core::discovery::TargetLife life{.id = "t1", .born = 1};
     auto view = std::make_shared<RoutingView>();
     core::routing::RouteConfig config{.version = 1};
-    config.routes = {{.host = "h",
-                      .path_prefix = "/",
-                      .services = {{.service = "s"}},
-                      .idempotent = true,
-                      .timeout = milliseconds(4'000),
-                      .latency_goal = milliseconds(2'000),
-                      .max_attempts = 3}};
+    config.routes = {
+        {.host = "h",
+         .path_prefix = "/",
+         .services = {{.service = "s"}},
+         .idempotent = idempotent,
+         .timeout = idempotent ? milliseconds(4'000) : milliseconds(300),
+         .latency_goal = milliseconds(2'000),
+         .max_attempts = 3}};
     config.services = {{.name = "s", .keyed = true}};
     view->routes = std::make_shared<core::routing::RouteTable>(config);
     view->targets["s"] = {
@@ -88,6 +91,13 @@
     return answers;
   }
 
+  void RunUntil(const std::function<bool()>& done) {
+    const auto limit = steady_clock::now() + milliseconds(5'000);
+    while (!done() && steady_clock::now() < limit) {
+      io_.run_one_for(milliseconds(10));
+    }
+  }
+
  private:
   boost::asio::io_context io_;
   Dispatcher dispatcher_;
@@ -144,6 +154,28 @@
   }
 }
 
+// What must not be repeated is left to its end after a timeout, which such an
+// answer does not have.
+TEST_CASE(
+    "an answer that nobody waits for must not hold a connection for ever") {
+  std::atomic<bool> closed = false;
+  RawTarget target([&closed](RawConnection& connection) {
+    connection.ReadRequest();
+    connection.Write("HTTP/1.1 200 OK\r\nId: r1\r\nDigest: d\r\n\r\n");
+    while (!connection.IsClosedWithin(milliseconds(50))) {
+      connection.Write("x");
+    }
+    closed = true;
+  });
+  OneTarget host(target.address(), false);
+  const std::vector<CallerAnswer> answers = host.Send(1);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].error == core::ErrorKind::kAnswerTimeout);
+  CHECK_FALSE(closed);
+  host.RunUntil([&closed] { return closed.load(); });
+  CHECK(closed);
+}
+
 // All attempts of a request bear the same id, so that an earlier refusal that a
 // target writes once more could not be told from the answer to a later attempt.
 TEST_CASE("a request must not be sent again over a connection it was sent on") {
--- a/tests/entry/target_connection_test.cc
+++ b/tests/entry/target_connection_test.cc
@@ -2,10 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "http/raw_target.h"
 
@@ -57,7 +59,8 @@
   boost::asio::io_context io;
   const net::HeaderNames names = Names();
   const auto connection = std::make_shared<TargetConnection>(
-      io, *net::ParseEndpoint(target.address()), names);
+      io, *net::ParseEndpoint(target.address()), names,
+      std::make_shared<AnswerMemory>());
   net::HttpRequest request{beast_http::verb::get, "/x", 11};
   request.set("Id", "mine");
   Exchanged result;
@@ -159,7 +162,7 @@
     const auto connection = std::make_shared<TargetConnection>(
         io,
         net::Tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), 1),
-        names);
+        names, std::make_shared<AnswerMemory>());
     TargetAnswer answer{.end = AttemptEnd::kAnswered};
     connection->Send({beast_http::verb::get, "/x", 11},
                      [&answer](TargetAnswer it) { answer = std::move(it); });
@@ -187,7 +190,8 @@
     boost::asio::io_context io;
     const net::HeaderNames names = Names();
     const auto connection = std::make_shared<TargetConnection>(
-        io, *net::ParseEndpoint(target.address()), names);
+        io, *net::ParseEndpoint(target.address()), names,
+        std::make_shared<AnswerMemory>());
     TargetAnswer last;
     for (int n = 0; n < requests; ++n) {
       net::HttpRequest request{beast_http::verb::get, "/x", 11};
@@ -244,7 +248,8 @@
     boost::asio::io_context io;
     const net::HeaderNames names = Names();
     const auto connection = std::make_shared<TargetConnection>(
-        io, *net::ParseEndpoint(target.address()), names);
+        io, *net::ParseEndpoint(target.address()), names,
+        std::make_shared<AnswerMemory>());
     Exchanged last;
     for (const char* id : {"first", "second"}) {
       net::HttpRequest request{beast_http::verb::post, "/x", 11};
@@ -297,4 +302,109 @@
   }
 }
 
+// Guards against memory and connections that grow without bound while a target
+// sends bytes that never become a whole answer (issue 16).
+TEST_CASE("an answer without end must be given up within bounds") {
+  const std::string head = "HTTP/1.1 200 OK\r\nId: mine\r\nDigest: d\r\n";
+  std::string begin;
+  std::string more = std::string(64 << 10, 'x');
+
+  SUBCASE("in its status line") {
+    begin = "HTTP/1.1 200 ";
+  }
+  SUBCASE("in one header") {
+    begin = head + "X: ";
+  }
+  SUBCASE("in ever more headers") {
+    begin = head;
+    more = "X: y\r\n";
+  }
+  SUBCASE("in interim answers") {
+    more = "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  SUBCASE("in answers to other requests") {
+    more = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n";
+  }
+  SUBCASE("in a body without a length") {
+    begin = head + "\r\n";
+  }
+  SUBCASE("in chunks") {
+    begin = head + "Transfer-Encoding: chunked\r\n\r\n";
+    more = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  }
+  SUBCASE("in an extension of a chunk") {
+    begin = head + "Transfer-Encoding: chunked\r\n\r\n1;";
+  }
+  SUBCASE("in trailers") {
+    begin = head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ";
+  }
+  SUBCASE("in a body of a length beyond all bounds") {
+    begin = head + "Content-Length: 9223372036854775807\r\n\r\n";
+  }
+
+  std::atomic<size_t> written = 0;
+  RawTarget target([&](RawConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(begin);
+    while (!connection.IsClosedWithin(milliseconds(0))) {
+      connection.Write(more);
+      written += more.size();
+    }
+  });
+  boost::asio::io_context io;
+  const net::HeaderNames names = Names();
+  const auto memory = std::make_shared<AnswerMemory>();
+  const auto connection = std::make_shared<TargetConnection>(
+      io, *net::ParseEndpoint(target.address()), names, memory);
+  net::HttpRequest request{beast_http::verb::get, "/x", 11};
+  request.set("Id", "mine");
+  TargetAnswer answer{.end = AttemptEnd::kAnswered};
+  connection->Send(std::move(request),
+                   [&answer](TargetAnswer it) { answer = std::move(it); });
+  io.run_for(milliseconds(10'000));
+  CHECK(answer.end == AttemptEnd::kBroken);
+  CHECK(answer.cause == AttemptCause::kBadAnswer);
+  CHECK(memory->held == 0);
+  // What the sockets hold comes on top of what was read.
+  CHECK(written < (32 << 20));
+  connection->Abandon();
+}
+
+TEST_CASE("many large answers at a time must stay within common bounds") {
+  const auto memory =
+      std::make_shared<AnswerMemory>(AnswerMemory{.limit = 2 << 20});
+  const std::string body(1 << 20, 'x');
+  RawTarget target([&body](RawConnection& connection) {
+    connection.ReadRequest();
+    const std::string answer = Answer("mine", body);
+    connection.Write(answer.substr(0, answer.size() - 1));
+    std::this_thread::sleep_for(milliseconds(300));
+    connection.Write("x");
+    connection.IsClosedWithin(milliseconds(2'000));
+  });
+  boost::asio::io_context io;
+  const net::HeaderNames names = Names();
+  int whole = 0;
+  int given_up = 0;
+  std::vector<std::shared_ptr<TargetConnection>> connections;
+  for (int n = 0; n < 4; ++n) {
+    connections.push_back(std::make_shared<TargetConnection>(
+        io, *net::ParseEndpoint(target.address()), names, memory));
+    net::HttpRequest request{beast_http::verb::get, "/x", 11};
+    request.set("Id", "mine");
+    connections.back()->Send(std::move(request), [&](TargetAnswer it) {
+      whole += it.end == AttemptEnd::kAnswered ? 1 : 0;
+      given_up += it.cause == AttemptCause::kBadAnswer ? 1 : 0;
+    });
+  }
+  io.run_for(milliseconds(3'000));
+  CHECK(whole >= 1);
+  CHECK(given_up >= 1);
+  CHECK(whole + given_up == 4);
+  CHECK(memory->held == 0);
+  for (const auto& it : connections) {
+    it->Abandon();
+  }
+}
+
 }  // namespace toucandock::entry
--- a/tests/entry/traffic_test.cc
+++ b/tests/entry/traffic_test.cc
@@ -157,4 +157,27 @@
   }
 }
 
+// Guards against a caller whose request never ends filling the host's memory.
+TEST_CASE("a request without end must be turned away within bounds") {
+  TrafficHost host;
+  const support::RawCaller caller(host.address());
+  caller.Write(
+      "POST /run/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  std::string part;
+
+  SUBCASE("in the extension of a chunk") {
+    part = "1;" + std::string(64 << 10, 'x');
+  }
+  SUBCASE("in its trailers") {
+    part = "0\r\nX: " + std::string(64 << 10, 'x');
+  }
+  for (int n = 0; n < 64; ++n) {
+    if (!caller.TryWrite(part)) {
+      break;
+    }
+    part = std::string(64 << 10, 'x');
+  }
+  CHECK(absl::StartsWith(caller.ReadAll(), "HTTP/1.1 400 "));
+}
+
 }  // namespace toucandock::entry
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -36,6 +36,11 @@
             static_cast<ssize_t>(text.size()));
   }
 
+  // Returns false when the other side has closed the connection.
+  bool TryWrite(const std::string& text) const {
+    return send(fd_, text.data(), text.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(text.size());
+  }
   // Everything up to the end of the connection.
   std::string ReadAll() const {
     std::string all;
