Bound what hosts with different suspicions send each other

Found by reading the change: with more suspicions than a host keeps, digests may differ for good, and each greeting would be answered with 64 KB, 15 MB/s at the host that 71 others greet.

--- a/src/core/request/poison_registry.cc
+++ b/src/core/request/poison_registry.cc
@@ -205,7 +205,12 @@
 
 void PoisonRegistry::Expire(TimePoint now) {
   std::erase_if(suspects_, [&](const auto& it) {
-    return it.second.last_crash + limits_.retention <= now;
+    const Suspect& suspect = it.second;
+    const bool had_verdict =
+        ReachesLimit(suspect.crashes.size(), suspect.crashes.back().report);
+    return suspect.last_crash +
+               (had_verdict ? limits_.retention : limits_.verdict) <=
+           now;
   });
 }
 
--- a/src/core/request/poison_registry.h
+++ b/src/core/request/poison_registry.h
@@ -59,8 +59,9 @@
   size_t requests = 4'096;
   // A verdict holds for this long after the last crash.
   Duration verdict = std::chrono::minutes(10);
-  // Crashes are remembered for this long. After the end of a verdict and within
-  // this time, one further crash renews it.
+  // The crashes of a verdict are remembered for this long, those of other
+  // requests only as long as a verdict holds. After the end of a verdict and
+  // within this time, one further crash renews it.
   Duration retention = std::chrono::minutes(10);
   // Reports of one target that are less apart are about the same crash: several
   // copies of a request may be in flight when their target ends.
--- a/src/entry/poison_control.cc
+++ b/src/entry/poison_control.cc
@@ -151,6 +151,7 @@
   if (now - view_at_ >= terms_.view_interval) {
     UpdateView();
     forwards_ = 0;
+    message_bytes_ = 0;
   }
   const core::Duration wait =
       has_duty ? terms_.store_batch : terms_.store_alone;
@@ -190,18 +191,25 @@
 
 std::vector<std::string> PoisonControl::Messages() {
   std::vector<std::string> messages;
+  if (message_bytes_ >= terms_.most_message_bytes) {
+    return messages;
+  }
+  const auto add = [&](const PoisonNews& news) {
+    messages.push_back(EncodePoisonNews(news));
+    message_bytes_ += messages.back().size();
+  };
   PoisonNews news;
   for (CrashReport& it : registry_.Reports(hooks_.now())) {
     news.crashes.push_back(std::move(it));
     if (news.crashes.size() == kMostNews) {
-      messages.push_back(EncodePoisonNews(std::exchange(news, {})));
+      add(std::exchange(news, {}));
     }
     if (messages.size() == kMostMessages) {
       return messages;
     }
   }
   if (!news.empty()) {
-    messages.push_back(EncodePoisonNews(news));
+    add(news);
   }
   return messages;
 }
--- a/src/entry/poison_control.h
+++ b/src/entry/poison_control.h
@@ -48,6 +48,9 @@
   // Messages in answer to others' news within one view interval; what is left
   // out follows when digests are compared.
   int most_forwards = 20;
+  // Bytes of answers to differing digests within one view interval, to all
+  // hosts. Digests may differ for long when more is suspected than is kept.
+  size_t most_message_bytes = 128U << 10;
 };
 
 // What this host knows of requests that crash targets, shared with the other
@@ -70,7 +73,7 @@
   void Tick(bool has_duty);
 
   std::uint32_t Digest();
-  // All that is known, as messages; those of most weight first.
+  // All that is known, as messages; the requests with the most crashes first.
   std::vector<std::string> Messages();
   std::shared_ptr<const PoisonView> view() const { return view_; }
 
@@ -94,6 +97,7 @@
   bool storing_ = false;
   core::TimePoint view_at_{};
   int forwards_ = 0;
+  size_t message_bytes_ = 0;
   std::uint64_t reports_sent_ = 0;
   std::uint64_t reports_received_ = 0;
 };
--- a/tests/core/request/poison_registry_test.cc
+++ b/tests/core/request/poison_registry_test.cc
@@ -151,6 +151,15 @@
     }
   }
 
+  SUBCASE("time passes for one that never reached the limit") {
+    const PoisonKey innocent{.fingerprint = "g"};
+    CrashReport report = crash("a", "v1");
+    report.key = innocent;
+    registry.Report(report, kStart);
+    REQUIRE(registry.Suspicions(kStart).size() == 2);
+    CHECK(registry.Suspicions(kStart + limits.verdict).size() == 1);
+  }
+
   SUBCASE("the service is released") {
     registry.SetReleasesInUse({{"s", {"v1", "v2"}}});
     CHECK(registry.VerdictOn(key, kStart) == PoisonVerdict::kSameContent);
