Read every kind of route, and let an unknown one affect only its route

Change: the kind of a route is an enumeration; uploads are treated as unsafe, and a word that this version does not know as the most restrictive kind, with a log line and a metric. Heartbeats may end with an object whose unknown members are ignored, so that hosts of two versions understand each other.

--- a/src/core/routing/route_table.h
+++ b/src/core/routing/route_table.h
@@ -18,13 +18,26 @@
   bool operator==(const WeightedService&) const = default;
 };
 
+// Whether the requests of a route may be repeated.
+enum class RouteKind {
+  // May run more than once.
+  kSafe,
+  // May run at most once for each attempt of the caller.
+  kUnsafe,
+  // As kUnsafe, with large bodies.
+  kUpload,
+  // A kind that this version does not know. Treated as kUnsafe, which is the
+  // most restrictive kind.
+  kUnknown,
+};
+
 // Applies to requests for one host whose path starts with `path_prefix`.
 struct Route {
   std::string name;
   std::string host;
   std::string path_prefix;
   std::vector<WeightedService> services;
-  bool idempotent = false;
+  RouteKind kind = RouteKind::kUnsafe;
   // Maximum time from the arrival of a request to its response.
   Duration timeout = std::chrono::seconds(10);
   // A response within this time is of full value to the caller.
@@ -33,6 +46,7 @@
   // 0 is the most urgent.
   int priority = 0;
 
+  bool IsIdempotent() const { return kind == RouteKind::kSafe; }
   bool operator==(const Route&) const = default;
 };
 
@@ -60,6 +74,9 @@
   std::vector<Route> routes;
   std::vector<RoutedService> services;
   CallerLimits limits;
+  // Words that this version does not know, with the route that has them. They
+  // affect no other route.
+  std::vector<std::string> unknown_words;
 };
 
 // Index of one accepted configuration; immutable once built.
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -33,6 +33,9 @@
 // the ownership stream, which each host already reads itself or takes from a
 // peer. No service has such a name.
 constexpr char kPoisonKey[] = "/poison";
+// Maximum number of unknown words of a configuration that are logged one by
+// one.
+constexpr size_t kMaxLoggedWords = 8;
 // The lease of a grant is at most this fraction of the longest lease that
 // targets accept.
 constexpr double kMaxLeaseFraction = 0.6;
@@ -191,7 +194,13 @@
   }
   LogEvent("config_in_force", {{"version", config->version},
                                {"routes", config->routes.size()},
+                               {"unknown_words", config->unknown_words.size()},
                                {"offset", record.offset}});
+  for (size_t n = 0; n < config->unknown_words.size() && n < kMaxLoggedWords;
+       ++n) {
+    LogEvent("config_unknown_word", {{"version", config->version},
+                                     {"word", config->unknown_words[n]}});
+  }
   routes_ = std::make_shared<core::routing::RouteTable>(std::move(*config));
   SyncCoordinators();
 }
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -306,7 +306,7 @@
   }
   const int pick = core::balance::PickTarget(
       candidates,
-      {.idempotent = exchange.route->idempotent,
+      {.idempotent = exchange.route->IsIdempotent(),
        .latency_goal = exchange.route->latency_goal,
        .typical_time = typical_times_[exchange.service]},
       pick_options_, random_(), now);
@@ -367,7 +367,7 @@
   exchange->current_target = handle;
   exchange->sent_at = now;
   handle->load.OnSent();
-  const milliseconds max_idle = exchange->route->idempotent
+  const milliseconds max_idle = exchange->route->IsIdempotent()
                                     ? options_.max_idle_idempotent
                                     : options_.max_idle_non_idempotent;
   exchange->connection = TakeIdleConnection(*exchange, *handle, max_idle);
@@ -426,7 +426,8 @@
       health = answer.shed ? AttemptHealth::kShed : AttemptHealth::kFailed;
       break;
     case AttemptEnd::kNotSent:
-      health = AttemptHealth::kUnreachable;
+      health = answer.rejected_connection ? AttemptHealth::kRejected
+                                          : AttemptHealth::kUnreachable;
       break;
     case AttemptEnd::kFailedAnswer:
       health = AttemptHealth::kFailed;
@@ -465,7 +466,7 @@
   }
   const AttemptDecision next = core::request::DecideAfterAttempt(
       {.end = answer.end,
-       .idempotent = exchange->route->idempotent,
+       .idempotent = exchange->route->IsIdempotent(),
        .may_have_run = exchange->may_have_run,
        .attempts = exchange->attempts,
        .max_attempts = exchange->route->max_attempts,
@@ -491,7 +492,7 @@
               {"status", answer.response.result_int()},
               {"attempt", exchange->attempts},
               {"after_ms", ToMilliseconds(now - exchange->sent_at).count()},
-              {"idempotent", exchange->route->idempotent},
+              {"idempotent", exchange->route->IsIdempotent()},
               {"left_ms", ToMilliseconds(exchange->answer_by - now).count()},
               {"next", core::request::ToString(next)}});
   }
@@ -779,7 +780,7 @@
 void Dispatcher::OnTimer(const ExchangePtr& exchange) {
   if (exchange->connection) {
     exchange->may_have_run = true;
-    if (exchange->route->idempotent) {
+    if (exchange->route->IsIdempotent()) {
       exchange->connection->Abandon();
       exchange->connection = nullptr;
       exchange->current_target->load.OnEnd(AttemptHealth::kFailed,
@@ -915,7 +916,7 @@
   running_.erase(exchange);
   exchange->timer.cancel();
   exchange->handler = nullptr;
-  if (exchange->connection && exchange->route->idempotent) {
+  if (exchange->connection && exchange->route->IsIdempotent()) {
     exchange->connection->Abandon();
     exchange->connection = nullptr;
     exchange->current_target->load.OnCancelled();
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -29,6 +29,10 @@
                    .Name("toucandock_entry_request_seconds")
                    .Help("Time from the arrival of a request to its answer")
                    .Register(*registry_)),
+      rejected_(prometheus::BuildCounter()
+                    .Name("toucandock_entry_rejected_requests_total")
+                    .Help("Requests that could not be read, by error")
+                    .Register(*registry_)),
       retries_(prometheus::BuildCounter()
                    .Name("toucandock_entry_retries_total")
                    .Help("Requests sent to a further target")
@@ -61,6 +65,12 @@
                           .Help("Version of the configuration in force")
                           .Register(*registry_)
                           .Add({})),
+      unknown_words_(prometheus::BuildGauge()
+                         .Name("toucandock_entry_config_unknown_words")
+                         .Help("Words of the configuration in force that this "
+                               "version does not know")
+                         .Register(*registry_)
+                         .Add({})),
       dropped_lines_(prometheus::BuildGauge()
                          .Name("toucandock_entry_dropped_log_lines")
                          .Help("Log lines left out since the last one written")
@@ -80,6 +90,10 @@
       .Observe(std::chrono::duration<double>(latency).count());
 }
 
+void EntryMetrics::CountRejected(core::ErrorKind error) {
+  rejected_.Add({{"error", std::string(core::ToString(error))}}).Increment();
+}
+
 void EntryMetrics::CountRetry(const std::string& service) {
   retries_.Add({{"service", service}}).Increment();
 }
@@ -116,8 +130,9 @@
   running_.Set(static_cast<double>(requests));
 }
 
-void EntryMetrics::SetConfigVersion(std::uint64_t version) {
-  config_version_.Set(static_cast<double>(version));
+void EntryMetrics::SetConfig(const core::routing::RouteConfig& config) {
+  config_version_.Set(static_cast<double>(config.version));
+  unknown_words_.Set(static_cast<double>(config.unknown_words.size()));
 }
 
 std::string EntryMetrics::Text() const {
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -30,6 +30,8 @@
   void CountRequest(const std::string& service,
                     core::ErrorKind error,
                     core::Duration latency);
+  // Counts a request that could not be read, so that its service is unknown.
+  void CountRejected(core::ErrorKind error);
   void CountRetry(const std::string& service);
   // `cause` says why an attempt at a target returned no usable response.
   void CountFailedAttempt(const std::string& service, absl::string_view cause);
@@ -42,7 +44,7 @@
   void SetPoison(const PoisonView& poison);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
-  void SetConfigVersion(std::uint64_t version);
+  void SetConfig(const core::routing::RouteConfig& config);
 
   std::string Text() const;
 
@@ -50,6 +52,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& latency_;
+  prometheus::Family<prometheus::Counter>& rejected_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
   prometheus::Family<prometheus::Counter>& connections_;
@@ -57,6 +60,7 @@
   prometheus::Family<prometheus::Gauge>& poison_;
   prometheus::Gauge& running_;
   prometheus::Gauge& config_version_;
+  prometheus::Gauge& unknown_words_;
   prometheus::Gauge& dropped_lines_;
 };
 
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -246,28 +246,36 @@
   }
   constexpr Json::ArrayIndex kHeartbeatSize = 2;
   constexpr Json::ArrayIndex kMinAnswerSize = 10;
-  if (!json->isArray() ||
-      (json->size() != kHeartbeatSize && json->size() < kMinAnswerSize)) {
+  if (!json->isArray()) {
+    return absl::InvalidArgumentError("a heartbeat must be an array");
+  }
+  // The last member may be an object, to which versions add members. Those that
+  // this version does not know are ignored.
+  const Json::ArrayIndex size =
+      json->empty() || !(*json)[json->size() - 1].isObject() ? json->size()
+                                                             : json->size() - 1;
+  const bool is_answer = size >= kMinAnswerSize;
+  if (size != kHeartbeatSize && !is_answer) {
     return absl::InvalidArgumentError(
-        "a heartbeat must be an array of 2 or at least 10 members");
+        "a heartbeat must have 2 or at least 10 members");
   }
-  for (Json::ArrayIndex i = 0; i < json->size(); ++i) {
+  for (Json::ArrayIndex i = 0; i < size; ++i) {
     const Json::Value& it = (*json)[i];
     if (i < kMinAnswerSize ? !it.isUInt64() : !it.isString()) {
       return absl::InvalidArgumentError(
           "a heartbeat must hold whole numbers, followed by addresses");
     }
   }
-  if (!(*json)[json->size() == kHeartbeatSize ? 1 : 9].isUInt()) {
+  if (!(*json)[is_answer ? 9 : 1].isUInt()) {
     return absl::InvalidArgumentError(
         "the digest of a heartbeat does not fit into 32 bits");
   }
   // Limits that hosts have in common are divided by the number of hosts.
-  if (json->size() >= kMinAnswerSize && (*json)[6].asUInt64() > kMaxHosts) {
+  if (is_answer && (*json)[6].asUInt64() > kMaxHosts) {
     return absl::InvalidArgumentError(
         "a heartbeat reports more hosts than the maximum");
   }
-  if (json->size() == kHeartbeatSize) {
+  if (!is_answer) {
     return PeerHeartbeat{.store_lost = (*json)[0].asUInt64() != 0,
                          .poison_digest = (*json)[1].asUInt()};
   }
@@ -278,7 +286,7 @@
   const std::uint64_t store_up_ms =
       std::min<std::uint64_t>((*json)[8].asUInt64(), kMaxStoreUp.count());
   std::vector<std::string> substitutes;
-  for (Json::ArrayIndex i = kMinAnswerSize; i < json->size(); ++i) {
+  for (Json::ArrayIndex i = kMinAnswerSize; i < size; ++i) {
     substitutes.push_back((*json)[i].asString());
   }
   return PeerHeartbeat{.is_answer = true,
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -57,20 +57,20 @@
                                        : http::status::service_unavailable);
                    return response;
                  }),
-      metrics_(
-          io,
-          [this](const net::HttpRequest&) {
-            EntryMetrics& metrics = dispatcher_.metrics();
-            metrics.SetPoison(*dispatcher_.view().poison);
-            metrics.SetRunning(dispatcher_.running());
-            const auto& routes = dispatcher_.view().routes;
-            metrics.SetConfigVersion(routes ? routes->config().version : 0);
-            net::HttpResponse response;
-            response.result(http::status::ok);
-            response.set(http::field::content_type, "text/plain");
-            response.body() = metrics.Text();
-            return response;
-          }),
+      metrics_(io,
+               [this](const net::HttpRequest&) {
+                 EntryMetrics& metrics = dispatcher_.metrics();
+                 metrics.SetPoison(*dispatcher_.view().poison);
+                 metrics.SetRunning(dispatcher_.running());
+                 const auto& routes = dispatcher_.view().routes;
+                 metrics.SetConfig(routes ? routes->config()
+                                          : core::routing::RouteConfig{});
+                 net::HttpResponse response;
+                 response.result(http::status::ok);
+                 response.set(http::field::content_type, "text/plain");
+                 response.body() = metrics.Text();
+                 return response;
+               }),
       stop_timer_(io),
       limit_timer_(io) {}
 
