Refuse messages whose end is in doubt; notice rejected connections

Cause: a request with 'Transfer-Encoding: xchunked' was served as one without a body, and its body was read as the next request; 'gzip, chunked' was passed on (RFC 9112, sections 6.1 and 6.3). An answer to HEAD with a length was waited for until the deadline. Change: every transfer coding but exactly one final chunked is answered 400 or 501, and the connection is closed; in an answer of a target it makes the attempt fail. Answers to HEAD end with their head. The first request on a new connection waits 5 ms for a rejection, longer than a round trip between failure domains; a rejected one was certainly not sent and goes elsewhere.

--- a/src/core/error_kind.cc
+++ b/src/core/error_kind.cc
@@ -10,10 +10,12 @@
 using enum Outcome;
 
 // Indexed by ErrorKind.
-constexpr std::array<ErrorAnswer, 29> kAnswers = {{
+constexpr std::array<ErrorAnswer, 30> kAnswers = {{
     {kNone, "none", 200, kRan, false, 0, "No error"},
     {kMalformedRequest, "malformed-request", 400, kNotRun, false, 3,
      "The request is malformed"},
+    {kUnsupportedCoding, "unsupported-coding", 501, kNotRun, false, 3,
+     "The request has a transfer coding other than chunked"},
     {kRequestTooLarge, "request-too-large", 413, kNotRun, false, 3,
      "The request is larger than the limit"},
     {kHeadersTooLarge, "headers-too-large", 431, kNotRun, false, 3,
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -9,6 +9,7 @@
 enum class ErrorKind {
   kNone,
   kMalformedRequest,
+  kUnsupportedCoding,
   kRequestTooLarge,
   kHeadersTooLarge,
   kRequestTooSlow,
--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "entry/event_log.h"
+#include "net/message_framing.h"
 
 namespace toucandock::entry {
 namespace {
@@ -113,13 +114,26 @@
       ec == http::error::partial_message) {
     OnCallerDisconnected();
   } else if (!is_rejected_) {
-    Reject(ec == http::error::body_limit     ? ErrorKind::kRequestTooLarge
-           : ec == http::error::header_limit ? ErrorKind::kHeadersTooLarge
-                                             : ErrorKind::kMalformedRequest);
+    RejectUnreadable(ec == http::error::body_limit ? ErrorKind::kRequestTooLarge
+                     : ec == http::error::header_limit
+                         ? ErrorKind::kHeadersTooLarge
+                         : ErrorKind::kMalformedRequest,
+                     ec.message());
   }
 }
 
+void CallerConnection::RejectUnreadable(ErrorKind error,
+                                        const std::string& cause) {
+  LogEvent("request_rejected", {{"error", core::ToString(error)},
+                                {"cause", cause},
+                                {"caller", CallerAddress()}});
+  Reject(error);
+}
+
+// Answers the request that is being read with an error and closes the
+// connection, because the begin of the next request is not certain.
 void CallerConnection::Reject(ErrorKind error) {
+  dispatcher_.metrics().CountRejected(error);
   closing_ = true;
   is_rejected_ = true;
   auto pending = std::make_shared<Pending>();
@@ -131,9 +145,20 @@
 
 void CallerConnection::OnRequest() {
   net::HttpRequest request = parser_->release();
+  switch (net::FramingOf(request, request.version())) {
+    case core::request::Framing::kClear:
+      break;
+    case core::request::Framing::kUnsupportedCoding:
+      RejectUnreadable(ErrorKind::kUnsupportedCoding, "transfer coding");
+      return;
+    case core::request::Framing::kAmbiguous:
+      RejectUnreadable(ErrorKind::kMalformedRequest, "ambiguous body length");
+      return;
+  }
   auto pending = std::make_shared<Pending>();
   pending->request_id = std::string(request[names_.request_id]);
   pending->keep_alive = request.keep_alive();
+  pending->is_head = request.method() == http::verb::head;
   closing_ = !pending->keep_alive;
   pending_.push_back(pending);
   pending->exchange = dispatcher_.Start(
@@ -217,7 +242,12 @@
   is_end_announced_ = !keep_alive;
   current_response_.version(11);
   current_response_.keep_alive(keep_alive);
-  current_response_.prepare_payload();
+  if (pending->is_head) {
+    // The length is that of the body which a GET would have returned.
+    current_response_.body().clear();
+  } else {
+    current_response_.prepare_payload();
+  }
   http::async_write(
       socket, current_response_,
       [self = shared_from_this(), keep_alive](error_code ec, size_t) {
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -50,6 +50,7 @@
     std::shared_ptr<Exchange> exchange;
     std::optional<net::HttpResponse> response;
     bool keep_alive = true;
+    bool is_head = false;
   };
 
   void Read();
@@ -57,6 +58,7 @@
   void OnReadError(const boost::system::error_code& ec);
   void OnAnswer(const std::shared_ptr<Pending>& pending, CallerAnswer answer);
   void Reject(core::ErrorKind error);
+  void RejectUnreadable(core::ErrorKind error, const std::string& cause);
   net::HttpResponse ToResponse(const std::string& request_id,
                                CallerAnswer answer) const;
   void WriteNext();
--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
+#include "net/message_framing.h"
 
 namespace toucandock::entry {
 namespace {
@@ -28,6 +29,10 @@
 // A target that does not accept a connection resets it as soon as it is
 // established. Between failure domains this takes some milliseconds.
 constexpr std::chrono::milliseconds kMaxRejectionTime{20};
+// Delay of the first request on a new connection, in which the rejection of a
+// target in another failure domain arrives. A request that was not sent has
+// certainly not run and can go elsewhere.
+constexpr std::chrono::milliseconds kRejectionWait{5};
 // Used when the target announces no keep-alive time-out. Not reduced by
 // kIdlePercent.
 constexpr std::chrono::milliseconds kDefaultIdleTimeout{5'000};
@@ -72,6 +77,8 @@
       return "connect-refused";
     case AttemptCause::kConnectFailed:
       return "connect-failed";
+    case AttemptCause::kConnectionRejected:
+      return "connection-rejected";
     case AttemptCause::kConnectionEnded:
       return "connection-ended";
     case AttemptCause::kBadAnswer:
@@ -87,6 +94,7 @@
                                    const net::HeaderNames& names,
                                    std::shared_ptr<AnswerMemory> memory)
     : socket_(io),
+      rejection_timer_(io),
       target_(std::move(target)),
       names_(names),
       memory_(std::move(memory)),
@@ -119,10 +127,33 @@
       return;
     }
     net::SetConnectionOptions(self->socket_);
-    self->Write();
+    self->AwaitRejection();
   });
 }
 
+void TargetConnection::AwaitRejection() {
+  rejection_timer_.expires_after(kRejectionWait);
+  rejection_timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (!ec && self->socket_.is_open()) {
+      self->socket_.cancel();
+    }
+  });
+  socket_.async_wait(
+      net::Tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+        self->rejection_timer_.cancel();
+        if (!self->handler_) {
+          return;
+        }
+        if (ec == boost::asio::error::operation_aborted) {
+          self->Write();
+        } else {
+          // Bytes that arrive before the request belong to no
+          // request, so the connection is not used either.
+          self->FinishWithoutAnswer(AttemptCause::kConnectionRejected);
+        }
+      });
+}
+
 // Starts to read the response together with the write, because a target may
 // refuse a request before it has read all of it.
 void TargetConnection::Write() {
@@ -140,28 +171,38 @@
   parser_.emplace();
   parser_->header_limit(kMaxHeadBytes);
   parser_->body_limit(kMaxBodyBytes);
+  // A response to HEAD has no body, whatever its length field says.
+  parser_->skip(request_.method() == http::verb::head);
   ReadSome();
 }
 
 // Reads in parts, so that the memory limit applies while the response grows. An
 // error of the connection, also while writing, ends the read with an error.
 void TargetConnection::ReadSome() {
-  http::async_read_some(socket_, buffer_, *parser_,
-                        [self = shared_from_this()](error_code ec, size_t) {
-                          if (!self->handler_) {
-                            self->ReleaseBytes();
-                            return;
-                          }
-                          if (ec) {
-                            self->FinishWithoutAnswer(CauseOfReadError(ec));
-                          } else if (!self->ReserveBytes()) {
-                            self->FinishWithoutAnswer(AttemptCause::kBadAnswer);
-                          } else if (self->parser_->is_done()) {
-                            self->OnAnswer();
-                          } else {
-                            self->ReadSome();
-                          }
-                        });
+  http::async_read_some(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code ec, size_t) {
+        if (!self->handler_) {
+          self->ReleaseBytes();
+          return;
+        }
+        if (ec) {
+          self->FinishWithoutAnswer(CauseOfReadError(ec));
+        } else if (!self->HasClearEnd() || !self->ReserveBytes()) {
+          self->FinishWithoutAnswer(AttemptCause::kBadAnswer);
+        } else if (self->parser_->is_done()) {
+          self->OnAnswer();
+        } else {
+          self->ReadSome();
+        }
+      });
+}
+
+// Returns false if the head of the response leaves its end in doubt.
+bool TargetConnection::HasClearEnd() const {
+  return !parser_->is_header_done() ||
+         net::FramingOf(parser_->get(), parser_->get().version()) ==
+             core::request::Framing::kClear;
 }
 
 // Counts the bytes of the response in `memory_`. Returns false when its limit
@@ -274,8 +315,9 @@
                                 !parser_->got_some() && buffer_.size() == 0;
   answer.on_stale_connection = nothing_received && is_reused_;
   answer.rejected_connection =
-      nothing_received && !is_reused_ &&
-      std::chrono::steady_clock::now() - sent_at_ <= kMaxRejectionTime;
+      cause == AttemptCause::kConnectionRejected ||
+      (nothing_received && !is_reused_ &&
+       std::chrono::steady_clock::now() - sent_at_ <= kMaxRejectionTime);
   Finish(std::move(answer), false);
 }
 
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -4,6 +4,7 @@
 #include "net/http_client.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
@@ -24,6 +25,9 @@
   // No process listens at the target's address.
   kConnectRefused,
   kConnectFailed,
+  // The target ended the new connection before the request was sent. Targets do
+  // this when they have reached their maximum number of connections.
+  kConnectionRejected,
   // The connection was closed or reset before the end of the response.
   kConnectionEnded,
   // The received bytes are not the target's complete response to this request.
@@ -48,8 +52,9 @@
   // With kBroken: the connection had carried an earlier request and ended
   // before any byte of this response arrived.
   bool on_stale_connection = false;
-  // With kBroken: a new connection ended at once. Targets end connections this
-  // way when they have reached their maximum number of connections.
+  // With kBroken or kNotSent: a new connection ended at once. Targets end
+  // connections this way when they have reached their maximum number of
+  // connections.
   bool rejected_connection = false;
 };
 
@@ -85,9 +90,11 @@
   // that cannot be determined.
   enum class AnsweredRequest { kThis, kOther, kAmbiguous };
 
+  void AwaitRejection();
   void Write();
   void ReadAnswer();
   void ReadSome();
+  bool HasClearEnd() const;
   bool ReserveBytes();
   void ReleaseBytes();
   void OnAnswer();
@@ -97,6 +104,7 @@
   TargetAnswer ClassifyResponse(net::HttpResponse response) const;
 
   net::Tcp::socket socket_;
+  boost::asio::steady_timer rejection_timer_;
   const net::Tcp::endpoint target_;
   const net::HeaderNames& names_;
   const std::shared_ptr<AnswerMemory> memory_;
--- /dev/null
+++ b/tests/entry/traffic_host.h
@@ -0,0 +1,95 @@
+#ifndef TOUCANDOCK_TESTS_ENTRY_TRAFFIC_HOST_H_
+#define TOUCANDOCK_TESTS_ENTRY_TRAFFIC_HOST_H_
+
+#include "entry/traffic.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "http/raw_target.h"
+
+namespace toucandock::entry {
+
+inline constexpr std::chrono::milliseconds kHeaderTimeout{600};
+inline constexpr std::chrono::milliseconds kIdleTimeout{700};
+
+inline core::routing::Route RouteTo(const std::string& service,
+                                    const std::string& prefix) {
+  return {.host = "x",
+          .path_prefix = prefix,
+          .services = {{.service = service}},
+          .timeout = std::chrono::milliseconds(9'000),
+          .latency_goal = std::chrono::milliseconds(9'000)};
+}
+
+// The traffic thread of a host whose configuration has two routes: to a service
+// without targets, whose requests wait for a third of their time, and to a
+// service with one target, which by default closes each connection.
+class TrafficHost {
+ public:
+  explicit TrafficHost(http::RawTarget::Serve serve =
+                           [](http::RawConnection&) {})
+      : target_(std::move(serve)),
+        traffic_(io_,
+                 {.host_name = "h",
+                  .ip = "127.0.0.1",
+                  .caller_address = "127.0.0.1:0",
+                  .readiness_address = "127.0.0.1:0"},
+                 {.request_id = "Id", .answer_digest = "Digest"},
+                 {.report_load = [](const core::keyspace::LoadReport&) {},
+                  .report_poison = [](const PoisonUpdate&) {}}) {
+    REQUIRE(traffic_.Listen().ok());
+    auto view = std::make_shared<RoutingView>();
+    view->routes =
+        std::make_shared<core::routing::RouteTable>(core::routing::RouteConfig{
+            .version = 1,
+            .routes = {RouteTo("none", "/wait/"), RouteTo("one", "/run/")},
+            .limits = {.header_timeout = kHeaderTimeout,
+                       .idle_timeout = kIdleTimeout}});
+    view->targets["one"] = {
+        {.entry = {.instance = {.id = "t1", .start_time_ms = 1},
+                   .service = "one",
+                   .address = target_.address(),
+                   .slots = 4}}};
+    view->complete = true;
+    traffic_.SetView(std::move(view));
+    address_ = traffic_.caller_address();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  ~TrafficHost() {
+    io_.stop();
+    thread_.join();
+  }
+
+  TrafficHost(const TrafficHost&) = delete;
+  TrafficHost& operator=(const TrafficHost&) = delete;
+
+  const std::string& address() const { return address_; }
+  const http::RawTarget& target() const { return target_; }
+
+  void Stop() {
+    std::promise<void> stopped;
+    boost::asio::post(io_,
+                      [&] { traffic_.Stop([&] { stopped.set_value(); }); });
+    stopped.get_future().wait();
+  }
+
+ private:
+  http::RawTarget target_;
+  boost::asio::io_context io_;
+  Traffic traffic_;
+  std::string address_;
+  std::thread thread_;
+};
+
+}  // namespace toucandock::entry
+
+#endif  // TOUCANDOCK_TESTS_ENTRY_TRAFFIC_HOST_H_
--- a/tests/entry/traffic_test.cc
+++ b/tests/entry/traffic_test.cc
@@ -1,17 +1,12 @@
-#include "entry/traffic.h"
-
 #include <doctest/doctest.h>
 
-#include <boost/asio/post.hpp>
 #include <chrono>
 #include <functional>
-#include <future>
-#include <memory>
 #include <string>
 #include <thread>
 
 #include "absl/strings/match.h"
-#include "http/raw_target.h"
+#include "entry/traffic_host.h"
 #include "support/raw_caller.h"
 
 namespace toucandock::entry {
@@ -21,80 +16,10 @@
 using std::chrono::steady_clock;
 using support::RawCaller;
 
-constexpr milliseconds kHeaderTimeout{600};
-constexpr milliseconds kIdleTimeout{700};
 // Maximum delay of the entry host after a time limit: it closes idle
 // connections 1 s later, and checks the limits every 500 ms.
 constexpr milliseconds kMaxCloseDelay{1'500};
 
-core::routing::Route RouteTo(const std::string& service,
-                             const std::string& prefix) {
-  return {.host = "x",
-          .path_prefix = prefix,
-          .services = {{.service = service}},
-          .timeout = milliseconds(9'000),
-          .latency_goal = milliseconds(9'000)};
-}
-
-// The traffic thread of a host whose configuration has two routes: to a service
-// without targets, whose requests wait for a third of their time, and to a
-// service with a target that never responds.
-class TrafficHost {
- public:
-  TrafficHost()
-      : traffic_(io_,
-                 {.host_name = "h",
-                  .ip = "127.0.0.1",
-                  .caller_address = "127.0.0.1:0",
-                  .readiness_address = "127.0.0.1:0"},
-                 {.request_id = "Id"},
-                 {.report_load = [](const core::keyspace::LoadReport&) {},
-                  .report_poison = [](const PoisonUpdate&) {}}) {
-    REQUIRE(traffic_.Listen().ok());
-    auto view = std::make_shared<RoutingView>();
-    view->routes =
-        std::make_shared<core::routing::RouteTable>(core::routing::RouteConfig{
-            .version = 1,
-            .routes = {RouteTo("none", "/wait/"), RouteTo("one", "/run/")},
-            .limits = {.header_timeout = kHeaderTimeout,
-                       .idle_timeout = kIdleTimeout}});
-    view->targets["one"] = {
-        {.entry = {.instance = {.id = "t1", .start_time_ms = 1},
-                   .service = "one",
-                   .address = target_.address(),
-                   .slots = 4}}};
-    view->complete = true;
-    traffic_.SetView(std::move(view));
-    address_ = traffic_.caller_address();
-    thread_ = std::thread([this] { io_.run(); });
-  }
-
-  ~TrafficHost() {
-    io_.stop();
-    thread_.join();
-  }
-
-  TrafficHost(const TrafficHost&) = delete;
-  TrafficHost& operator=(const TrafficHost&) = delete;
-
-  const std::string& address() const { return address_; }
-  const http::RawTarget& target() const { return target_; }
-
-  void Stop() {
-    std::promise<void> stopped;
-    boost::asio::post(io_,
-                      [&] { traffic_.Stop([&] { stopped.set_value(); }); });
-    stopped.get_future().wait();
-  }
-
- private:
-  http::RawTarget target_{[](http::RawConnection&) {}};
-  boost::asio::io_context io_;
-  Traffic traffic_;
-  std::string address_;
-  std::thread thread_;
-};
-
 milliseconds TimeOf(const std::function<void()>& call) {
   const auto call_start = steady_clock::now();
   call();
