Test answers that end within their head; name the failed case in tables

Cause: other operators reported clients that got a 200 with an empty body when an upstream closed in the middle of its answer's head. Captured texts of the new tables were printed as pointers. Change: a test cuts an answer at each byte, by a clean end and by a reset, and looks at what the caller gets. Test routes may be repeated.

--- a/tests/core/request/framing_test.cc
+++ b/tests/core/request/framing_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
 #include <vector>
 
 namespace toucandock::core::request {
@@ -39,7 +40,7 @@
     };
     for (const Case& it : cases) {
       CAPTURE(it.codings.size());
-      CAPTURE(it.codings.empty() ? "" : it.codings.front());
+      CAPTURE(std::string(it.codings.empty() ? "" : it.codings.front()));
       CHECK(ClassifyFraming(it.codings, true, false) == it.expected);
     }
   }
--- a/tests/entry/message_framing_test.cc
+++ b/tests/entry/message_framing_test.cc
@@ -63,12 +63,12 @@
 }
 
 struct BadMessage {
-  const char* section;
+  std::string section;
   // Fields of the message, without the one that names the host.
-  const char* fields;
-  const char* body;
+  std::string fields;
+  std::string body;
   // Start of the answer that the caller gets.
-  const char* answer;
+  std::string answer;
 };
 
 // What follows each message. No target may ever get it as a request.
@@ -149,9 +149,9 @@
 // Guards against rejecting what is proper, which callers would see as a denial.
 TEST_CASE("a request with a clear end must be passed on whole") {
   struct Proper {
-    const char* fields;
-    const char* body;
-    const char* received_body;
+    std::string fields;
+    std::string body;
+    std::string received_body;
   };
   const Proper cases[] = {
       {"Content-Length: 3\r\n", "abc", "\r\n\r\nabc"},
@@ -180,7 +180,7 @@
 // Guards against a faulty target that places bytes of one answer on a later
 // request, and against an answer that looks whole although its end is unknown.
 TEST_CASE("an answer whose end is in doubt must not reach the caller") {
-  const char* answers[] = {
+  const std::string answers[] = {
       "Transfer-Encoding: xchunked\r\n\r\nok",
       "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
       "Transfer-Encoding: chunked, gzip\r\n\r\nok",
@@ -191,7 +191,7 @@
       "Content-Length: -2\r\n\r\nok",
       "Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n",
   };
-  for (const char* fields : answers) {
+  for (const std::string& fields : answers) {
     CAPTURE(fields);
     AnsweringHost host(
         absl::StrCat("HTTP/1.1 200 OK\r\nId: r1\r\nDigest: d\r\n", fields));
@@ -203,6 +203,37 @@
   }
 }
 
+// Reported by other operators: an upstream stopped in the middle of its
+// answer's head and closed, and clients got a 200 with an empty body, framed as
+// whole.
+TEST_CASE("an answer that ends within its head must not look like an answer") {
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nId: r1\r\nDigest: d\r\nContent-Length: 2\r\n\r\nok";
+  size_t cut = 0;
+  bool reset = false;
+  SUBCASE("at each byte, with a clean end of the connection") {}
+  SUBCASE("at each byte, with a reset") {
+    reset = true;
+  }
+  TrafficHost host([&](http::RawConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(answer.substr(0, cut));
+    if (reset) {
+      connection.Reset();
+    }
+  });
+  for (cut = 0; cut < answer.size(); ++cut) {
+    CAPTURE(cut);
+    const RawCaller caller(host.address());
+    caller.Write(
+        "POST /run/x HTTP/1.1\r\nHost: x\r\nId: r1\r\nConnection: close\r\n"
+        "Content-Length: 0\r\n\r\n");
+    const std::string got = caller.ReadAll();
+    CHECK(absl::StartsWith(got, "HTTP/1.1 502 "));
+    CHECK(CountAnswers(got) == 1);
+  }
+}
+
 // Guards against a HEAD request that waits for a body which never comes (RFC
 // 9112, section 6.3, rule 1).
 TEST_CASE("an answer to HEAD must end with its head") {
--- a/tests/entry/traffic_host.h
+++ b/tests/entry/traffic_host.h
@@ -25,6 +25,7 @@
   return {.host = "x",
           .path_prefix = prefix,
           .services = {{.service = service}},
+          .kind = core::routing::RouteKind::kSafe,
           .timeout = std::chrono::milliseconds(9'000),
           .latency_goal = std::chrono::milliseconds(9'000)};
 }
--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -83,7 +83,7 @@
 // again: a key could then have two owners.
 TEST_CASE("an append may count as not carried out only if that is certain") {
   struct Case {
-    const char* what;
+    std::string what;
     StoreReply reply;
     StoreStatus expected;
   };
