--- a/src/core/discovery/target_directory.cc
+++ b/src/core/discovery/target_directory.cc
@@ -78,6 +78,12 @@
   }
 }
 
+void TargetDirectory::OnStoreUpReported(TimePoint since) {
+  if (!store_lost_) {
+    recovered_at_ = std::max(recovered_at_, since);
+  }
+}
+
 void TargetDirectory::OnStoreConfirmedByPeer(TimePoint since, TimePoint now) {
   confirmed_since_ = since;
   confirmed_until_ = now + options_.peer_confirmation_lifetime;
--- a/src/core/discovery/target_directory.h
+++ b/src/core/discovery/target_directory.h
@@ -75,6 +75,9 @@
   // Another host, whose records this host has read to the end, reports that the
   // store has responded to it without interruption since `since`.
   void OnStoreConfirmedByPeer(TimePoint since, TimePoint now);
+  // For a host that makes no calls to the store: another host reports that the
+  // store has responded to it without interruption since `since`.
+  void OnStoreUpReported(TimePoint since);
   bool Tick(TimePoint now);
 
   const std::map<std::string, ListedTarget>& targets() const {
--- a/src/core/keyspace/key_samples.cc
+++ b/src/core/keyspace/key_samples.cc
@@ -15,8 +15,33 @@
   return old == 0 ? seconds : old + (seconds - old) * weight;
 }
 
+// Maximum number of keys that are added up; beyond it, the latest are left out.
+constexpr size_t kMaxSummedKeys = 8'000;
+
 }  // namespace
 
+void AddReport(const LoadReport& report, LoadReport& sum) {
+  const size_t room =
+      kMaxSummedKeys - std::min(kMaxSummedKeys, sum.keys.size());
+  const size_t n = std::min(room, report.keys.size());
+  sum.keys.insert(sum.keys.end(), report.keys.begin(),
+                  report.keys.begin() + static_cast<std::ptrdiff_t>(n));
+  for (const TargetSpeed& it : report.speeds) {
+    const auto known = std::find_if(
+        sum.speeds.begin(), sum.speeds.end(),
+        [&it](const TargetSpeed& s) { return s.target_id == it.target_id; });
+    if (known == sum.speeds.end()) {
+      sum.speeds.push_back(it);
+    } else if (it.answers > 0) {
+      const std::uint32_t answers = known->answers + it.answers;
+      known->mean_time =
+          (known->mean_time * known->answers + it.mean_time * it.answers) /
+          answers;
+      known->answers = answers;
+    }
+  }
+}
+
 void KeySamples::Add(const LoadReport& report, TimePoint now) {
   if (first_report_ == TimePoint{}) {
     first_report_ = now;
--- a/src/core/keyspace/key_samples.h
+++ b/src/core/keyspace/key_samples.h
@@ -28,10 +28,16 @@
   // Keys of the requests, one entry for each request.
   std::vector<std::uint32_t> keys;
   std::vector<TargetSpeed> speeds;
+  // A relay has added up the reports of several hosts. Such a report is not
+  // relayed again.
+  bool relayed = false;
 
   bool operator==(const LoadReport&) const = default;
 };
 
+// Adds the observations of another host to a report of the same service.
+void AddReport(const LoadReport& report, LoadReport& sum);
+
 struct KeySampleOptions {
   // Samples are dropped after this time, because hot keys change within a few
   // seconds.
--- a/src/core/relay/source_tracker.cc
+++ b/src/core/relay/source_tracker.cc
@@ -25,15 +25,16 @@
   return !leader_was_heard_ || now >= leader_lost_at_;
 }
 
-bool SourceTracker::IsRelayed(TimePoint now) const {
+bool SourceTracker::IsRelayed(TimePoint now, Duration more_grace) const {
   if (!leader_was_heard_ || now < fetch_backoff_until_) {
     return false;
   }
   if (!IsLeaderLost(now)) {
     return true;
   }
-  return !is_substitute_ && (now < substitute_until_ ||
-                             now < leader_lost_at_ + options_.substitute_grace);
+  return !is_substitute_ &&
+         (now < substitute_until_ ||
+          now < leader_lost_at_ + options_.substitute_grace + more_grace);
 }
 
 bool SourceTracker::IsStarting(TimePoint now) const {
--- a/src/core/relay/source_tracker.h
+++ b/src/core/relay/source_tracker.h
@@ -57,8 +57,9 @@
   bool is_substitute() const { return is_substitute_; }
   bool IsLeaderLost(TimePoint now) const;
   // Returns whether this host gets its records from the leader or a substitute,
-  // or still waits for a substitute.
-  bool IsRelayed(TimePoint now) const;
+  // or still waits for a substitute, for up to `more_grace` longer than
+  // SourceOptions::substitute_grace.
+  bool IsRelayed(TimePoint now, Duration more_grace = Duration{}) const;
   // Returns whether this host is still starting, so that it does not need
   // changes of the store yet.
   bool IsStarting(TimePoint now) const;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -26,6 +26,11 @@
 // Spreads the reads of all hosts when the store is available again.
 constexpr int kResumeSpreadMs = 150;
 constexpr milliseconds kResolveRetry{300};
+// A host that starts waits this long for another host to deliver the newest
+// records, before it reads them from the store. When the whole fleet starts,
+// its leader has to be found first, and there is no traffic yet.
+constexpr milliseconds kNewestWait{500};
+constexpr milliseconds kFleetStartWait{6'000};
 // Maximum number of target addresses that are kept. Addresses of removed
 // targets are among them, since commands may still have to be sent there.
 constexpr size_t kMaxAddresses = 20'000;
@@ -58,6 +63,14 @@
   return options;
 }
 
+// Capacity for control messages, in units of the slowest hosts of the users.
+double CapacityOf(const EntrySettings& settings) {
+  constexpr double kSlowProcessors = 0.1;
+  constexpr double kSlowLinkMbps = 10;
+  return std::min(settings.processors / kSlowProcessors,
+                  settings.link_mbps / kSlowLinkMbps);
+}
+
 template <typename Command>
 void LogFailedCommand(const char* event,
                       const Command& command,
@@ -97,6 +110,8 @@
              settings.report_port,
              followers_,
              SourceOptionsFor(settings),
+             {.failure_domain = settings.failure_domain,
+              .capacity = CapacityOf(settings)},
              MakeRelayHooks()),
       poison_(PoisonControlOptions{}, MakePoisonHooks()),
       directory_(core::discovery::DirectoryOptions{}) {}
@@ -111,7 +126,10 @@
     return status;
   }
   for (const auto& [stream, follower] : followers_) {
-    follower->Start();
+    // The owners name the leader, so they are read first.
+    follower->Start(stream == Stream::kOwnership ? milliseconds(0)
+                    : settings_.fleet_starts     ? kFleetStartWait
+                                                 : kNewestWait);
   }
   RenewMembership();
   Tick();
@@ -152,10 +170,16 @@
       break;
     case Stream::kTargets: {
       std::vector<std::string> ids;
+      size_t changed = 0;
       for (const StoredRecord& it : result.records) {
-        OnTargetRecord(it);
+        changed += OnTargetRecord(it, complete) ? 1 : 0;
         ids.push_back(it.key);
       }
+      if (complete) {
+        LogEvent("targets_listed", {{"targets", ids.size()},
+                                    {"changed", changed},
+                                    {"end", result.end}});
+      }
       if (complete && directory_.RetainOnly(ids, now)) {
         MarkChanged();
       }
@@ -170,6 +194,7 @@
       for (auto& [service, coordinator] : coordinators_) {
         coordinator->OnEnd(ownership_end_);
       }
+      relay_.AskLeader();
       break;
   }
   was_read_[stream] = true;
@@ -205,26 +230,30 @@
   SyncCoordinators();
 }
 
-void Control::OnTargetRecord(const StoredRecord& record) {
+// Returns whether the record changed the targets. A complete listing is logged
+// as a whole, since a large fleet would otherwise write a line for each host
+// and target.
+bool Control::OnTargetRecord(const StoredRecord& record, bool complete) {
   const core::TimePoint now = LeaseClockNow();
   if (record.removed) {
     if (directory_.Remove(record.key, now)) {
       LogEvent("target_gone",
                {{"target", record.key}, {"offset", record.offset}});
     }
-    return;
+    return false;
   }
   const auto entry = platform_.decode_target(record.key, record.value);
   if (!entry.ok()) {
     LogEvent("target_entry_unreadable", {{"target", record.key},
                                          {"offset", record.offset},
                                          {"cause", entry.status().message()}});
-    return;
+    return false;
   }
   if (addresses_.size() < kMaxAddresses) {
     addresses_[entry->instance] = entry->address;
   }
-  if (directory_.Apply(*entry, now)) {
+  const bool changed = directory_.Apply(*entry, now);
+  if (changed && !complete) {
     LogEvent("target_entry", {{"target", entry->instance.id},
                               {"born", entry->instance.start_time_ms},
                               {"service", entry->service},
@@ -233,6 +262,7 @@
                               {"sequence", entry->sequence},
                               {"offset", record.offset}});
   }
+  return changed;
 }
 
 void Control::OnOwnershipRecord(const StoredRecord& record) {
@@ -298,6 +328,25 @@
 
 void Control::RenewMembership() {
   const core::TimePoint requested_at = LeaseClockNow();
+  const bool is_needed =
+      is_leader_ || active_ || store_lost_ || relay_.NeedsMembership();
+  if (std::exchange(is_member_, is_needed) != is_needed) {
+    LogEvent("membership", {{"is_member", is_needed}});
+    if (is_needed) {
+      // A host that was not a member has not seen which leases an earlier
+      // leader granted during an outage.
+      for (auto& [service, coordinator] : coordinators_) {
+        coordinator->OnStoreLost(requested_at);
+      }
+    } else {
+      member_hosts_ = 1;
+      UpdateLiveHosts();
+    }
+  }
+  if (!is_needed) {
+    ScheduleMembership(kMembershipOptions.leader_interval);
+    return;
+  }
   platform_.renew_membership(
       std::chrono::duration_cast<milliseconds>(NextMembershipRenewal().ttl),
       [this, requested_at](const MembershipResult& result) {
@@ -560,7 +609,15 @@
     }
     return;
   }
-  relay_.SendLoad(table->second.report_address, report);
+  relay_.SendLoad(report);
+}
+
+// Takes the load of other hosts.
+void Control::OnLoadReport(const core::keyspace::LoadReport& report) {
+  const auto it = coordinators_.find(report.service);
+  if (it != coordinators_.end()) {
+    it->second->OnLoad(report, LeaseClockNow());
+  }
 }
 
 bool Control::IsActive() const {
@@ -577,10 +634,13 @@
   return {
       .on_load =
           [this](const core::keyspace::LoadReport& report) {
-            const auto it = coordinators_.find(report.service);
-            if (it != coordinators_.end()) {
-              it->second->OnLoad(report, LeaseClockNow());
-            }
+            OnLoadReport(report);
+          },
+      .load_destination =
+          [this](const std::string& service) {
+            const auto table = tables_.find(service);
+            return table == tables_.end() ? std::string()
+                                          : table->second.report_address;
           },
       .is_source = [this] { return is_leader_ && IsActive(); },
       .is_leader = [this] { return is_leader_; },
@@ -601,6 +661,13 @@
             directory_.OnStoreConfirmedByPeer(since, LeaseClockNow());
             ApplyExpirations();
           },
+      .on_store_up_reported =
+          [this](core::TimePoint since) {
+            if (!is_member_) {
+              directory_.OnStoreUpReported(since);
+            }
+          },
+      .is_member = [this] { return is_member_; },
       .on_outage_reported =
           [this] {
             for (auto& [service, coordinator] : coordinators_) {
@@ -682,6 +749,7 @@
 
 void Control::Leave() {
   leaving_ = true;
+  relay_.BeginLeaving();
   membership_timer_.cancel();
   // The coordinators renew leases until the record of a successor is read or
   // the process ends. A host that is not the leader stays in the group until
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -59,7 +59,7 @@
 
   FollowerHooks FollowerHooksFor(Stream stream);
   void OnConfigRecord(const StoredRecord& record);
-  void OnTargetRecord(const StoredRecord& record);
+  bool OnTargetRecord(const StoredRecord& record, bool complete);
   void OnOwnershipRecord(const StoredRecord& record);
   void OnRecords(Stream stream, const ReadResult& result, bool complete);
   void OnStoreAnswer();
@@ -83,6 +83,7 @@
   PoisonControlHooks MakePoisonHooks();
   void StorePoison(const std::string& value, std::function<void(bool)> done);
   void UpdateLiveHosts();
+  void OnLoadReport(const core::keyspace::LoadReport& report);
   core::keyspace::MembershipRenewal NextMembershipRenewal() const;
   void ScheduleMembership(core::Duration delay);
   bool IsActive() const;
@@ -119,6 +120,9 @@
   bool publish_pending_ = false;
   bool leaving_ = false;
   bool is_leader_ = false;
+  // Whether this host renews its membership of the group from which the store
+  // chooses the leader.
+  bool is_member_ = true;
   // Whether this host decided about owners when the coordinators last ran.
   bool active_ = false;
 };
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -26,6 +26,7 @@
 }
 
 constexpr std::uint64_t kMaxHosts = 100'000;
+constexpr Json::ArrayIndex kMaxRelays = 1'000;
 // Limit of `store_up`; longer times count as this one.
 constexpr std::chrono::milliseconds kMaxStoreUp{std::chrono::hours(1)};
 
@@ -183,6 +184,9 @@
             .count()));
     speeds.append(std::move(speed));
   }
+  if (report.relayed) {
+    value["relayed"] = true;
+  }
   return codec::WriteJson(value);
 }
 
@@ -212,10 +216,79 @@
            .answers = it[1].asUInt(),
            .mean_time = std::chrono::milliseconds(it[2].asUInt())});
     }
+    report.relayed = fields.Has("relayed") && fields.Bool("relayed");
     return report;
   });
 }
 
+namespace {
+
+// Members of the object at the end of a heartbeat or reply. Hosts of earlier
+// versions send none, so each of them is optional.
+Json::Value RelayMembers(const PeerHeartbeat& heartbeat) {
+  Json::Value value(Json::objectValue);
+  value["v"] = heartbeat.relays_version;
+  if (!heartbeat.is_answer) {
+    value["m"] = heartbeat.is_member ? 1 : 0;
+    value["d"] = heartbeat.failure_domain;
+    value["c"] = heartbeat.capacity;
+    value["h"] = heartbeat.hosts;
+    return value;
+  }
+  if (heartbeat.is_relay) {
+    value["lr"] = heartbeat.leader_reachable ? 1 : 0;
+    value["ld"] = heartbeat.leader_digest;
+  }
+  if (heartbeat.relays) {
+    Json::Value& relays = value["r"] = Json::Value(Json::arrayValue);
+    for (const core::relay::Relay& it : *heartbeat.relays) {
+      Json::Value relay(Json::arrayValue);
+      relay.append(it.address);
+      relay.append(it.failure_domain);
+      relays.append(std::move(relay));
+    }
+  }
+  return value;
+}
+
+// Members of another type than expected count as missing.
+void ReadRelayMembers(const Json::Value& value, PeerHeartbeat& heartbeat) {
+  const auto read = [&value](const char* name, std::uint32_t missing) {
+    const Json::Value& it = value[name];
+    return it.isUInt() ? it.asUInt() : missing;
+  };
+  heartbeat.relays_version = read("v", 0);
+  if (!heartbeat.is_answer) {
+    heartbeat.is_member = read("m", 1) != 0;
+    heartbeat.hosts = static_cast<int>(std::min<std::uint32_t>(
+        read("h", 1), static_cast<std::uint32_t>(kMaxHosts)));
+    if (value["d"].isString()) {
+      heartbeat.failure_domain = value["d"].asString();
+    }
+    if (value["c"].isNumeric()) {
+      heartbeat.capacity = value["c"].asDouble();
+    }
+    return;
+  }
+  heartbeat.is_relay = value.isMember("lr");
+  heartbeat.leader_reachable = read("lr", 0) != 0;
+  heartbeat.leader_digest = read("ld", 0);
+  const Json::Value& relays = value["r"];
+  if (!relays.isArray() || relays.size() > kMaxRelays) {
+    return;
+  }
+  heartbeat.relays.emplace();
+  for (const Json::Value& it : relays) {
+    if (it.isArray() && it.size() >= 2 && it[0].isString() &&
+        it[1].isString()) {
+      heartbeat.relays->push_back(
+          {.address = it[0].asString(), .failure_domain = it[1].asString()});
+    }
+  }
+}
+
+}  // namespace
+
 // Each host sends several heartbeats a second, so the text is short.
 std::string EncodeHeartbeat(const PeerHeartbeat& heartbeat) {
   Json::Value value(Json::arrayValue);
@@ -236,6 +309,7 @@
     value.append(heartbeat.store_lost ? 1 : 0);
     value.append(heartbeat.poison_digest);
   }
+  value.append(RelayMembers(heartbeat));
   return codec::WriteJson(value);
 }
 
@@ -275,9 +349,13 @@
     return absl::InvalidArgumentError(
         "a heartbeat reports more hosts than the maximum");
   }
+  const Json::Value relay_members =
+      size < json->size() ? (*json)[size] : Json::Value(Json::objectValue);
   if (!is_answer) {
-    return PeerHeartbeat{.store_lost = (*json)[0].asUInt64() != 0,
-                         .poison_digest = (*json)[1].asUInt()};
+    PeerHeartbeat heartbeat{.store_lost = (*json)[0].asUInt64() != 0,
+                            .poison_digest = (*json)[1].asUInt()};
+    ReadRelayMembers(relay_members, heartbeat);
+    return heartbeat;
   }
   const auto state = [&json](Json::ArrayIndex i) {
     return StreamState{.next = (*json)[i].asUInt64(),
@@ -289,7 +367,7 @@
   for (Json::ArrayIndex i = kMinAnswerSize; i < size; ++i) {
     substitutes.push_back((*json)[i].asString());
   }
-  return PeerHeartbeat{.is_answer = true,
+  PeerHeartbeat answer{.is_answer = true,
                        .poison_digest = (*json)[9].asUInt(),
                        .config = state(0),
                        .targets = state(2),
@@ -298,6 +376,8 @@
                        .hosts = static_cast<int>((*json)[6].asUInt64()),
                        .is_leader = (*json)[7].asUInt64() != 0,
                        .substitutes = std::move(substitutes)};
+  ReadRelayMembers(relay_members, answer);
+  return answer;
 }
 
 std::string EncodeRecords(const ReadResult& result) {
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -2,6 +2,7 @@
 #define TOUCANDOCK_ENTRY_PEER_JSON_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "core/keyspace/key_samples.h"
 #include "core/keyspace/ownership.h"
 #include "core/keyspace/ownership_delta.h"
+#include "core/relay/relay_tree.h"
 #include "entry/platform_hooks.h"
 
 namespace toucandock::entry {
@@ -52,6 +54,14 @@
   bool is_answer = false;
   // In a heartbeat: the sender's own calls to the store fail.
   bool store_lost = false;
+  // In a heartbeat: the sender is a member of the group from which the store
+  // chooses the leader. Other hosts do not notice whether the store responds.
+  bool is_member = true;
+  // In a heartbeat: what the leader needs to know to appoint relays.
+  std::string failure_domain;
+  double capacity = 0;
+  // Version of the list of relays that the sender knows.
+  std::uint32_t relays_version = 0;
   // Digest of the sender's reports about requests that crash targets.
   std::uint32_t poison_digest = 0;
   StreamState config;
@@ -60,14 +70,24 @@
   // In a reply: for how long the store has answered the sender without
   // interruption; zero while it does not.
   std::chrono::milliseconds store_up{0};
-  // In a reply: number of hosts that send heartbeats to the sender, including
-  // itself.
+  // In a heartbeat: number of hosts that send heartbeats to the sender,
+  // including itself; 0 if a relay counts the sender. In a reply: number of
+  // hosts of the fleet.
   int hosts = 0;
   // In a reply: the sender is the leader; otherwise it is a substitute.
   bool is_leader = false;
   // In a reply of the leader: addresses of the hosts that read the store when
   // the leader is lost.
   std::vector<std::string> substitutes;
+  // In a reply: the sender is a relay. The fields of its reply that describe
+  // the leader are those that the leader last sent to it.
+  bool is_relay = false;
+  // In a reply of a relay: the leader has responded to it until recently.
+  bool leader_reachable = false;
+  std::uint32_t leader_digest = 0;
+  // In a reply: all relays, if the receiver does not know this version of the
+  // list.
+  std::optional<std::vector<core::relay::Relay>> relays;
 
   bool operator==(const PeerHeartbeat&) const = default;
 };
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -5,8 +5,11 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/strip.h"
 #include "entry/clock.h"
 #include "entry/event_log.h"
+#include "util/hash.h"
 
 namespace toucandock::entry {
 namespace {
@@ -24,11 +27,14 @@
 // (kSourcePollWait).
 constexpr milliseconds kFreshnessLimit{1'000};
 constexpr milliseconds kFetchTimeout{500};
+// The newest records of a large fleet are some hundred kilobytes.
+constexpr milliseconds kFetchNewestTimeout{1'500};
 // Maximum size of the records that a peer returns at a time. A host with a slow
 // link would need seconds to send more to a whole fleet; reading the store is
 // faster.
 constexpr size_t kMaxFetchedBytes = 16'384;
 constexpr char kRecordsPath[] = "/records?stream=";
+constexpr char kNewestPath[] = "/newest?stream=";
 constexpr char kFromParameter[] = "&from=";
 // Sent by a host whose own calls to the store fail: lifts the size limit.
 constexpr char kAnySizeParameter[] = "&any_size=1";
@@ -36,6 +42,25 @@
 // other hosts reports that it is.
 constexpr double kOutageFraction = 0.75;
 constexpr size_t kMaxSubstitutes = 4;
+constexpr core::relay::TreeOptions kTreeOptions;
+// A new leader appoints relays only after the hosts that it does not know yet
+// have sent a few heartbeats.
+constexpr milliseconds kAppointmentDelay{1'000};
+// A relay has few hosts to serve, so it returns all the records that it keeps.
+constexpr size_t kMaxRelayedBytes = 256U << 10;
+// An answer of the leader is valid for a relay for this long.
+constexpr milliseconds kSourceLifetime{600};
+// Hosts that are not members of the group join it when they have had no fresh
+// answer for this long. Losses of single messages and of a relay are over by
+// then.
+constexpr milliseconds kJoinDelay{3'000};
+// A host that uses a relay waits this much longer for a substitute of the
+// leader, which its relay finds first.
+constexpr milliseconds kRelayGrace{400};
+constexpr milliseconds kLoadInterval{250};
+// Delay between new records and the message that announces them, so that
+// records which arrive together are announced once.
+constexpr milliseconds kPushDelay{30};
 // How long the store may delay the response to a read that finds nothing new.
 constexpr milliseconds kPollWait{2'000};
 constexpr milliseconds kSourcePollWait{700};
@@ -46,6 +71,17 @@
 constexpr milliseconds kTargetsPause{400};
 constexpr milliseconds kOwnershipPause{100};
 
+std::string ToString(const udp::endpoint& endpoint) {
+  return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+std::string NamesOf(const std::vector<core::relay::Relay>& relays) {
+  return absl::StrJoin(relays, ",",
+                       [](std::string* out, const core::relay::Relay& it) {
+                         out->append(it.address);
+                       });
+}
+
 milliseconds ToMilliseconds(core::Duration time) {
   return std::chrono::duration_cast<milliseconds>(time);
 }
@@ -57,6 +93,7 @@
                      std::uint16_t port,
                      Followers& followers,
                      const core::relay::SourceOptions& options,
+                     RelayProfile profile,
                      PeerRelayHooks hooks)
     : io_(io),
       ip_(std::move(ip)),
@@ -68,7 +105,10 @@
       responder_(
           io,
           [this](const net::HttpRequest& request) { return Serve(request); }),
-      tracker_(options, LeaseClockNow()) {}
+      tracker_(options, LeaseClockNow()),
+      profile_(std::move(profile)),
+      load_timer_(io),
+      push_timer_(io) {}
 
 // Opens the peer port, for datagrams and for fetches of records.
 absl::Status PeerRelay::Start() {
@@ -83,8 +123,13 @@
     status = OpenPort();
   }
   if (status.ok()) {
+    relay_choice_.emplace(
+        core::relay::Relay{.address = address(),
+                           .failure_domain = profile_.failure_domain},
+        kTreeOptions);
     Receive();
     SendHeartbeats();
+    FlushLoad();
   }
   return status;
 }
@@ -112,13 +157,38 @@
   socket_.send_to(boost::asio::buffer(text), to, 0, ec);
 }
 
-void PeerRelay::SendLoad(const std::string& address,
-                         const core::keyspace::LoadReport& report) {
+void PeerRelay::SendLoad(const core::keyspace::LoadReport& report) {
+  if (IsRelay()) {
+    AddReport(report, summed_loads_[report.service]);
+    return;
+  }
+  const auto relay = OwnRelay(LeaseClockNow());
+  const std::string address =
+      relay ? *relay : hooks_.load_destination(report.service);
   if (const auto to = net::ParseEndpoint(address); to.ok()) {
     Send({to->address(), to->port()}, EncodeLoadReport(report));
   }
 }
 
+// Sends the sums that a relay has collected.
+void PeerRelay::FlushLoad() {
+  for (auto& [service, report] : summed_loads_) {
+    report.service = service;
+    report.relayed = true;
+    const auto to = net::ParseEndpoint(hooks_.load_destination(service));
+    if (to.ok()) {
+      Send({to->address(), to->port()}, EncodeLoadReport(report));
+    }
+  }
+  summed_loads_.clear();
+  load_timer_.expires_after(kLoadInterval);
+  load_timer_.async_wait([this](const error_code& ec) {
+    if (!ec) {
+      FlushLoad();
+    }
+  });
+}
+
 void PeerRelay::NoteRecords(Stream stream,
                             const ReadResult& result,
                             bool complete) {
@@ -127,14 +197,49 @@
       NoteTable(it);
     }
   }
+  if (stream != Stream::kOwnership) {
+    auto& newest = newest_[stream];
+    if (complete) {
+      newest.clear();
+    }
+    for (const StoredRecord& it : result.records) {
+      if (it.removed) {
+        newest.erase(it.key);
+      } else {
+        newest.insert_or_assign(it.key, it);
+      }
+    }
+  }
   if (complete) {
     caches_[stream].StartAt(result.end);
     UpdateFollowers();
   } else {
     caches_[stream].Add(result);
+    SchedulePush();
   }
 }
 
+// Announces new records to the hosts of a large fleet, which would otherwise
+// learn of them only with their next heartbeat, at each level of the tree.
+void PeerRelay::SchedulePush() {
+  if (is_push_scheduled_ || heartbeat_senders_.empty() || !ServesOthers() ||
+      relay_choice_->relays().empty()) {
+    return;
+  }
+  is_push_scheduled_ = true;
+  push_timer_.expires_after(kPushDelay);
+  push_timer_.async_wait([this](const error_code& ec) {
+    is_push_scheduled_ = false;
+    if (ec || !ServesOthers()) {
+      return;
+    }
+    const std::string text = EncodeHeartbeat(MakeAnswer(LeaseClockNow()));
+    for (const auto& [endpoint, heartbeat_sender] : heartbeat_senders_) {
+      Send(endpoint, text);
+    }
+  });
+}
+
 void PeerRelay::NoteTable(const StoredRecord& record) {
   auto table = DecodeOwnership(record.value);
   if (record.removed || !table.ok()) {
@@ -152,9 +257,13 @@
 StreamState PeerRelay::StateOf(Stream stream) const {
   const auto answered = answered_at_.find(stream);
   const StreamFollower& follower = *followers_.at(stream);
+  const core::TimePoint now = LeaseClockNow();
+  const bool is_answered = answered != answered_at_.end() &&
+                           now - answered->second <= kFreshnessLimit;
+  const bool is_relayed =
+      IsRelay() && now - fresh_answer_at_ <= kSourceLifetime;
   return {.next = follower.next(),
-          .fresh = follower.has_newest() && answered != answered_at_.end() &&
-                   LeaseClockNow() - answered->second <= kFreshnessLimit};
+          .fresh = follower.has_newest() && (is_answered || is_relayed)};
 }
 
 std::string PeerRelay::address() const {
@@ -165,14 +274,108 @@
   return !tracker_.IsLeaderLost(LeaseClockNow());
 }
 
+bool PeerRelay::IsRelay() const {
+  return relay_choice_ && relay_choice_->IsRelay();
+}
+
+// The relay that this host uses. The leader uses none.
+std::optional<std::string> PeerRelay::OwnRelay(core::TimePoint now) const {
+  return hooks_.is_source() ? std::nullopt : relay_choice_->Current(now);
+}
+
+bool PeerRelay::ServesOthers() const {
+  return hooks_.is_source() || tracker_.is_substitute() || IsRelay();
+}
+
+bool PeerRelay::NeedsMembership() const {
+  return !relay_choice_ || relay_choice_->relays().empty() || IsRelay() ||
+         hooks_.is_source() || LeaseClockNow() - fresh_answer_at_ >= kJoinDelay;
+}
+
+// Number of hosts that send heartbeats to this one or, on the leader, to a
+// relay, including this one. A host that has just changed to a relay is counted
+// twice until its last heartbeat expires.
+int PeerRelay::CountHosts() const {
+  int hosts = 1;
+  for (const auto& [endpoint, it] : heartbeat_senders_) {
+    hosts +=
+        hooks_.is_source() && it.is_relay ? it.hosts : std::min(1, it.hosts);
+  }
+  return hosts;
+}
+
+void PeerRelay::ExpireSenders(core::TimePoint now) {
+  std::erase_if(heartbeat_senders_, [now](const auto& it) {
+    return now - it.second.last_received > kHeartbeatLifetime;
+  });
+}
+
+void PeerRelay::AppointRelays() {
+  if (!hooks_.is_source()) {
+    source_since_ = std::nullopt;
+    return;
+  }
+  const core::TimePoint now = LeaseClockNow();
+  if (!source_since_) {
+    source_since_ = now;
+  }
+  if (now - *source_since_ < kAppointmentDelay) {
+    return;
+  }
+  std::vector<core::relay::RelayCandidate> candidates;
+  for (auto& [endpoint, it] : heartbeat_senders_) {
+    candidates.push_back(
+        {.relay = {.address = ToString(endpoint),
+                   .failure_domain = it.profile.failure_domain},
+         .capacity = it.profile.capacity});
+  }
+  const int hosts = CountHosts();
+  hooks_.on_host_count(hosts);
+  SetRelays(core::relay::AppointRelays(relay_choice_->relays(), candidates,
+                                       fleet_size_.Add(hosts, now),
+                                       kTreeOptions));
+  for (auto& [endpoint, it] : heartbeat_senders_) {
+    it.is_relay = relay_choice_->IsAmongRelays(ToString(endpoint));
+  }
+}
+
+void PeerRelay::SetRelays(std::vector<core::relay::Relay> relays) {
+  if (relays == relay_choice_->relays()) {
+    return;
+  }
+  const bool was_relay = IsRelay();
+  relays_version_ =
+      relays.empty()
+          ? 0
+          : static_cast<std::uint32_t>(util::Hash64(NamesOf(relays)));
+  relay_choice_->SetRelays(std::move(relays));
+  if (hooks_.is_source() || IsRelay() != was_relay) {
+    LogEvent("relays", {{"relays", relay_choice_->relays().size()},
+                        {"hosts", CountHosts()},
+                        {"is_leader", hooks_.is_source()},
+                        {"is_relay", IsRelay()}});
+  }
+}
+
 void PeerRelay::SendHeartbeats() {
+  const core::TimePoint now = LeaseClockNow();
+  ExpireSenders(now);
   UpdateFollowers();
-  for (const std::string& address : hooks_.sources()) {
-    SendHeartbeat(address);
+  AppointRelays();
+  relay_choice_->OnAsked(now);
+  const auto relay = OwnRelay(now);
+  const bool leader_lost = tracker_.IsLeaderLost(now);
+  if (relay) {
+    SendHeartbeat(*relay, 1);
+  }
+  if (!relay || leader_lost) {
+    for (const std::string& address : hooks_.sources()) {
+      SendHeartbeat(address, relay ? 0 : CountHosts());
+    }
   }
-  if (tracker_.IsLeaderLost(LeaseClockNow()) && !tracker_.is_substitute()) {
+  if (!relay && leader_lost && !tracker_.is_substitute()) {
     for (const std::string& address : substitutes_) {
-      SendHeartbeat(address);
+      SendHeartbeat(address, 1);
     }
   }
   timer_.expires_after(kHeartbeatInterval);
@@ -183,17 +386,34 @@
   });
 }
 
-void PeerRelay::SendHeartbeat(const std::string& address) {
+void PeerRelay::AskLeader() {
+  if (hooks_.is_source() || IsLeaderReachable()) {
+    return;
+  }
+  for (const std::string& address : hooks_.sources()) {
+    SendHeartbeat(address, OwnRelay(LeaseClockNow()) ? 0 : CountHosts());
+  }
+}
+
+// `hosts`: number of hosts that the receiver is to count for this one.
+void PeerRelay::SendHeartbeat(const std::string& address, int hosts) {
   if (const auto to = net::ParseEndpoint(address); to.ok()) {
     Send({to->address(), to->port()},
          EncodeHeartbeat({.store_lost = hooks_.store_lost(),
-                          .poison_digest = hooks_.poison_digest()}));
+                          .is_member = hooks_.is_member(),
+                          .failure_domain = profile_.failure_domain,
+                          .capacity = profile_.capacity,
+                          .relays_version = relays_version_,
+                          .poison_digest = hooks_.poison_digest(),
+                          .hosts = hosts}));
   }
 }
 
 void PeerRelay::Broadcast(const std::string& text) {
   std::set<std::string> addresses = hooks_.sources();
-  if (tracker_.IsLeaderLost(LeaseClockNow())) {
+  if (const auto relay = OwnRelay(LeaseClockNow())) {
+    addresses = {*relay};
+  } else if (tracker_.IsLeaderLost(LeaseClockNow())) {
     addresses.insert(substitutes_.begin(), substitutes_.end());
   }
   std::set<udp::endpoint> endpoints;
@@ -232,9 +452,14 @@
     hooks_.on_leader_lost();
   }
   const bool is_leader = hooks_.is_leader() || hooks_.is_source();
-  const bool relayed = !is_leader && tracker_.IsRelayed(now);
+  const core::Duration more_grace =
+      relay_choice_ && OwnRelay(now) ? kRelayGrace : milliseconds(0);
+  const bool relayed = !is_leader && tracker_.IsRelayed(now, more_grace);
   const bool is_read_for_others = is_leader || tracker_.is_substitute();
   for (auto& [stream, follower] : followers_) {
+    if (is_read_for_others || IsRelay()) {
+      follower->EndWait();
+    }
     follower->SetPollWait(is_read_for_others ? kSourcePollWait : kPollWait);
     // Ownership is read even during the start, since its records hold the
     // address of the leader.
@@ -285,51 +510,83 @@
     LogEvent("datagram_unreadable", {{"cause", report.status().message()}});
     return;
   }
+  if (IsRelay() && !hooks_.is_source() && !report->relayed) {
+    AddReport(*report, summed_loads_[report->service]);
+    return;
+  }
   hooks_.on_load(*report);
 }
 
 void PeerRelay::OnHeartbeat(const PeerHeartbeat& heartbeat) {
   const core::TimePoint now = LeaseClockNow();
-  heartbeat_senders_[sender_] = {.last_received = now,
-                                 .store_lost = heartbeat.store_lost};
-  std::erase_if(heartbeat_senders_, [now](const auto& it) {
-    return now - it.second.last_received > kHeartbeatLifetime;
-  });
-  const auto lost =
+  ExpireSenders(now);
+  heartbeat_senders_[sender_] = {
+      .last_received = now,
+      .store_lost = heartbeat.store_lost,
+      .is_member = heartbeat.is_member,
+      .is_relay = relay_choice_->IsAmongRelays(ToString(sender_)),
+      .hosts = heartbeat.hosts,
+      .profile = {.failure_domain = heartbeat.failure_domain,
+                  .capacity = heartbeat.capacity}};
+  // Only members call the store, so only they notice an outage, and only they
+  // can become the leader.
+  const auto members =
       std::count_if(heartbeat_senders_.begin(), heartbeat_senders_.end(),
-                    [](const auto& it) { return it.second.store_lost; });
-  if (static_cast<double>(lost) >=
-      kOutageFraction * static_cast<double>(heartbeat_senders_.size())) {
+                    [](const auto& it) { return it.second.is_member; });
+  const auto lost = std::count_if(
+      heartbeat_senders_.begin(), heartbeat_senders_.end(), [](const auto& it) {
+        return it.second.is_member && it.second.store_lost;
+      });
+  if (members > 0 && static_cast<double>(lost) >=
+                         kOutageFraction * static_cast<double>(members)) {
     hooks_.on_outage_reported();
   }
   CompareDigests(heartbeat);
-  const bool is_leader = hooks_.is_source();
-  if (!is_leader && !tracker_.is_substitute()) {
+  if (!ServesOthers()) {
     return;
   }
-  const auto up_since = hooks_.store_up_since();
+  PeerHeartbeat answer = MakeAnswer(now);
+  if (heartbeat.relays_version != relays_version_) {
+    answer.relays = relay_choice_->relays();
+  }
+  Send(sender_, EncodeHeartbeat(answer));
+}
+
+PeerHeartbeat PeerRelay::MakeAnswer(core::TimePoint now) const {
   PeerHeartbeat answer{.is_answer = true,
+                       .relays_version = relays_version_,
                        .poison_digest = hooks_.poison_digest(),
                        .config = StateOf(Stream::kConfig),
                        .targets = StateOf(Stream::kTargets),
                        .ownership = StateOf(Stream::kOwnership),
-                       .hosts = static_cast<int>(heartbeat_senders_.size()) + 1,
-                       .is_leader = is_leader};
-  if (up_since) {
-    answer.store_up = ToMilliseconds(now - *up_since);
-  }
-  if (is_leader) {
+                       .hosts = CountHosts(),
+                       .is_leader = hooks_.is_source()};
+  if (answer.is_leader) {
     answer.substitutes = ChooseSubstitutes();
+  } else if (IsRelay()) {
+    answer.is_relay = true;
+    answer.hosts = last_answer_.hosts;
+    answer.leader_reachable = IsLeaderReachable();
+    answer.leader_digest = last_answer_.leader_digest;
+    answer.substitutes = last_answer_.substitutes;
+  }
+  if (answer.is_relay && !tracker_.is_substitute()) {
+    // The records of a relay are those of its source.
+    const bool has_all =
+        followers_.at(Stream::kTargets)->next() >= last_answer_.targets.next;
+    answer.store_up = answer.targets.fresh && has_all ? last_answer_.store_up
+                                                      : milliseconds(0);
+  } else if (const auto up_since = hooks_.store_up_since()) {
+    answer.store_up = ToMilliseconds(now - *up_since);
   }
-  Send(sender_, EncodeHeartbeat(answer));
+  return answer;
 }
 
 std::vector<std::string> PeerRelay::ChooseSubstitutes() const {
   std::vector<std::string> chosen;
   for (const auto& [endpoint, heartbeat_sender] : heartbeat_senders_) {
     if (chosen.size() < kMaxSubstitutes && !heartbeat_sender.store_lost) {
-      chosen.push_back(
-          absl::StrCat(endpoint.address().to_string(), ":", endpoint.port()));
+      chosen.push_back(ToString(endpoint));
     }
   }
   return chosen;
@@ -337,26 +594,67 @@
 
 void PeerRelay::OnAnswer(const PeerHeartbeat& answer) {
   const core::TimePoint now = LeaseClockNow();
+  const std::string from = ToString(sender_);
+  const auto relay = OwnRelay(now);
+  if (answer.is_relay && relay && from != *relay) {
+    // A relay that this host no longer uses.
+    return;
+  }
+  // Relays also use each other, but only as substitutes of the leader.
+  const bool is_own_relay = answer.is_relay && relay.has_value();
+  const bool was_lost = tracker_.IsLeaderLost(now);
   const bool fresh =
       answer.config.fresh && answer.targets.fresh && answer.ownership.fresh;
-  tracker_.OnAnswer(answer.is_leader ? core::relay::SourceKind::kLeader
-                                     : core::relay::SourceKind::kSubstitute,
-                    fresh, now);
-  CompareDigests(answer);
   if (answer.is_leader) {
-    hooks_.on_leader_digest(answer.poison_digest);
-    substitutes_ = answer.substitutes;
-    tracker_.SetSubstitute(std::find(substitutes_.begin(), substitutes_.end(),
-                                     address()) != substitutes_.end());
-    hooks_.on_host_count(answer.hosts);
-  }
-  // The leader takes precedence over a substitute.
-  if (fresh && (answer.is_leader || tracker_.IsLeaderLost(now))) {
+    tracker_.OnAnswer(core::relay::SourceKind::kLeader, fresh, now);
+  } else if (is_own_relay) {
+    relay_choice_->OnAnswer(from, fresh, now);
+    tracker_.OnAnswer(core::relay::SourceKind::kLeader,
+                      fresh && answer.leader_reachable, now);
+  }
+  if (!answer.is_leader && !(is_own_relay && answer.leader_reachable)) {
+    tracker_.OnAnswer(core::relay::SourceKind::kSubstitute, fresh, now);
+  }
+  CompareDigests(answer);
+  if (answer.is_leader || is_own_relay) {
+    OnSourceAnswer(answer, now);
+  }
+  if (fresh) {
+    fresh_answer_at_ = now;
+  }
+  // A relay takes precedence over the leader, and the leader over a substitute.
+  if (fresh && (is_own_relay || (answer.is_leader && (!relay || was_lost)) ||
+                tracker_.IsLeaderLost(now))) {
     UseSource(answer);
   }
   UpdateFollowers();
 }
 
+// Takes what the leader says of the fleet, directly or through a relay.
+void PeerRelay::OnSourceAnswer(const PeerHeartbeat& answer,
+                               core::TimePoint now) {
+  last_answer_ = answer;
+  if (answer.is_leader) {
+    last_answer_.leader_digest = answer.poison_digest;
+  }
+  hooks_.on_leader_digest(last_answer_.leader_digest);
+  substitutes_ = answer.substitutes;
+  tracker_.SetSubstitute(std::find(substitutes_.begin(), substitutes_.end(),
+                                   address()) != substitutes_.end());
+  hooks_.on_host_count(answer.hosts);
+  if (answer.store_up > milliseconds(0)) {
+    hooks_.on_store_up_reported(now - answer.store_up);
+  }
+  if (answer.relays) {
+    SetRelays(*answer.relays);
+    // A host that starts asks its relay without delay.
+    const auto relay = OwnRelay(now);
+    if (relay && !followers_.at(Stream::kTargets)->has_newest()) {
+      SendHeartbeat(*relay, 1);
+    }
+  }
+}
+
 // Fetches the records that the sender of the answer has read and this host has
 // not.
 void PeerRelay::UseSource(const PeerHeartbeat& answer) {
@@ -381,10 +679,51 @@
         stream != Stream::kOwnership && tracker_.IsStarting(LeaseClockNow());
     if (follower.has_newest() && !waits && follower.next() < state.next) {
       Fetch(stream);
+    } else if (!follower.has_newest() && MayFetchNewest(answer, stream)) {
+      FetchNewest(stream);
     }
   }
 }
 
+// The hosts of a large fleet that start together would overload the leader, so
+// they take the newest records only from relays.
+bool PeerRelay::MayFetchNewest(const PeerHeartbeat& answer,
+                               Stream stream) const {
+  return stream != Stream::kOwnership &&
+         (answer.is_relay ||
+          (answer.is_leader && answer.hosts <= kTreeOptions.max_direct_hosts));
+}
+
+// If the peer has no answer in time, this host reads the store.
+void PeerRelay::FetchNewest(Stream stream) {
+  if (std::exchange(fetching_[stream], true)) {
+    return;
+  }
+  net::HttpRequest request{
+      http::verb::get, absl::StrCat(kNewestPath, static_cast<int>(stream)), 11};
+  request.set(http::field::host, ip_);
+  source_client_->Call(
+      std::move(request), kFetchNewestTimeout,
+      [this, stream, source = *source_](const net::CallAnswer& answer) {
+        if (source_ != source) {
+          return;
+        }
+        fetching_[stream] = false;
+        const bool is_ok = answer.result == net::CallResult::kAnswered &&
+                           answer.response.result() == http::status::ok;
+        const auto records = is_ok
+                                 ? DecodeRecords(answer.response.body())
+                                 : absl::UnavailableError("no answer in time");
+        if (records.ok()) {
+          followers_[stream]->DeliverNewest(*records);
+          return;
+        }
+        LogEvent("fetch_failed", {{"stream", static_cast<int>(stream)},
+                                  {"cause", records.status().message()}});
+        followers_[stream]->EndWait();
+      });
+}
+
 void PeerRelay::Fetch(Stream stream) {
   if (fetching_[stream]) {
     return;
@@ -455,11 +794,18 @@
   return true;
 }
 
-// GET /records?stream=N&from=OFFSET[&any_size=1]
+// GET /records?stream=N&from=OFFSET[&any_size=1] and GET /newest?stream=N
 net::HttpResponse PeerRelay::Serve(const net::HttpRequest& request) const {
   net::HttpResponse response;
   response.result(http::status::not_found);
   std::string target(request.target());
+  absl::string_view newest_of = target;
+  if (absl::ConsumePrefix(&newest_of, kNewestPath)) {
+    int stream = 0;
+    return absl::SimpleAtoi(newest_of, &stream)
+               ? ServeNewest(static_cast<Stream>(stream))
+               : response;
+  }
   const size_t suffix = target.find(kAnySizeParameter);
   const bool any_size = suffix != std::string::npos;
   if (any_size) {
@@ -477,19 +823,25 @@
     return response;
   }
   if (static_cast<Stream>(stream) == Stream::kOwnership && !any_size) {
-    return ServeOwnership(offset);
+    response = ServeOwnership(offset);
+    if (response.result() == http::status::ok || !IsRelay()) {
+      return response;
+    }
+    response = {};
+    response.result(http::status::not_found);
   }
   const auto cache = caches_.find(static_cast<Stream>(stream));
   if (cache == caches_.end()) {
     return response;
   }
+  const size_t max_bytes = IsRelay() ? kMaxRelayedBytes : kMaxFetchedBytes;
   const std::optional<ReadResult> records = cache->second.From(offset);
   if (!records) {
     response.result(http::status::gone);
     return response;
   }
   std::string body = EncodeRecords(*records);
-  if (body.size() > kMaxFetchedBytes && !any_size) {
+  if (body.size() > max_bytes && !any_size) {
     response.result(http::status::payload_too_large);
     return response;
   }
@@ -499,6 +851,24 @@
   return response;
 }
 
+net::HttpResponse PeerRelay::ServeNewest(Stream stream) const {
+  net::HttpResponse response;
+  const auto newest = newest_.find(stream);
+  if (newest == newest_.end()) {
+    response.result(http::status::not_found);
+    return response;
+  }
+  ReadResult records{.status = StoreStatus::kOk,
+                     .end = caches_.at(stream).next()};
+  for (const auto& [key, record] : newest->second) {
+    records.records.push_back(record);
+  }
+  response.result(http::status::ok);
+  response.set(http::field::content_type, "application/json");
+  response.body() = EncodeRecords(records);
+  return response;
+}
+
 net::HttpResponse PeerRelay::ServeOwnership(core::Offset from) const {
   net::HttpResponse response;
   const auto cache = caches_.find(Stream::kOwnership);
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -18,6 +18,7 @@
 
 #include "absl/status/status.h"
 #include "core/keyspace/key_samples.h"
+#include "core/relay/relay_tree.h"
 #include "core/relay/source_tracker.h"
 #include "core/time.h"
 #include "entry/peer_json.h"
@@ -30,8 +31,18 @@
 
 using Followers = std::map<Stream, std::shared_ptr<StreamFollower>>;
 
+// What the leader needs to know of a host to appoint relays.
+struct RelayProfile {
+  std::string failure_domain;
+  // 0 if the host must not be a relay.
+  double capacity = 0;
+};
+
 struct PeerRelayHooks {
   std::function<void(const core::keyspace::LoadReport&)> on_load;
+  // Peer address of the host that decides about the owners of a service; empty
+  // if it is unknown.
+  std::function<std::string(const std::string& service)> load_destination;
   // Whether this host decides about owners, so that the others take records
   // from it.
   std::function<bool()> is_source;
@@ -48,6 +59,12 @@
   // interruption since the given time, and this host has read all records about
   // targets that the source has read.
   std::function<void(core::TimePoint since)> on_store_confirmed_by_peer;
+  // Called when a source reports since when the store has responded to it,
+  // before the records that it has read since then are fetched.
+  std::function<void(core::TimePoint since)> on_store_up_reported;
+  // Whether this host is a member of the group from which the store chooses the
+  // leader.
+  std::function<bool()> is_member;
   // Called when most hosts that send heartbeats to this one report that their
   // calls to the store fail, too.
   std::function<void()> on_outage_reported;
@@ -72,6 +89,10 @@
 // not reply or is not up to date, a few substitutes read the store for the
 // other hosts. If there are no substitutes either, each host reads the store
 // itself.
+//
+// In a large fleet, the leader appoints relays. The other hosts exchange
+// heartbeats, records and load reports with a relay instead of the leader, and
+// speak to the leader only while no relay responds.
 class PeerRelay {
  public:
   PeerRelay(boost::asio::io_context& io,
@@ -79,21 +100,33 @@
             std::uint16_t port,
             Followers& followers,
             const core::relay::SourceOptions& options,
+            RelayProfile profile,
             PeerRelayHooks hooks);
 
   absl::Status Start();
   // Address ("IP:PORT") of the peer port.
   std::string address() const;
-  void SendLoad(const std::string& address,
-                const core::keyspace::LoadReport& report);
+  // Sends the load of this host's own requests to the host that decides about
+  // the owners of the service, or to the relay.
+  void SendLoad(const core::keyspace::LoadReport& report);
   // Sends a message to all hosts that this one knows.
   void Broadcast(const std::string& text);
   // Takes records that this host has read from the store or from the source.
   void NoteRecords(Stream stream, const ReadResult& result, bool complete);
+  // Asks the leader without delay, if this host has not heard from it. Must be
+  // called when the address of the leader may have changed.
+  void AskLeader();
+  // Asks the leader to appoint another relay in place of this host, which is
+  // about to stop. Until then it serves its hosts.
+  void BeginLeaving() { profile_.capacity = 0; }
   // Must be called when the store has answered a read of this host.
   void NoteAnswer(Stream stream);
   // Whether the leader replies to the heartbeats of this host.
   bool IsLeaderReachable() const;
+  // Whether this host has to be a member of the group from which the store
+  // chooses the leader. In a large fleet, the leader and the relays suffice, as
+  // long as the other hosts hear from them.
+  bool NeedsMembership() const;
 
  private:
   void NoteTable(const StoredRecord& record);
@@ -103,7 +136,18 @@
   void OnHeartbeat(const PeerHeartbeat& heartbeat);
   void OnAnswer(const PeerHeartbeat& answer);
   void UseSource(const PeerHeartbeat& answer);
-  void SendHeartbeat(const std::string& address);
+  void SendHeartbeat(const std::string& address, int hosts);
+  PeerHeartbeat MakeAnswer(core::TimePoint now) const;
+  void ExpireSenders(core::TimePoint now);
+  void AppointRelays();
+  void SetRelays(std::vector<core::relay::Relay> relays);
+  int CountHosts() const;
+  bool IsRelay() const;
+  std::optional<std::string> OwnRelay(core::TimePoint now) const;
+  bool ServesOthers() const;
+  void OnSourceAnswer(const PeerHeartbeat& answer, core::TimePoint now);
+  void SchedulePush();
+  void FlushLoad();
   void CompareDigests(const PeerHeartbeat& heartbeat);
   std::vector<std::string> ChooseSubstitutes() const;
   void UpdateFollowers();
@@ -111,10 +155,13 @@
   void Send(const boost::asio::ip::udp::endpoint& to, const std::string& text);
   StreamState StateOf(Stream stream) const;
   void Fetch(Stream stream);
+  void FetchNewest(Stream stream);
+  bool MayFetchNewest(const PeerHeartbeat& answer, Stream stream) const;
   void OnFetched(Stream stream, const net::CallAnswer& answer);
   bool DeliverUpdate(const std::string& text);
   net::HttpResponse Serve(const net::HttpRequest& request) const;
   net::HttpResponse ServeOwnership(core::Offset from) const;
+  net::HttpResponse ServeNewest(Stream stream) const;
 
   boost::asio::io_context& io_;
   const std::string ip_;
@@ -127,12 +174,19 @@
   boost::asio::steady_timer timer_;
   net::Responder responder_;
   std::map<Stream, RecordCache> caches_;
+  // Newest record of each key, for peers that start.
+  std::map<Stream, std::map<std::string, StoredRecord>> newest_;
   TableHistory tables_;
   std::map<Stream, core::TimePoint> answered_at_;
   // A host that sends heartbeats to this one.
   struct HeartbeatSender {
     core::TimePoint last_received{};
     bool store_lost = false;
+    bool is_member = true;
+    // The sender is one of the relays of this host, if this is the leader.
+    bool is_relay = false;
+    int hosts = 1;
+    RelayProfile profile;
   };
   std::map<boost::asio::ip::udp::endpoint, HeartbeatSender> heartbeat_senders_;
   std::optional<boost::asio::ip::udp::endpoint> source_;
@@ -143,6 +197,21 @@
   // Addresses of the hosts that read the store for the others when the leader
   // is lost.
   std::vector<std::string> substitutes_;
+  RelayProfile profile_;
+  // Set once the address of this host is known.
+  std::optional<core::relay::RelayChoice> relay_choice_;
+  std::uint32_t relays_version_ = 0;
+  core::relay::FleetSize fleet_size_;
+  // Since when this host has been the source of all others.
+  std::optional<core::TimePoint> source_since_;
+  // Last answer of the leader or relay, and the time of the last fresh one.
+  PeerHeartbeat last_answer_;
+  core::TimePoint fresh_answer_at_{};
+  // Load reports of this host and of those that use it as their relay.
+  std::map<std::string, core::keyspace::LoadReport> summed_loads_;
+  boost::asio::steady_timer load_timer_;
+  boost::asio::steady_timer push_timer_;
+  bool is_push_scheduled_ = false;
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -48,6 +48,8 @@
     map.Read("stop_limit", settings.stop_limit);
     map.Read("shortest_membership", settings.min_membership);
     map.Read("store_partitions", settings.store_partitions);
+    map.Read("processors", settings.processors);
+    map.Read("link_mbps", settings.link_mbps);
     map.Read("fleet_starts", settings.fleet_starts);
     map.ReadMap("retries", [&settings](codec::YamlMap& retries) {
       ReadRetries(retries, settings.retries);
@@ -76,6 +78,13 @@
     errors.Add(errors.LineOf("store_partitions"), "store_partitions",
                "is below 1");
   }
+  const auto check_positive = [&errors](const char* name, double value) {
+    if (!errors.HasErrorAt(name) && !(value > 0)) {
+      errors.Add(errors.LineOf(name), name, "is not above 0");
+    }
+  };
+  check_positive("processors", settings.processors);
+  check_positive("link_mbps", settings.link_mbps);
   if (!errors.empty()) {
     return errors.ToStatus();
   }
@@ -112,6 +121,8 @@
   compare("longest_lease", &EntrySettings::max_lease);
   compare("shortest_membership", &EntrySettings::min_membership);
   compare("store_partitions", &EntrySettings::store_partitions);
+  compare("processors", &EntrySettings::processors);
+  compare("link_mbps", &EntrySettings::link_mbps);
   compare("fleet_starts", &EntrySettings::fleet_starts);
   return change;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -33,6 +33,11 @@
   core::Duration stop_limit = std::chrono::seconds(6);
   core::Duration min_membership = std::chrono::seconds(1);
   int store_partitions = 24;
+  // Number of processors that the host may use, and bandwidth of its link in
+  // megabits per second. In large fleets, hosts with more of both relay control
+  // messages.
+  double processors = 1;
+  double link_mbps = 1'000;
   // The whole fleet starts for the first time.
   bool fleet_starts = false;
   core::balance::RetryWindowOptions retries;
--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -16,11 +16,36 @@
       hooks_(std::move(hooks)),
       timer_(io) {}
 
-void StreamFollower::Start() {
-  ReadNewest();
+void StreamFollower::Start(std::chrono::milliseconds wait) {
+  waits_for_peer_ = wait > std::chrono::milliseconds(0);
+  if (waits_for_peer_) {
+    ScheduleRead(wait);
+  } else {
+    ReadNewest();
+  }
+}
+
+void StreamFollower::EndWait() {
+  if (waits_for_peer_) {
+    ScheduleRead(std::chrono::milliseconds(0));
+  }
+}
+
+void StreamFollower::DeliverNewest(const ReadResult& result) {
+  if (has_newest_) {
+    return;
+  }
+  // A read of the store that is in flight is no longer needed.
+  ++read_id_;
+  waits_for_peer_ = false;
+  next_ = result.end;
+  has_newest_ = true;
+  hooks_.on_newest(result);
+  ScheduleRead(std::chrono::milliseconds(0));
 }
 
 void StreamFollower::ReadNewest() {
+  waits_for_peer_ = false;
   platform_.read_newest(stream_, [self = shared_from_this(),
                                   read = ++read_id_](const ReadResult& result) {
     if (read == self->read_id_) {
--- a/src/entry/stream_follower.h
+++ b/src/entry/stream_follower.h
@@ -40,7 +40,13 @@
                  FollowerOptions options,
                  FollowerHooks hooks);
 
-  void Start();
+  // Reads the newest records of the store, unless a peer has delivered them
+  // within `wait`.
+  void Start(std::chrono::milliseconds wait);
+  // Takes the newest records from a peer, if they have not been read yet.
+  void DeliverNewest(const ReadResult& result);
+  // Reads the newest records without waiting for a peer any longer.
+  void EndWait();
   // Abandons the read in flight, which may never be answered, and starts
   // another after the delay.
   void Restart(std::chrono::milliseconds delay);
@@ -78,6 +84,8 @@
   // How long the store may delay the response to a read that finds nothing new.
   std::chrono::milliseconds poll_wait_{8'000};
   bool has_newest_ = false;
+  // The newest records may still come from a peer.
+  bool waits_for_peer_ = false;
   bool relayed_ = false;
   int failures_ = 0;
   // Number of the latest read. The response to an earlier read is ignored.
--- a/tests/core/discovery/target_directory_test.cc
+++ b/tests/core/discovery/target_directory_test.cc
@@ -130,4 +130,33 @@
   }
 }
 
+// Guards against live targets that are taken out of use on hosts which make no
+// calls to the store themselves and so do not notice its outages.
+TEST_CASE("a host without calls to the store must know of its outages") {
+  TargetDirectory directory(DirectoryOptions{});
+  directory.Apply(Entry(1, false), kStart);
+  TimePoint now = kStart + milliseconds(10'000);
+
+  SUBCASE("an entry that expired in an outage stays for two seconds") {
+    directory.OnStoreUpReported(now - milliseconds(100));
+    CHECK_FALSE(directory.Remove("t", now));
+    CHECK(directory.targets().size() == 1);
+
+    SUBCASE("and is kept if its target publishes it again") {
+      directory.Apply(Entry(2, false), now + milliseconds(1'000));
+      CHECK_FALSE(directory.Tick(now + milliseconds(5'000)));
+      CHECK(directory.targets().size() == 1);
+    }
+    SUBCASE("and is removed otherwise") {
+      CHECK(directory.Tick(now + milliseconds(1'950)));
+      CHECK(directory.targets().empty());
+    }
+  }
+
+  SUBCASE("without an outage, a removal takes effect at once") {
+    directory.OnStoreUpReported(kStart);
+    CHECK(directory.Remove("t", now));
+  }
+}
+
 }  // namespace toucandock::core::discovery
--- /dev/null
+++ b/tests/entry/peer_relay_test.cc
@@ -0,0 +1,293 @@
+#include "entry/peer_relay.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucandock::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A store with one record in each stream, to which the test adds records. Reads
+// wait for new records like those of the users' store.
+class WaitingStore {
+ public:
+  explicit WaitingStore(boost::asio::io_context& io) : io_(io) {}
+
+  PlatformHooks Hooks() {
+    return {.read_newest =
+                [this](Stream stream, std::function<void(ReadResult)> handler) {
+                  ++reads;
+                  const auto& records = records_[stream];
+                  boost::asio::post(io_, [handler, records] {
+                    handler({.status = StoreStatus::kOk,
+                             .records = records,
+                             .end = records.size()});
+                  });
+                },
+            .read =
+                [this](Stream stream, core::Offset from, milliseconds wait,
+                       std::function<void(ReadResult)> handler) {
+                  ++reads;
+                  Wait(stream, from, wait, std::move(handler));
+                }};
+  }
+
+  void Append(Stream stream, const std::string& key) {
+    auto& records = records_[stream];
+    records.push_back({.offset = records.size(), .key = key, .value = "v"});
+  }
+
+  int reads = 0;
+
+ private:
+  void Wait(Stream stream,
+            core::Offset from,
+            milliseconds left,
+            std::function<void(ReadResult)> handler) {
+    static constexpr milliseconds kStep{10};
+    const auto& records = records_[stream];
+    if (records.size() > from || left <= milliseconds(0)) {
+      boost::asio::post(io_, [handler, records, from] {
+        handler(
+            {.status = StoreStatus::kOk,
+             .records = {records.begin() + static_cast<std::ptrdiff_t>(from),
+                         records.end()},
+             .end = records.size()});
+      });
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, kStep);
+    timer->async_wait([this, stream, from, left, timer,
+                       handler = std::move(handler)](const auto&) {
+      Wait(stream, from, left - kStep, handler);
+    });
+  }
+
+  boost::asio::io_context& io_;
+  std::map<Stream, std::vector<StoredRecord>> records_;
+};
+
+// The hosts of a fleet, on one thread. The first one is the leader.
+class RelayedFleet {
+ public:
+  explicit RelayedFleet(int hosts) : store(io_), platform_(store.Hooks()) {
+    for (const Stream stream :
+         {Stream::kConfig, Stream::kTargets, Stream::kOwnership}) {
+      store.Append(stream, "first");
+    }
+    for (int n = 0; n < hosts; ++n) {
+      Add();
+    }
+  }
+
+  // Adds a host that starts now.
+  void Add() {
+    hosts_.push_back(std::make_unique<Host>());
+    Host& host = *hosts_.back();
+    const bool is_leader = hosts_.size() == 1;
+    for (const Stream stream :
+         {Stream::kConfig, Stream::kTargets, Stream::kOwnership}) {
+      host.followers[stream] = std::make_shared<StreamFollower>(
+          io_, platform_, stream, FollowerOptions{},
+          FollowerHooks{
+              .on_newest =
+                  [&host, stream](const ReadResult& it) {
+                    host.relay->NoteRecords(stream, it, true);
+                  },
+              .on_records =
+                  [&host, stream](const ReadResult& it) {
+                    host.relay->NoteRecords(stream, it, false);
+                  },
+              .on_answer = [&host, stream] { host.relay->NoteAnswer(stream); },
+              .on_failure = [] {}});
+    }
+    host.relay = std::make_unique<PeerRelay>(
+        io_, "127.0.0.1", 0, host.followers, core::relay::SourceOptions{},
+        RelayProfile{.failure_domain = absl::StrCat(hosts_.size() % 3),
+                     .capacity = 1},
+        PeerRelayHooks{
+            .on_load =
+                [&host](const core::keyspace::LoadReport& it) {
+                  ++host.load_reports;
+                  host.keys += it.keys.size();
+                },
+            .load_destination =
+                [this](const std::string&) {
+                  return hosts_.front()->relay->address();
+                },
+            .is_source = [is_leader] { return is_leader; },
+            .is_leader = [is_leader] { return is_leader; },
+            .sources =
+                [this, is_leader] {
+                  return is_leader ? std::set<std::string>()
+                                   : std::set{hosts_.front()->relay->address()};
+                },
+            .store_lost = [] { return false; },
+            .store_up_since = [] { return LeaseTime(); },
+            .on_store_confirmed_by_peer = [](core::TimePoint) {},
+            .on_store_up_reported = [](core::TimePoint) {},
+            .is_member = [&host] { return host.relay->NeedsMembership(); },
+            .on_outage_reported = [] {},
+            .on_host_count = [&host](int n) { host.known_hosts = n; },
+            .on_leader_lost = [] {},
+            .poison_digest = [] { return 1U; },
+            .poison_messages = [] { return std::vector<std::string>(); },
+            .on_poison_update = [](const PoisonUpdate&, const std::string&) {},
+            .on_leader_digest = [](std::uint32_t) {}});
+    REQUIRE(host.relay->Start().ok());
+    for (const auto& [stream, follower] : host.followers) {
+      follower->Start(milliseconds(0));
+    }
+  }
+
+  void Run(milliseconds time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+
+  // Runs until all hosts have read as many records of the stream.
+  bool RunUntilAllHave(Stream stream, core::Offset next, milliseconds limit) {
+    const auto end = steady_clock::now() + limit;
+    while (steady_clock::now() < end) {
+      Run(milliseconds(10));
+      if (CountWith(stream, next) == hosts_.size()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  size_t CountMembers() const {
+    size_t n = 0;
+    for (const auto& it : hosts_) {
+      n += it->relay->NeedsMembership() ? 1 : 0;
+    }
+    return n;
+  }
+
+  // Sends the load of one request from each host.
+  void SendLoad() {
+    for (const auto& it : hosts_) {
+      it->relay->SendLoad({.service = "s", .keys = {7}});
+    }
+  }
+
+  // Makes one of the members besides the leader, which are relays, leave.
+  // Returns its position.
+  size_t MakeRelayLeave() {
+    for (size_t n = 1; n < hosts_.size(); ++n) {
+      if (hosts_[n]->relay->NeedsMembership()) {
+        hosts_[n]->relay->BeginLeaving();
+        return n;
+      }
+    }
+    return 0;
+  }
+
+  bool IsMember(size_t n) const { return hosts_[n]->relay->NeedsMembership(); }
+
+  int load_reports() const { return hosts_.front()->load_reports; }
+  size_t keys() const { return hosts_.front()->keys; }
+  int known_hosts(size_t n) const { return hosts_[n]->known_hosts; }
+  size_t size() const { return hosts_.size(); }
+
+ private:
+  struct Host {
+    Followers followers;
+    std::unique_ptr<PeerRelay> relay;
+    int load_reports = 0;
+    size_t keys = 0;
+    int known_hosts = 0;
+  };
+
+  static std::optional<core::TimePoint> LeaseTime() {
+    return core::TimePoint(std::chrono::seconds(1));
+  }
+
+  size_t CountWith(Stream stream, core::Offset next) const {
+    size_t n = 0;
+    for (const auto& it : hosts_) {
+      n += it->followers.at(stream)->next() >= next ? 1 : 0;
+    }
+    return n;
+  }
+
+  boost::asio::io_context io_;
+
+ public:
+  WaitingStore store;
+
+ private:
+  PlatformHooks platform_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+};
+
+// Time in which a change must reach all hosts: half of the users' shortest
+// bound for the use of a leaving target.
+constexpr milliseconds kSpreadLimit{1'000};
+
+}  // namespace
+
+// Seen at 300 hosts: heartbeats, fetches and load reports of all hosts met one
+// leader, and configurations were in force 7.7 s late.
+TEST_CASE("a large fleet must learn of changes without asking one host") {
+  constexpr int kHosts = 60;
+  RelayedFleet fleet(kHosts);
+  // The leader appoints relays, and the hosts change to them.
+  fleet.Run(milliseconds(3'500));
+  REQUIRE(fleet.known_hosts(kHosts - 1) >= kHosts);
+  const size_t members = fleet.CountMembers();
+  // The leader and the relays, about the square root of the hosts.
+  CHECK(members >= 8);
+  CHECK(members <= 12);
+
+  SUBCASE("a change reaches all hosts in time, and few of them read it") {
+    fleet.store.reads = 0;
+    fleet.store.Append(Stream::kConfig, "second");
+    CHECK(fleet.RunUntilAllHave(Stream::kConfig, 2, kSpreadLimit));
+    CHECK(fleet.store.reads < kHosts / 4);
+
+    SUBCASE("also while a relay leaves, which is replaced") {
+      const size_t relay = fleet.MakeRelayLeave();
+      REQUIRE(relay > 0);
+      fleet.store.Append(Stream::kTargets, "second");
+      CHECK(fleet.RunUntilAllHave(Stream::kTargets, 2, kSpreadLimit));
+      fleet.Run(milliseconds(1'000));
+      CHECK_FALSE(fleet.IsMember(relay));
+    }
+  }
+
+  SUBCASE("load reports arrive summed up, and none is lost or counted twice") {
+    const int before = fleet.load_reports();
+    const size_t keys = fleet.keys();
+    fleet.SendLoad();
+    fleet.Run(milliseconds(700));
+    CHECK(fleet.keys() - keys == kHosts);
+    // Each relay sends one or two sums, depending on when it sends the first.
+    CHECK(fleet.load_reports() - before <= 2 * static_cast<int>(members));
+  }
+
+  SUBCASE("a host that starts takes the newest records from its relay") {
+    fleet.Add();
+    CHECK(fleet.RunUntilAllHave(Stream::kConfig, 1, kSpreadLimit));
+    fleet.store.Append(Stream::kConfig, "second");
+    CHECK(fleet.RunUntilAllHave(Stream::kConfig, 2, kSpreadLimit));
+  }
+}
+
+}  // namespace toucandock::entry
--- a/tests/entry/stream_follower_test.cc
+++ b/tests/entry/stream_follower_test.cc
@@ -50,7 +50,7 @@
           .on_records = [](const ReadResult&) {},
           .on_answer = [] {},
           .on_failure = [&] { ++failures; }});
-  follower->Start();
+  follower->Start(milliseconds(0));
   io.run_for(milliseconds(50));
   REQUIRE(follower->has_newest());
   REQUIRE(store.newest_reads == 1);
