Refuse large listings on a leader that is not a relay

The first hosts to start saw a fleet of a few hosts and asked the leader for all its records, about 1 MB each, encoded for each of them. Change: a host that is not a relay returns at most 128 KiB of newest records, and the encoded text is kept until a record changes.

--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -29,6 +29,9 @@
 constexpr milliseconds kFetchTimeout{500};
 // The newest records of a large fleet are some hundred kilobytes.
 constexpr milliseconds kFetchNewestTimeout{1'500};
+// Maximum size of the newest records that a host which is not a relay returns;
+// about three times that of a fleet of the largest size without relays.
+constexpr size_t kMaxNewestBytes = 128U << 10;
 // Maximum size of the records that a peer returns at a time. A host with a slow
 // link would need seconds to send more to a whole fleet; reading the store is
 // faster.
@@ -795,7 +798,7 @@
 }
 
 // GET /records?stream=N&from=OFFSET[&any_size=1] and GET /newest?stream=N
-net::HttpResponse PeerRelay::Serve(const net::HttpRequest& request) const {
+net::HttpResponse PeerRelay::Serve(const net::HttpRequest& request) {
   net::HttpResponse response;
   response.result(http::status::not_found);
   std::string target(request.target());
@@ -851,21 +854,35 @@
   return response;
 }
 
-net::HttpResponse PeerRelay::ServeNewest(Stream stream) const {
+// The leader returns only little: it serves the whole fleet when all hosts
+// start at once, and does not know yet how many they are.
+net::HttpResponse PeerRelay::ServeNewest(Stream stream) {
   net::HttpResponse response;
   const auto newest = newest_.find(stream);
   if (newest == newest_.end()) {
     response.result(http::status::not_found);
     return response;
   }
-  ReadResult records{.status = StoreStatus::kOk,
-                     .end = caches_.at(stream).next()};
+  size_t bytes = 0;
   for (const auto& [key, record] : newest->second) {
-    records.records.push_back(record);
+    bytes += key.size() + record.value.size();
+  }
+  if (!IsRelay() && bytes > kMaxNewestBytes) {
+    response.result(http::status::payload_too_large);
+    return response;
+  }
+  const core::Offset next = caches_.at(stream).next();
+  EncodedNewest& encoded = encoded_newest_[stream];
+  if (encoded.text.empty() || encoded.next != next) {
+    ReadResult records{.status = StoreStatus::kOk, .end = next};
+    for (const auto& [key, record] : newest->second) {
+      records.records.push_back(record);
+    }
+    encoded = {.next = next, .text = EncodeRecords(records)};
   }
   response.result(http::status::ok);
   response.set(http::field::content_type, "application/json");
-  response.body() = EncodeRecords(records);
+  response.body() = encoded.text;
   return response;
 }
 
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -159,9 +159,9 @@
   bool MayFetchNewest(const PeerHeartbeat& answer, Stream stream) const;
   void OnFetched(Stream stream, const net::CallAnswer& answer);
   bool DeliverUpdate(const std::string& text);
-  net::HttpResponse Serve(const net::HttpRequest& request) const;
+  net::HttpResponse Serve(const net::HttpRequest& request);
   net::HttpResponse ServeOwnership(core::Offset from) const;
-  net::HttpResponse ServeNewest(Stream stream) const;
+  net::HttpResponse ServeNewest(Stream stream);
 
   boost::asio::io_context& io_;
   const std::string ip_;
@@ -176,6 +176,13 @@
   std::map<Stream, RecordCache> caches_;
   // Newest record of each key, for peers that start.
   std::map<Stream, std::map<std::string, StoredRecord>> newest_;
+  // The newest records as text, and the offset up to which it holds them. Many
+  // peers that start ask for the same text.
+  struct EncodedNewest {
+    core::Offset next = 0;
+    std::string text;
+  };
+  std::map<Stream, EncodedNewest> encoded_newest_;
   TableHistory tables_;
   std::map<Stream, core::TimePoint> answered_at_;
   // A host that sends heartbeats to this one.
--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -47,9 +47,11 @@
                 }};
   }
 
-  void Append(Stream stream, const std::string& key) {
+  void Append(Stream stream,
+              const std::string& key,
+              const std::string& value = "v") {
     auto& records = records_[stream];
-    records.push_back({.offset = records.size(), .key = key, .value = "v"});
+    records.push_back({.offset = records.size(), .key = key, .value = value});
   }
 
   int reads = 0;
@@ -201,6 +203,22 @@
 
   bool IsMember(size_t n) const { return hosts_[n]->relay->NeedsMembership(); }
 
+  // Asks the leader for its newest records. Returns the status of the answer.
+  unsigned FetchNewest(Stream stream) {
+    net::HttpClient client(
+        io_, *net::ParseEndpoint(hosts_.front()->relay->address()));
+    net::HttpRequest request{
+        boost::beast::http::verb::get,
+        absl::StrCat("/newest?stream=", static_cast<int>(stream)), 11};
+    unsigned status = 0;
+    client.Call(std::move(request), milliseconds(1'000),
+                [&](const net::CallAnswer& answer) {
+                  status = answer.response.result_int();
+                });
+    Run(milliseconds(500));
+    return status;
+  }
+
   int load_reports() const { return hosts_.front()->load_reports; }
   size_t keys() const { return hosts_.front()->keys; }
   int known_hosts(size_t n) const { return hosts_[n]->known_hosts; }
@@ -290,4 +308,23 @@
   }
 }
 
+// Seen in sweeps at 300 hosts with 3,001 targets: after all hosts were killed,
+// the first ones to start asked the leader for all its records.
+TEST_CASE("a leader that is not a relay must not send large listings") {
+  RelayedFleet fleet(2);
+  fleet.Run(milliseconds(1'000));
+
+  SUBCASE("small ones are sent") {
+    CHECK(fleet.FetchNewest(Stream::kConfig) == 200);
+  }
+  SUBCASE("large ones are refused, so that the host reads the store") {
+    for (int n = 0; n < 200; ++n) {
+      fleet.store.Append(Stream::kConfig, absl::StrCat("key", n),
+                         std::string(1'024, 'x'));
+    }
+    fleet.Run(milliseconds(1'500));
+    CHECK(fleet.FetchNewest(Stream::kConfig) == 413);
+  }
+}
+
 }  // namespace toucandock::entry
