--- a/tests/entry/settings_test.cc
+++ b/tests/entry/settings_test.cc
@@ -40,6 +40,10 @@
       {"a time without a unit", "6s", "6", "f:9: stop_limit"},
       {"a word instead of a number", "24", "many", "f:10: store_partitions"},
       {"no partitions", "24", "0", "f:10: store_partitions"},
+      {"no processor", "fleet_starts", "processors: 0\nfleet_starts",
+       "f:11: processors"},
+      {"a link without bandwidth", "fleet_starts",
+       "link_mbps: -1\nfleet_starts", "f:11: link_mbps"},
       {"an unknown setting", "ip:", "ipv6: x\nip:", "ipv6"},
   };
   for (const Row& row : rows) {
