--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -309,8 +309,8 @@
   }
 }
 
-// Seen in sweeps at 300 hosts with 3,001 targets: after all hosts were killed,
-// the first ones to start asked the leader for all its records.
+// Guards against a leader that is busy with sending all its records to hosts
+// that start at the same time.
 TEST_CASE("a leader that is not a relay must not send large listings") {
   RelayedFleet fleet(2);
   fleet.Run(milliseconds(1'000));
--- a/tests/platform_adapter/odd_entries_test.cc
+++ b/tests/platform_adapter/odd_entries_test.cc
@@ -183,9 +183,8 @@
                          "&after=a%20b%26part%3D7%23%25%01%0D%0A HTTP/1.1"));
   }
 
-  // Seen in a sweep at 300 hosts with 3,001 targets: after all hosts were
-  // killed, none served for 30 s, because each failed page made a host start
-  // over.
+  // Guards against hosts that start over with each failed page, so that a store
+  // which a whole fleet reads at once never answers all of them.
   SUBCASE("a page that the store rejects is read again, and only that one") {
     NewestPages store(
         {absl::StrCat(R"({"items":[)", Item("i-1", valid_value, 1),
