--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # The entry program comes from the build of the deploy file (target/bin).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake -S . -B build/review -DCMAKE_BUILD_TYPE=Release
-cmake --build build/review -j8 --target standin_log standin_platform_target
+cmake -S review -B build/review -DCMAKE_BUILD_TYPE=Release
+cmake --build build/review -j8
