--- a/review/support.py
+++ b/review/support.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -16,6 +17,7 @@
 STANDINS = os.path.join(REPO, "build", "review", "bin")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+TIME_LIMIT_S = 110
 
 
 class Setup:
@@ -151,8 +153,16 @@
             "clusters": services}
 
 
+def _stop(number, _frame):
+    raise RuntimeError("stopped by " + signal.Signals(number).name)
+
+
 def main(case):
     """Exits with 1 if the rule was broken, 0 if it held, 2 without a result."""
+    # Raised as an exception, so that the processes are ended in each case.
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stop)
+    signal.alarm(TIME_LIMIT_S)
     try:
         broken = case()
     except Exception as e:  # pylint: disable=broad-except
