Test large configurations on hosts with slow links

A host that takes records from a peer reads a record that is too large for the peer from the store (StreamFollower::ReadOnce). Each further message of the peer starts another read and drops the answer to the one before. If the transfer takes longer than the time between two messages, no answer is ever used.

--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -56,8 +56,12 @@
   }
 
   int reads = 0;
+  // How long the answer to a read takes that returns more than kLargeBytes.
+  milliseconds large_transfer{0};
 
  private:
+  static constexpr size_t kLargeBytes = 16 << 10;
+
   void Wait(Stream stream,
             core::Offset from,
             milliseconds left,
@@ -65,7 +69,13 @@
     static constexpr milliseconds kStep{10};
     const auto& records = records_[stream];
     if (records.size() > from || left <= milliseconds(0)) {
-      boost::asio::post(io_, [handler, records, from] {
+      size_t bytes = 0;
+      for (size_t n = from; n < records.size(); ++n) {
+        bytes += records[n].value.size();
+      }
+      auto timer = std::make_shared<boost::asio::steady_timer>(
+          io_, bytes > kLargeBytes ? large_transfer : milliseconds(0));
+      timer->async_wait([handler, records, from, timer](const auto&) {
         handler(
             {.status = StoreStatus::kOk,
              .records = {records.begin() + static_cast<std::ptrdiff_t>(from),
@@ -309,6 +319,22 @@
   }
 }
 
+// Guards against hosts that start to read a configuration again with each
+// message of their relay and use none of the answers, because the transfer
+// takes longer than the time between two messages (issue 32: configurations in
+// force up to 9 s late on hosts with 10 Mbit/s).
+TEST_CASE("a large configuration must reach hosts with slow links in time") {
+  // Users' bound for the use of a configuration.
+  constexpr milliseconds kApplyLimit{2'500};
+  RelayedFleet fleet(60);
+  fleet.Run(milliseconds(3'500));
+  REQUIRE(fleet.CountMembers() >= 8);
+  // 240 KB at 10 Mbit/s beside as much other traffic.
+  fleet.store.large_transfer = milliseconds(400);
+  fleet.store.Append(Stream::kConfig, "config", std::string(240 << 10, 'x'));
+  CHECK(fleet.RunUntilAllHave(Stream::kConfig, 2, kApplyLimit));
+}
+
 // Guards against a leader that is busy with sending all its records to hosts
 // that start at the same time.
 TEST_CASE("a leader that is not a relay must not send large listings") {
--- a/tests/entry/stream_follower_test.cc
+++ b/tests/entry/stream_follower_test.cc
@@ -3,8 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace toucandock::entry {
 namespace {
@@ -33,8 +36,72 @@
   }
 };
 
+// A store that holds record 5 and returns it after the time that the transfer
+// of a large record takes.
+struct SlowStore {
+  boost::asio::io_context& io;
+  milliseconds transfer;
+  int reads = 0;
+
+  PlatformHooks Hooks() {
+    return {.read_newest =
+                [](Stream, const std::function<void(ReadResult)>& handler) {
+                  handler({.status = StoreStatus::kOk, .end = 5});
+                },
+            .read =
+                [this](Stream, core::Offset from, milliseconds,
+                       const std::function<void(ReadResult)>& handler) {
+                  ++reads;
+                  ReadResult result{.status = StoreStatus::kOk, .end = 6};
+                  if (from <= 5) {
+                    result.records.push_back({.offset = 5, .key = "config"});
+                  }
+                  auto timer =
+                      std::make_shared<boost::asio::steady_timer>(io, transfer);
+                  timer->async_wait([handler, result, timer](const auto&) {
+                    handler(result);
+                  });
+                }};
+  }
+};
+
 }  // namespace
 
+// Guards against a host that drops the store's complete answer because its peer
+// has announced the same large record again in the meantime, and so never uses
+// a large configuration over a slow link (issue 32).
+TEST_CASE("a repeated request for a large record must not drop its answer") {
+  boost::asio::io_context io;
+  SlowStore store{.io = io, .transfer = milliseconds(200)};
+  const PlatformHooks platform = store.Hooks();
+  std::shared_ptr<StreamFollower> follower;
+  std::vector<core::Offset> received;
+  follower = std::make_shared<StreamFollower>(
+      io, platform, Stream::kConfig, FollowerOptions{},
+      FollowerHooks{
+          .on_newest = [&](const ReadResult&) { follower->SetRelayed(true); },
+          .on_records =
+              [&](const ReadResult& result) {
+                for (const StoredRecord& it : result.records) {
+                  received.push_back(it.offset);
+                }
+              },
+          .on_answer = [] {},
+          .on_failure = [] {}});
+  follower->Start(milliseconds(0));
+  io.run_for(milliseconds(20));
+  REQUIRE(follower->has_newest());
+  // The peer announces the record more often than its transfer takes.
+  for (int n = 0; n < 6 && received.empty(); ++n) {
+    follower->ReadOnce();
+    io.restart();
+    io.run_for(milliseconds(100));
+  }
+  CHECK(received == std::vector<core::Offset>{5});
+  // Reads at the same time would share the link and make each other slower.
+  CHECK(store.reads == 1);
+}
+
 // Guards against a host that no longer gets records because a single read of
 // the store failed or found its records gone while a peer relayed the stream.
 TEST_CASE("a host that takes records from a peer must not lose the stream") {
