Do not restart a read of the store whose response is on its way

A configuration of more than about 190 KB is too large for a relay, which answers 413, so the host reads it from the store. Each further message of the relay started the read again and dropped the response of the one before. Over a link of 10 Mbit/s the response takes longer than the 300 ms between two messages, so none was ever used, and the dropped ones slowed each other down. Change: ReadOnce() has no effect while a read without waiting is in flight.

--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -37,6 +37,7 @@
   }
   // A read of the store that is in flight is no longer needed.
   ++read_id_;
+  is_reading_now_ = false;
   waits_for_peer_ = false;
   next_ = result.end;
   has_newest_ = true;
@@ -46,6 +47,7 @@
 
 void StreamFollower::ReadNewest() {
   waits_for_peer_ = false;
+  is_reading_now_ = false;
   platform_.read_newest(stream_, [self = shared_from_this(),
                                   read = ++read_id_](const ReadResult& result) {
     if (read == self->read_id_) {
@@ -58,10 +60,12 @@
   const auto wait = std::exchange(skip_poll_wait_, false)
                         ? std::chrono::milliseconds(0)
                         : poll_wait_;
+  is_reading_now_ = wait == std::chrono::milliseconds(0);
   platform_.read(
       stream_, next_, wait,
       [self = shared_from_this(), read = ++read_id_](const ReadResult& result) {
         if (read == self->read_id_) {
+          self->is_reading_now_ = false;
           self->OnRead(result);
         }
       });
@@ -127,6 +131,7 @@
   if (relayed) {
     // The response to the read in flight is ignored.
     ++read_id_;
+    is_reading_now_ = false;
     timer_.cancel();
     return;
   }
@@ -144,7 +149,7 @@
 }
 
 void StreamFollower::ReadOnce() {
-  if (has_newest_) {
+  if (has_newest_ && !is_reading_now_) {
     skip_poll_wait_ = true;
     ReadNext();
   }
@@ -152,6 +157,7 @@
 
 void StreamFollower::Restart(std::chrono::milliseconds delay) {
   ++read_id_;
+  is_reading_now_ = false;
   ScheduleRead(delay);
 }
 
--- a/src/entry/stream_follower.h
+++ b/src/entry/stream_follower.h
@@ -57,8 +57,11 @@
   // and the store is not read.
   void SetRelayed(bool relayed);
   void Deliver(const ReadResult& result);
-  // Reads the existing records from the store once, even while the stream is
-  // relayed.
+  // Reads the existing records from the store without delay, even while the
+  // stream is relayed. Replaces a read that waits for new records, which may
+  // never be answered. Has no effect until the newest records have been read,
+  // or while a read without waiting is in flight: a large response takes longer
+  // than the time between two announcements of a record.
   void ReadOnce();
   bool has_newest() const { return has_newest_; }
   // Offset of the next record to be read.
@@ -87,6 +90,9 @@
   // The newest records may still come from a peer.
   bool waits_for_peer_ = false;
   bool relayed_ = false;
+  // The response to the latest read is outstanding and will be used, and the
+  // store was not asked to wait for new records.
+  bool is_reading_now_ = false;
   int failures_ = 0;
   // Number of the latest read. The response to an earlier read is ignored.
   std::uint64_t read_id_ = 0;
