Track from end to end how old a host's records are

Change: core/relay/stream_freshness keeps for each stream when this host last knew all records, from its own reads of the store or from another host, whose answers now state the age of its own knowledge. A stream is offered to other hosts as fresh by this age instead of by the time of the last answer, so that two hosts which hear only each other no longer confirm each other. config_in_force names the source of the record and how long ago the host last knew all records, which bounds how late the configuration is. change_limit is a new setting.

--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -110,6 +110,7 @@
              settings.report_port,
              followers_,
              SourceOptionsFor(settings),
+             core::relay::FreshnessOptionsFor(settings.change_limit),
              {.failure_domain = settings.failure_domain,
               .capacity = CapacityOf(settings)},
              MakeRelayHooks()),
@@ -146,11 +147,12 @@
           [this, stream](const ReadResult& result) {
             OnRecords(stream, result, false);
           },
-      .on_answer =
-          [this, stream] {
-            relay_.NoteAnswer(stream);
-            OnStoreAnswer();
+      .on_answer = [this] { OnStoreAnswer(); },
+      .on_complete =
+          [this, stream](core::TimePoint as_of) {
+            relay_.NoteComplete(stream, as_of);
           },
+      .on_history_lost = [this, stream] { relay_.NoteHistoryLost(stream); },
       .on_failure = [this] { OnStoreFailure(); },
   };
 }
@@ -217,10 +219,16 @@
   if (routes_ && config->version <= routes_->config().version) {
     return;
   }
-  LogEvent("config_in_force", {{"version", config->version},
-                               {"routes", config->routes.size()},
-                               {"unknown_words", config->unknown_words.size()},
-                               {"offset", record.offset}});
+  const auto age = relay_.AgeOf(Stream::kConfig);
+  LogEvent("config_in_force",
+           {{"version", config->version},
+            {"source", relay_.SourceOf(Stream::kConfig)},
+            // The version is at most this old.
+            {"last_complete_ms_ago",
+             age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1},
+            {"routes", config->routes.size()},
+            {"unknown_words", config->unknown_words.size()},
+            {"offset", record.offset}});
   for (size_t n = 0; n < config->unknown_words.size() && n < kMaxLoggedWords;
        ++n) {
     LogEvent("config_unknown_word", {{"version", config->version},
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -228,6 +228,14 @@
 Json::Value RelayMembers(const PeerHeartbeat& heartbeat) {
   Json::Value value(Json::objectValue);
   value["v"] = heartbeat.relays_version;
+  if (heartbeat.is_answer) {
+    Json::Value& ages = value["a"] = Json::Value(Json::arrayValue);
+    for (const StreamState& it :
+         {heartbeat.config, heartbeat.targets, heartbeat.ownership}) {
+      ages.append(it.age ? Json::Value(Json::Int64(it.age->count()))
+                         : Json::Value());
+    }
+  }
   if (!heartbeat.is_answer) {
     value["m"] = heartbeat.is_member ? 1 : 0;
     value["d"] = heartbeat.failure_domain;
@@ -270,6 +278,14 @@
     }
     return;
   }
+  const Json::Value& ages = value["a"];
+  StreamState* const states[] = {&heartbeat.config, &heartbeat.targets,
+                                 &heartbeat.ownership};
+  for (Json::ArrayIndex n = 0; n < std::size(states); ++n) {
+    if (ages.isArray() && ages.isValidIndex(n) && ages[n].isUInt()) {
+      states[n]->age = std::chrono::milliseconds(ages[n].asUInt());
+    }
+  }
   heartbeat.is_relay = value.isMember("lr");
   heartbeat.leader_reachable = read("lr", 0) != 0;
   heartbeat.leader_digest = read("ld", 0);
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -40,8 +40,11 @@
 struct StreamState {
   // Offset of the next record.
   core::Offset next = 0;
-  // The store has recently answered a read of the stream.
+  // The sender has recently known all records of the stream.
   bool fresh = false;
+  // How long ago the sender is known to have had all records; nothing if it
+  // never had, or runs an earlier version.
+  std::optional<std::chrono::milliseconds> age;
 
   bool operator==(const StreamState&) const = default;
 };
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -22,10 +22,13 @@
 constexpr milliseconds kHeartbeatInterval{300};
 // A host that has sent no heartbeat for this long counts as stopped.
 constexpr milliseconds kHeartbeatLifetime{2'000};
-// A stream counts as up to date for this long after the store answered a read.
-// The store delays the responses to a source's reads for less than this
-// (kSourcePollWait).
+// A host is a source of a stream while its records were complete at most this
+// long ago. The store delays the responses to a source's reads for less than
+// this (kSourcePollWait), and a relay hears from its source within one more
+// interval of heartbeats.
 constexpr milliseconds kFreshnessLimit{1'000};
+constexpr milliseconds kRelayFreshnessLimit =
+    kFreshnessLimit + kHeartbeatInterval;
 constexpr milliseconds kFetchTimeout{500};
 // The newest records of a large fleet are some hundred kilobytes.
 constexpr milliseconds kFetchNewestTimeout{1'500};
@@ -51,8 +54,6 @@
 constexpr milliseconds kAppointmentDelay{1'000};
 // A relay has few hosts to serve, so it returns all the records that it keeps.
 constexpr size_t kMaxRelayedBytes = 256U << 10;
-// An answer of the leader is valid for a relay for this long.
-constexpr milliseconds kSourceLifetime{600};
 // Hosts that are not members of the group join it when they have had no fresh
 // answer for this long. Losses of single messages and of a relay are over by
 // then.
@@ -74,6 +75,9 @@
 constexpr milliseconds kTargetsPause{400};
 constexpr milliseconds kOwnershipPause{100};
 
+constexpr Stream kStreams[] = {Stream::kConfig, Stream::kTargets,
+                               Stream::kOwnership};
+
 std::string ToString(const udp::endpoint& endpoint) {
   return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
 }
@@ -96,6 +100,7 @@
                      std::uint16_t port,
                      Followers& followers,
                      const core::relay::SourceOptions& options,
+                     const core::relay::FreshnessOptions& freshness,
                      RelayProfile profile,
                      PeerRelayHooks hooks)
     : io_(io),
@@ -111,7 +116,11 @@
       tracker_(options, LeaseClockNow()),
       profile_(std::move(profile)),
       load_timer_(io),
-      push_timer_(io) {}
+      push_timer_(io) {
+  for (const Stream stream : kStreams) {
+    freshness_.emplace(stream, freshness);
+  }
+}
 
 // Opens the peer port, for datagrams and for fetches of records.
 absl::Status PeerRelay::Start() {
@@ -213,6 +222,7 @@
       }
     }
   }
+  freshness_.at(stream).OnProgress(followers_.at(stream)->next());
   if (complete) {
     caches_[stream].StartAt(result.end);
     UpdateFollowers();
@@ -253,20 +263,31 @@
   tables_.Add(*std::move(table));
 }
 
-void PeerRelay::NoteAnswer(Stream stream) {
-  answered_at_[stream] = LeaseClockNow();
+void PeerRelay::NoteComplete(Stream stream, core::TimePoint as_of) {
+  freshness_.at(stream).OnProgress(followers_.at(stream)->next());
+  freshness_.at(stream).OnComplete(as_of);
+}
+
+void PeerRelay::NoteHistoryLost(Stream stream) {
+  freshness_.at(stream).OnHistoryLost();
+}
+
+std::optional<core::Duration> PeerRelay::AgeOf(Stream stream) const {
+  return freshness_.at(stream).Age(LeaseClockNow());
+}
+
+std::string PeerRelay::SourceOf(Stream stream) const {
+  return followers_.at(stream)->is_relayed() && source_ ? ToString(*source_)
+                                                        : "store";
 }
 
 StreamState PeerRelay::StateOf(Stream stream) const {
-  const auto answered = answered_at_.find(stream);
   const StreamFollower& follower = *followers_.at(stream);
-  const core::TimePoint now = LeaseClockNow();
-  const bool is_answered = answered != answered_at_.end() &&
-                           now - answered->second <= kFreshnessLimit;
-  const bool is_relayed =
-      IsRelay() && now - fresh_answer_at_ <= kSourceLifetime;
+  const auto age = AgeOf(stream);
   return {.next = follower.next(),
-          .fresh = follower.has_newest() && (is_answered || is_relayed)};
+          .fresh = follower.has_newest() && age &&
+                   *age <= (IsRelay() ? kRelayFreshnessLimit : kFreshnessLimit),
+          .age = age ? std::optional(ToMilliseconds(*age)) : std::nullopt};
 }
 
 std::string PeerRelay::address() const {
@@ -362,6 +383,7 @@
 
 void PeerRelay::SendHeartbeats() {
   const core::TimePoint now = LeaseClockNow();
+  heartbeat_at_ = now;
   ExpireSenders(now);
   UpdateFollowers();
   AppointRelays();
@@ -619,6 +641,7 @@
     tracker_.OnAnswer(core::relay::SourceKind::kSubstitute, fresh, now);
   }
   CompareDigests(answer);
+  NoteStates(answer, now);
   if (answer.is_leader || is_own_relay) {
     OnSourceAnswer(answer, now);
   }
@@ -633,6 +656,22 @@
   UpdateFollowers();
 }
 
+// Takes how old the records of the sender are. A datagram that this process was
+// too slow to receive says nothing about the time since then.
+void PeerRelay::NoteStates(const PeerHeartbeat& answer, core::TimePoint now) {
+  const core::TimePoint received =
+      std::min(now, heartbeat_at_ + 2 * kHeartbeatInterval);
+  const std::pair<Stream, StreamState> streams[] = {
+      {Stream::kConfig, answer.config},
+      {Stream::kTargets, answer.targets},
+      {Stream::kOwnership, answer.ownership}};
+  for (const auto& [stream, state] : streams) {
+    if (state.age) {
+      freshness_.at(stream).OnReported(state.next, received - *state.age);
+    }
+  }
+}
+
 // Takes what the leader says of the fleet, directly or through a relay.
 void PeerRelay::OnSourceAnswer(const PeerHeartbeat& answer,
                                core::TimePoint now) {
@@ -762,6 +801,7 @@
     const auto records = DecodeRecords(answer.response.body());
     if (records.ok()) {
       followers_[stream]->Deliver(*records);
+      freshness_.at(stream).OnProgress(followers_[stream]->next());
       return;
     }
   }
@@ -794,6 +834,8 @@
               return a.offset < b.offset;
             });
   followers_[Stream::kOwnership]->Deliver(result);
+  freshness_.at(Stream::kOwnership)
+      .OnProgress(followers_[Stream::kOwnership]->next());
   return true;
 }
 
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -20,6 +20,7 @@
 #include "core/keyspace/key_samples.h"
 #include "core/relay/relay_tree.h"
 #include "core/relay/source_tracker.h"
+#include "core/relay/stream_freshness.h"
 #include "core/time.h"
 #include "entry/peer_json.h"
 #include "entry/poison_json.h"
@@ -100,6 +101,7 @@
             std::uint16_t port,
             Followers& followers,
             const core::relay::SourceOptions& options,
+            const core::relay::FreshnessOptions& freshness,
             RelayProfile profile,
             PeerRelayHooks hooks);
 
@@ -119,8 +121,16 @@
   // Asks the leader to appoint another relay in place of this host, which is
   // about to stop. Until then it serves its hosts.
   void BeginLeaving() { profile_.capacity = 0; }
-  // Must be called when the store has answered a read of this host.
-  void NoteAnswer(Stream stream);
+  // Must be called when a response of the store has shown that this host knows
+  // all records which the stream held at `as_of`.
+  void NoteComplete(Stream stream, core::TimePoint as_of);
+  void NoteHistoryLost(Stream stream);
+  // Where the records of the stream come from: the address of a host, or
+  // "store".
+  std::string SourceOf(Stream stream) const;
+  // How long ago this host is known to have had all records of the stream;
+  // nothing if it never had.
+  std::optional<core::Duration> AgeOf(Stream stream) const;
   // Whether the leader replies to the heartbeats of this host.
   bool IsLeaderReachable() const;
   // Whether this host has to be a member of the group from which the store
@@ -135,6 +145,7 @@
   void OnDatagram(const std::string& text);
   void OnHeartbeat(const PeerHeartbeat& heartbeat);
   void OnAnswer(const PeerHeartbeat& answer);
+  void NoteStates(const PeerHeartbeat& answer, core::TimePoint now);
   void UseSource(const PeerHeartbeat& answer);
   void SendHeartbeat(const std::string& address, int hosts);
   PeerHeartbeat MakeAnswer(core::TimePoint now) const;
@@ -184,7 +195,7 @@
   };
   std::map<Stream, EncodedNewest> encoded_newest_;
   TableHistory tables_;
-  std::map<Stream, core::TimePoint> answered_at_;
+  std::map<Stream, core::relay::StreamFreshness> freshness_;
   // A host that sends heartbeats to this one.
   struct HeartbeatSender {
     core::TimePoint last_received{};
@@ -214,6 +225,7 @@
   // Last answer of the leader or relay, and the time of the last fresh one.
   PeerHeartbeat last_answer_;
   core::TimePoint fresh_answer_at_{};
+  core::TimePoint heartbeat_at_{};
   // Load reports of this host and of those that use it as their relay.
   std::map<std::string, core::keyspace::LoadReport> summed_loads_;
   boost::asio::steady_timer load_timer_;
--- a/src/entry/platform_hooks.h
+++ b/src/entry/platform_hooks.h
@@ -46,6 +46,8 @@
   StoreStatus status = StoreStatus::kUnavailable;
   std::vector<StoredRecord> records;
   core::Offset end = 0;
+  // The stream holds records after these that did not fit into the response.
+  bool has_more = false;
 };
 
 struct AppendResult {
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -6,6 +6,9 @@
 namespace toucandock::entry {
 namespace {
 
+// The store is read about every 700 ms on behalf of other hosts.
+constexpr std::chrono::milliseconds kMinChangeLimit{500};
+
 void ReadRetries(codec::YamlMap& map,
                  core::balance::RetryWindowOptions& options) {
   map.Read("ratio", options.ratio);
@@ -50,6 +53,7 @@
     map.Read("store_partitions", settings.store_partitions);
     map.Read("processors", settings.processors);
     map.Read("link_mbps", settings.link_mbps);
+    map.Read("change_limit", settings.change_limit);
     map.Read("fleet_starts", settings.fleet_starts);
     map.ReadMap("retries", [&settings](codec::YamlMap& retries) {
       ReadRetries(retries, settings.retries);
@@ -85,6 +89,11 @@
   };
   check_positive("processors", settings.processors);
   check_positive("link_mbps", settings.link_mbps);
+  if (!errors.HasErrorAt("change_limit") &&
+      settings.change_limit < kMinChangeLimit) {
+    errors.Add(errors.LineOf("change_limit"), "change_limit",
+               "is below 500ms, which the hosts cannot keep");
+  }
   if (!errors.empty()) {
     return errors.ToStatus();
   }
@@ -123,6 +132,7 @@
   compare("store_partitions", &EntrySettings::store_partitions);
   compare("processors", &EntrySettings::processors);
   compare("link_mbps", &EntrySettings::link_mbps);
+  compare("change_limit", &EntrySettings::change_limit);
   compare("fleet_starts", &EntrySettings::fleet_starts);
   return change;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -38,6 +38,9 @@
   // messages.
   double processors = 1;
   double link_mbps = 1'000;
+  // Time in which hosts must apply changes of the configuration and stop using
+  // targets that leave.
+  core::Duration change_limit = std::chrono::seconds(2);
   // The whole fleet starts for the first time.
   bool fleet_starts = false;
   core::balance::RetryWindowOptions retries;
--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -3,7 +3,16 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/clock.h"
+
 namespace toucandock::entry {
+namespace {
+
+// A read that follows a pause waits for less time, so that the store responds
+// as often as without the pause, but not so often that it is loaded by it.
+constexpr std::chrono::milliseconds kMinPollWait{100};
+
+}  // namespace
 
 StreamFollower::StreamFollower(boost::asio::io_context& io,
                                const PlatformHooks& platform,
@@ -48,30 +57,34 @@
 void StreamFollower::ReadNewest() {
   waits_for_peer_ = false;
   is_reading_now_ = false;
-  platform_.read_newest(stream_, [self = shared_from_this(),
-                                  read = ++read_id_](const ReadResult& result) {
-    if (read == self->read_id_) {
-      self->OnNewest(result);
-    }
-  });
+  platform_.read_newest(stream_,
+                        [self = shared_from_this(), read = ++read_id_,
+                         sent = LeaseClockNow()](const ReadResult& result) {
+                          if (read == self->read_id_) {
+                            self->is_reading_now_ = false;
+                            self->OnNewest(result, sent);
+                          }
+                        });
 }
 
 void StreamFollower::ReadNext() {
+  const auto pause =
+      std::exchange(pause_before_read_, std::chrono::milliseconds(0));
   const auto wait = std::exchange(skip_poll_wait_, false)
                         ? std::chrono::milliseconds(0)
-                        : poll_wait_;
+                        : std::max(poll_wait_ - pause, kMinPollWait);
   is_reading_now_ = wait == std::chrono::milliseconds(0);
-  platform_.read(
-      stream_, next_, wait,
-      [self = shared_from_this(), read = ++read_id_](const ReadResult& result) {
-        if (read == self->read_id_) {
-          self->is_reading_now_ = false;
-          self->OnRead(result);
-        }
-      });
+  platform_.read(stream_, next_, wait,
+                 [self = shared_from_this(), read = ++read_id_,
+                  due = LeaseClockNow() + wait](const ReadResult& result) {
+                   if (read == self->read_id_) {
+                     self->is_reading_now_ = false;
+                     self->OnRead(result, due);
+                   }
+                 });
 }
 
-void StreamFollower::OnNewest(const ReadResult& result) {
+void StreamFollower::OnNewest(const ReadResult& result, core::TimePoint sent) {
   if (result.status != StoreStatus::kOk) {
     PauseAfterFailure();
     return;
@@ -84,17 +97,22 @@
     next_ = result.end;
     has_newest_ = true;
     hooks_.on_newest(result);
+    hooks_.on_complete(sent);
     ScheduleRead(std::chrono::milliseconds(0));
     return;
   }
   ScheduleRead(std::chrono::milliseconds(200));
 }
 
-void StreamFollower::OnRead(const ReadResult& result) {
+// The store responds by `response_due`. A response that arrives later, such as
+// after a pause of this process, says nothing about the time in between.
+void StreamFollower::OnRead(const ReadResult& result,
+                            core::TimePoint response_due) {
   if (result.status == StoreStatus::kHistoryLost) {
     failures_ = 0;
     hooks_.on_answer();
     has_newest_ = false;
+    hooks_.on_history_lost();
     ScheduleRead(std::chrono::milliseconds(0));
     return;
   }
@@ -104,13 +122,19 @@
   }
   failures_ = 0;
   hooks_.on_answer();
+  const core::TimePoint as_of = std::min(LeaseClockNow(), response_due);
   if (result.records.empty()) {
     next_ = std::max(next_, result.end);
+    hooks_.on_complete(as_of);
     ScheduleRead(std::chrono::milliseconds(0));
     return;
   }
   next_ = std::max(next_, result.records.back().offset + 1);
   hooks_.on_records(result);
+  if (!result.has_more) {
+    hooks_.on_complete(as_of);
+  }
+  pause_before_read_ = batch_pause_;
   ScheduleRead(batch_pause_);
 }
 
--- a/src/entry/stream_follower.h
+++ b/src/entry/stream_follower.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <vector>
 
+#include "core/time.h"
 #include "entry/platform_hooks.h"
 
 namespace toucandock::entry {
@@ -20,6 +21,12 @@
   std::function<void(const ReadResult&)> on_newest;
   std::function<void(const ReadResult&)> on_records;
   std::function<void()> on_answer;
+  // Called when a response of the store shows that all records which the stream
+  // held at `as_of` are known. The records have been passed on before.
+  std::function<void(core::TimePoint as_of)> on_complete;
+  // Called when the records that were read are no longer continued by those
+  // that the store keeps.
+  std::function<void()> on_history_lost;
   std::function<void()> on_failure;
 };
 
@@ -63,6 +70,7 @@
   // or while a read without waiting is in flight: a large response takes longer
   // than the time between two announcements of a record.
   void ReadOnce();
+  bool is_relayed() const { return relayed_; }
   bool has_newest() const { return has_newest_; }
   // Offset of the next record to be read.
   core::Offset next() const { return next_; }
@@ -70,8 +78,8 @@
  private:
   void ReadNewest();
   void ReadNext();
-  void OnNewest(const ReadResult& result);
-  void OnRead(const ReadResult& result);
+  void OnNewest(const ReadResult& result, core::TimePoint sent);
+  void OnRead(const ReadResult& result, core::TimePoint response_due);
   void PauseAfterFailure();
   void ScheduleRead(std::chrono::milliseconds delay);
 
@@ -81,6 +89,8 @@
   const FollowerHooks hooks_;
   boost::asio::steady_timer timer_;
   std::chrono::milliseconds batch_pause_{0};
+  // The pause that the next read follows.
+  std::chrono::milliseconds pause_before_read_{0};
   // The next read does not wait for new records, so that its response shows at
   // once whether the known records are up to date.
   bool skip_poll_wait_ = false;
--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -123,20 +123,25 @@
          {Stream::kConfig, Stream::kTargets, Stream::kOwnership}) {
       host.followers[stream] = std::make_shared<StreamFollower>(
           io_, host.platform, stream, FollowerOptions{},
-          FollowerHooks{
-              .on_newest =
-                  [&host, stream](const ReadResult& it) {
-                    host.relay->NoteRecords(stream, it, true);
-                  },
-              .on_records =
-                  [&host, stream](const ReadResult& it) {
-                    host.relay->NoteRecords(stream, it, false);
-                  },
-              .on_answer = [&host, stream] { host.relay->NoteAnswer(stream); },
-              .on_failure = [] {}});
+          FollowerHooks{.on_newest =
+                            [&host, stream](const ReadResult& it) {
+                              host.relay->NoteRecords(stream, it, true);
+                            },
+                        .on_records =
+                            [&host, stream](const ReadResult& it) {
+                              host.relay->NoteRecords(stream, it, false);
+                            },
+                        .on_answer = [] {},
+                        .on_complete =
+                            [&host, stream](core::TimePoint as_of) {
+                              host.relay->NoteComplete(stream, as_of);
+                            },
+                        .on_history_lost = [] {},
+                        .on_failure = [] {}});
     }
     host.relay = std::make_unique<PeerRelay>(
         io_, "127.0.0.1", 0, host.followers, core::relay::SourceOptions{},
+        core::relay::FreshnessOptionsFor(kApplyLimit),
         RelayProfile{.failure_domain = absl::StrCat(hosts_.size() % 3),
                      .capacity = 1},
         PeerRelayHooks{
@@ -409,8 +414,8 @@
   SUBCASE("after the leader and all relays have lost the store") {
     fleet.CutMembersFromStore();
     fleet.store.Append(Stream::kConfig, "second");
-    const auto time = fleet.TimeUntilConnectedHave(Stream::kConfig, 2,
-                                                   milliseconds(10'000));
+    const auto time =
+        fleet.TimeUntilConnectedHave(Stream::kConfig, 2, milliseconds(10'000));
     REQUIRE(time);
     CHECK(*time <= kApplyLimit);
   }
--- a/tests/entry/stream_follower_test.cc
+++ b/tests/entry/stream_follower_test.cc
@@ -87,6 +87,8 @@
                 }
               },
           .on_answer = [] {},
+          .on_complete = [](core::TimePoint) {},
+          .on_history_lost = [] {},
           .on_failure = [] {}});
   follower->Start(milliseconds(0));
   io.run_for(milliseconds(20));
@@ -116,6 +118,8 @@
           .on_newest = [&](const ReadResult&) { follower->SetRelayed(true); },
           .on_records = [](const ReadResult&) {},
           .on_answer = [] {},
+          .on_complete = [](core::TimePoint) {},
+          .on_history_lost = [] {},
           .on_failure = [&] { ++failures; }});
   follower->Start(milliseconds(0));
   io.run_for(milliseconds(50));
