Read the store when the age of a stream nears the limit of a change

Cause: a host that takes records from a relay trusted each hop for a while: the leader for 1 s after its last answer of the store, a relay for 0.6 s, its own source for 0.45 s and a substitute for 1.05 s. The allowances add up: a configuration reached hosts that could read the store all the time 2.2 s after it was written once the leader and the relays had lost the store, with no delay on the network. A read that waits for records and is never answered took 3 s to be noticed. Change: each host checks three times a second how long ago it last knew all records of a stream, whatever the source, and reads the store at 0.65 of change_limit, a host that serves others at 0.55. The read replaces one that waits. Reads of hosts without a source wait for 1 s instead of 2 s. While the store is lost, nothing is read in addition.

--- a/src/core/relay/stream_freshness.cc
+++ b/src/core/relay/stream_freshness.cc
@@ -8,8 +8,8 @@
 // Of the time in which a change has to take effect. The rest is for a read of
 // the store that has to be repeated, and for the interval at which hosts check
 // their records.
-constexpr double kMaxAgeFraction = 0.6;
-constexpr double kMaxServingAgeFraction = 0.8 * kMaxAgeFraction;
+constexpr double kMaxAgeFraction = 0.65;
+constexpr double kMaxServingAgeFraction = 0.55;
 // Reports arrive faster than the records that they announce are fetched.
 constexpr size_t kMaxPendingReports = 8;
 
--- a/src/core/relay/stream_freshness.h
+++ b/src/core/relay/stream_freshness.h
@@ -13,10 +13,10 @@
 struct FreshnessOptions {
   // A host that takes records from another host reads the store itself once it
   // does not know that its records were complete at most this long ago.
-  Duration max_age = std::chrono::milliseconds(1'200);
+  Duration max_age = std::chrono::milliseconds(1'300);
   // The same for a host that serves others. It reads first, and the others
   // learn from it.
-  Duration max_serving_age = std::chrono::milliseconds(960);
+  Duration max_serving_age = std::chrono::milliseconds(1'100);
   // A read on behalf of an overdue stream is not repeated for this long.
   Duration read_interval = std::chrono::milliseconds(250);
 };
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -66,7 +66,8 @@
 // records which arrive together are announced once.
 constexpr milliseconds kPushDelay{30};
 // How long the store may delay the response to a read that finds nothing new.
-constexpr milliseconds kPollWait{2'000};
+// Shorter than the age at which a stream is overdue (FreshnessOptions).
+constexpr milliseconds kPollWait{1'000};
 constexpr milliseconds kSourcePollWait{700};
 // Pauses between two reads, so that records that are written in a burst are
 // read by one call. They are well below the time within which changes must take
@@ -78,6 +79,18 @@
 constexpr Stream kStreams[] = {Stream::kConfig, Stream::kTargets,
                                Stream::kOwnership};
 
+const char* NameOf(Stream stream) {
+  switch (stream) {
+    case Stream::kConfig:
+      return "config";
+    case Stream::kTargets:
+      return "targets";
+    case Stream::kOwnership:
+      return "ownership";
+  }
+  return "";
+}
+
 std::string ToString(const udp::endpoint& endpoint) {
   return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
 }
@@ -386,6 +399,7 @@
   heartbeat_at_ = now;
   ExpireSenders(now);
   UpdateFollowers();
+  ReadOverdueStreams(now);
   AppointRelays();
   relay_choice_->OnAsked(now);
   const auto relay = OwnRelay(now);
@@ -672,6 +686,31 @@
   }
 }
 
+// Reads the streams from the store of which nothing has shown for too long that
+// this host knows all records, whatever the reason.
+void PeerRelay::ReadOverdueStreams(core::TimePoint now) {
+  // While the store is lost, it is asked at longer intervals, which limits the
+  // number of calls in an outage.
+  if (tracker_.IsStarting(now) || hooks_.store_lost()) {
+    return;
+  }
+  for (auto& [stream, freshness] : freshness_) {
+    StreamFollower& follower = *followers_.at(stream);
+    if (!follower.has_newest() || !freshness.IsOverdue(ServesOthers(), now)) {
+      continue;
+    }
+    freshness.OnOverdueRead(now);
+    const auto age = freshness.Age(now);
+    LogEvent("stream_overdue",
+             {{"stream", NameOf(stream)},
+              {"next", follower.next()},
+              {"age_ms", age ? ToMilliseconds(*age).count() : -1},
+              {"source", SourceOf(stream)},
+              {"leader_reachable", IsLeaderReachable()}});
+    follower.ReadOnce();
+  }
+}
+
 // Takes what the leader says of the fleet, directly or through a relay.
 void PeerRelay::OnSourceAnswer(const PeerHeartbeat& answer,
                                core::TimePoint now) {
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -146,6 +146,7 @@
   void OnHeartbeat(const PeerHeartbeat& heartbeat);
   void OnAnswer(const PeerHeartbeat& answer);
   void NoteStates(const PeerHeartbeat& answer, core::TimePoint now);
+  void ReadOverdueStreams(core::TimePoint now);
   void UseSource(const PeerHeartbeat& answer);
   void SendHeartbeat(const std::string& address, int hosts);
   PeerHeartbeat MakeAnswer(core::TimePoint now) const;
