Spread the substitutes of the leader over the failure domains

Cause: the leader named the four hosts with the lowest addresses as its substitutes. Change: the substitutes are taken from the failure domains in turn. Result: see the test that follows the whole fleet; no case of its own.

--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -621,11 +621,22 @@
   return answer;
 }
 
+// Spreads the substitutes over the failure domains, so that no single one of
+// them takes all of them away.
 std::vector<std::string> PeerRelay::ChooseSubstitutes() const {
+  std::map<std::string, size_t> chosen_in_domain;
+  // By the number of substitutes of the same failure domain that come first.
+  std::multimap<size_t, std::string> candidates;
+  for (const auto& [endpoint, it] : heartbeat_senders_) {
+    if (!it.store_lost) {
+      candidates.emplace(chosen_in_domain[it.profile.failure_domain]++,
+                         ToString(endpoint));
+    }
+  }
   std::vector<std::string> chosen;
-  for (const auto& [endpoint, heartbeat_sender] : heartbeat_senders_) {
-    if (chosen.size() < kMaxSubstitutes && !heartbeat_sender.store_lost) {
-      chosen.push_back(ToString(endpoint));
+  for (const auto& [rank, address] : candidates) {
+    if (chosen.size() < kMaxSubstitutes) {
+      chosen.push_back(address);
     }
   }
   return chosen;
