Let no recurring event drop a read of the store or a fetch

The same could happen in five more places: a source that is lost and found again and a store that is lost and found again dropped the response to a read; several sources that answer in turn dropped each other's fetches; a fetch in the time after a failed one extended that time without end; a record that a peer refuses was asked for again while the store returned it. A page of 1 MB takes a link of 10 Mbit/s 0.84 s, and its read was given up after 1 s. Peers refuse large records before they encode them. fetch_refused and fetch_failed say which stream, source and cause. Fetches that sources drop in turn and the extended back-off have no case of their own.

--- a/src/core/relay/source_tracker.cc
+++ b/src/core/relay/source_tracker.cc
@@ -26,7 +26,7 @@
 }
 
 bool SourceTracker::IsRelayed(TimePoint now, Duration more_grace) const {
-  if (!leader_was_heard_ || now < fetch_backoff_until_) {
+  if (!leader_was_heard_ || IsBackingOff(now)) {
     return false;
   }
   if (!IsLeaderLost(now)) {
--- a/src/core/relay/source_tracker.h
+++ b/src/core/relay/source_tracker.h
@@ -51,6 +51,8 @@
   void OnFetchFailed(TimePoint now) {
     fetch_backoff_until_ = now + options_.fetch_failure_backoff;
   }
+  // Whether this host reads the store itself after a failed fetch.
+  bool IsBackingOff(TimePoint now) const { return now < fetch_backoff_until_; }
   // The leader has made this host a substitute, or has revoked that.
   void SetSubstitute(bool is_substitute) { is_substitute_ = is_substitute; }
 
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -750,7 +750,14 @@
 // Fetches the records that the sender of the answer has read and this host has
 // not.
 void PeerRelay::UseSource(const PeerHeartbeat& answer) {
+  const core::TimePoint now = LeaseClockNow();
   if (!source_ || *source_ != sender_) {
+    // A change of the source drops the fetches in flight. If several sources
+    // answer in turn, none of their fetches would ever be used.
+    if (std::any_of(fetching_.begin(), fetching_.end(),
+                    [](const auto& it) { return it.second; })) {
+      return;
+    }
     source_ = sender_;
     source_client_ = std::make_unique<net::HttpClient>(
         io_, net::Tcp::endpoint(sender_.address(), sender_.port()));
@@ -763,12 +770,15 @@
   const StreamFollower& targets = *followers_[Stream::kTargets];
   if (answer.store_up > milliseconds(0) && targets.has_newest() &&
       targets.next() >= answer.targets.next) {
-    hooks_.on_store_confirmed_by_peer(LeaseClockNow() - answer.store_up);
+    hooks_.on_store_confirmed_by_peer(now - answer.store_up);
   }
   for (const auto& [stream, state] : streams) {
     const StreamFollower& follower = *followers_[stream];
-    const bool waits =
-        stream != Stream::kOwnership && tracker_.IsStarting(LeaseClockNow());
+    // The store returns the records that are missing, so they are not fetched.
+    const bool reads_store =
+        follower.is_reading_now() || tracker_.IsBackingOff(now);
+    const bool waits = reads_store || (stream != Stream::kOwnership &&
+                                       tracker_.IsStarting(now));
     if (follower.has_newest() && !waits && follower.next() < state.next) {
       Fetch(stream);
     } else if (!follower.has_newest() && MayFetchNewest(answer, stream)) {
@@ -810,7 +820,9 @@
           followers_[stream]->DeliverNewest(*records);
           return;
         }
-        LogEvent("fetch_failed", {{"stream", static_cast<int>(stream)},
+        LogEvent("fetch_failed", {{"stream", NameOf(stream)},
+                                  {"next", 0},
+                                  {"source", SourceOf(stream)},
                                   {"cause", records.status().message()}});
         followers_[stream]->EndWait();
       });
@@ -841,6 +853,10 @@
 void PeerRelay::OnFetched(Stream stream, const net::CallAnswer& answer) {
   const bool answered = answer.result == net::CallResult::kAnswered;
   if (answered && answer.response.result() == http::status::payload_too_large) {
+    LogEvent("fetch_refused", {{"stream", NameOf(stream)},
+                               {"next", followers_[stream]->next()},
+                               {"source", SourceOf(stream)},
+                               {"cause", "too large, read from the store"}});
     followers_[stream]->ReadOnce();
     return;
   }
@@ -855,8 +871,13 @@
       return;
     }
   }
-  LogEvent("fetch_failed", {{"stream", static_cast<int>(stream)},
-                            {"next", followers_[stream]->next()}});
+  LogEvent("fetch_failed",
+           {{"stream", NameOf(stream)},
+            {"next", followers_[stream]->next()},
+            {"source", SourceOf(stream)},
+            {"cause",
+             answered ? absl::StrCat("status ", answer.response.result_int())
+                      : std::string("no answer in time")}});
   tracker_.OnFetchFailed(LeaseClockNow());
   UpdateFollowers();
 }
@@ -935,8 +956,15 @@
     response.result(http::status::gone);
     return response;
   }
-  std::string body = EncodeRecords(*records);
-  if (body.size() > max_bytes && !any_size) {
+  // Large records are refused before they are encoded: many hosts ask for the
+  // same ones at the same time.
+  size_t bytes = 0;
+  for (const StoredRecord& it : records->records) {
+    bytes += it.key.size() + it.value.size();
+  }
+  std::string body =
+      any_size || bytes <= max_bytes ? EncodeRecords(*records) : std::string();
+  if ((bytes > max_bytes || body.size() > max_bytes) && !any_size) {
     response.result(http::status::payload_too_large);
     return response;
   }
--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -56,7 +56,7 @@
 
 void StreamFollower::ReadNewest() {
   waits_for_peer_ = false;
-  is_reading_now_ = false;
+  is_reading_now_ = true;
   platform_.read_newest(stream_,
                         [self = shared_from_this(), read = ++read_id_,
                          sent = LeaseClockNow()](const ReadResult& result) {
@@ -131,9 +131,12 @@
   }
   next_ = std::max(next_, result.records.back().offset + 1);
   hooks_.on_records(result);
-  if (!result.has_more) {
-    hooks_.on_complete(as_of);
+  if (result.has_more) {
+    skip_poll_wait_ = true;
+    ReadNext();
+    return;
   }
+  hooks_.on_complete(as_of);
   pause_before_read_ = batch_pause_;
   ScheduleRead(batch_pause_);
 }
@@ -153,9 +156,7 @@
   }
   relayed_ = relayed;
   if (relayed) {
-    // The response to the read in flight is ignored.
-    ++read_id_;
-    is_reading_now_ = false;
+    // A read in flight goes on. No other follows it.
     timer_.cancel();
     return;
   }
@@ -174,14 +175,17 @@
 
 void StreamFollower::ReadOnce() {
   if (has_newest_ && !is_reading_now_) {
+    timer_.cancel();
     skip_poll_wait_ = true;
     ReadNext();
   }
 }
 
 void StreamFollower::Restart(std::chrono::milliseconds delay) {
+  if (is_reading_now_) {
+    return;
+  }
   ++read_id_;
-  is_reading_now_ = false;
   ScheduleRead(delay);
 }
 
@@ -194,7 +198,7 @@
   timer_.expires_after(delay);
   timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& ec) {
-        if (ec) {
+        if (ec || self->is_reading_now_) {
           return;
         }
         if (self->has_newest_) {
--- a/src/entry/stream_follower.h
+++ b/src/entry/stream_follower.h
@@ -54,8 +54,8 @@
   void DeliverNewest(const ReadResult& result);
   // Reads the newest records without waiting for a peer any longer.
   void EndWait();
-  // Abandons the read in flight, which may never be answered, and starts
-  // another after the delay.
+  // Abandons a read that waits for new records, which may never be answered,
+  // and starts another after the delay. A read without waiting goes on.
   void Restart(std::chrono::milliseconds delay);
   void SetPollWait(std::chrono::milliseconds wait) { poll_wait_ = wait; }
   // Sets the pause after a read that returned records.
@@ -71,6 +71,8 @@
   // than the time between two announcements of a record.
   void ReadOnce();
   bool is_relayed() const { return relayed_; }
+  // Whether a read is in flight that ends without waiting for new records.
+  bool is_reading_now() const { return is_reading_now_; }
   bool has_newest() const { return has_newest_; }
   // Offset of the next record to be read.
   core::Offset next() const { return next_; }
@@ -100,8 +102,9 @@
   // The newest records may still come from a peer.
   bool waits_for_peer_ = false;
   bool relayed_ = false;
-  // The response to the latest read is outstanding and will be used, and the
-  // store was not asked to wait for new records.
+  // A read in flight ends soon, because the store was not asked to wait for new
+  // records. It is never replaced by another: if something that recurs replaced
+  // it, no response would ever be used over a slow link.
   bool is_reading_now_ = false;
   int failures_ = 0;
   // Number of the latest read. The response to an earlier read is ignored.
--- a/tests/entry/stream_follower_test.cc
+++ b/tests/entry/stream_follower_test.cc
@@ -104,6 +104,51 @@
   CHECK(store.reads == 1);
 }
 
+// Guards against the same loss by other events that recur: a source that is
+// lost and found again, a store that is, and a stream that is overdue.
+TEST_CASE("events that recur must not drop the response to a prompt read") {
+  boost::asio::io_context io;
+  SlowStore store{.io = io, .transfer = milliseconds(200)};
+  const PlatformHooks platform = store.Hooks();
+  std::vector<core::Offset> received;
+  auto follower = std::make_shared<StreamFollower>(
+      io, platform, Stream::kConfig, FollowerOptions{},
+      FollowerHooks{.on_newest = [](const ReadResult&) {},
+                    .on_records =
+                        [&](const ReadResult& result) {
+                          received.push_back(result.records.back().offset);
+                        },
+                    .on_answer = [] {},
+                    .on_complete = [](core::TimePoint) {},
+                    .on_history_lost = [] {},
+                    .on_failure = [] {}});
+  follower->Start(milliseconds(0));
+  io.run_for(milliseconds(20));
+  REQUIRE(follower->has_newest());
+  follower->SetRelayed(true);
+  const auto repeat = [&](const std::function<void(int)>& event) {
+    follower->ReadOnce();
+    for (int n = 0; n < 6 && received.empty(); ++n) {
+      event(n);
+      io.restart();
+      io.run_for(milliseconds(100));
+    }
+    CHECK(received.size() == 1);
+  };
+
+  SUBCASE("its source is lost and found again") {
+    repeat([&](int n) { follower->SetRelayed(n % 2 == 1); });
+  }
+  SUBCASE("the store is lost and found again") {
+    follower->SetRelayed(false);
+    repeat([&](int) { follower->Restart(milliseconds(0)); });
+  }
+  SUBCASE("the stream is overdue while the store is read") {
+    follower->SetRelayed(false);
+    repeat([&](int) { follower->ReadOnce(); });
+  }
+}
+
 // Guards against a host that no longer gets records because a single read of
 // the store failed or found its records gone while a peer relayed the stream.
 TEST_CASE("a host that takes records from a peer must not lose the stream") {
