Let an exception of a library cost one message instead of the process

Cause: prepare_payload() throws for a TRACE request with a body, and no handler of the traffic thread caught it, so the process ended with the requests of all callers. The same class was found in a second place: the HTTP parser throws for a field of 64 KiB or more, which the trailers of a chunked message can hold under the default limits. It does so inside the library's own read operation, in requests of callers, answers of targets, the readiness, metrics and peer ports, and answers to control calls.

Change: messages are parsed by net::ReadSome and ReadMessage, which report exceptions of the parser as malformed messages. Each step of a request runs in Dispatcher::RunStep: an exception ends this request, with 400 if nothing was sent and otherwise with 500 and an unknown outcome.

TRACE with content is refused with 400 and sent to no target, since a client must not send it (RFC 9110, section 9.3.8); TRACE without content is passed on as any other method.

Elsewhere: the daemon (src/http) uses its own readers on threads of its own and was not changed or examined.

--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -1,13 +1,14 @@
 #include "entry/caller_connection.h"
 
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 #include "net/message_framing.h"
+#include "net/message_reader.h"
 
 namespace toucandock::entry {
 namespace {
@@ -66,8 +67,8 @@
   buffer_.max_size(limits.header_bytes + net::kMaxUnparsedBytes);
   last_active_at_ = Clock::now();
   request_began_at_ = {};
-  http::async_read(socket, buffer_, *parser_,
-                   [self = shared_from_this()](error_code ec, size_t) {
+  net::ReadMessage(socket, buffer_, *parser_,
+                   [self = shared_from_this()](error_code ec) {
                      self->is_reading_ = false;
                      if (self->is_end_announced_) {
                        // Ignored: the end of the connection was announced, so
@@ -80,7 +81,7 @@
                      }
                      // A request that was rejected as too slow must not run.
                      if (!self->is_rejected_) {
-                       self->OnRequest();
+                       self->ContainRequest();
                      }
                    });
 }
@@ -152,6 +153,25 @@
   WriteNext();
 }
 
+// Starts the request. An exception on the way costs this request and its
+// connection, and nothing of other callers.
+void CallerConnection::ContainRequest() {
+  const size_t earlier = pending_.size();
+  if (Contain("caller_request", [this] { OnRequest(); })) {
+    return;
+  }
+  if (pending_.size() <= earlier) {
+    RejectUnreadable(ErrorKind::kMalformedRequest, "exception");
+    return;
+  }
+  const std::shared_ptr<Pending> pending = pending_.back();
+  closing_ = true;
+  pending->keep_alive = false;
+  pending->response =
+      ToResponse(pending->request_id, {.error = ErrorKind::kInternal});
+  WriteNext();
+}
+
 void CallerConnection::OnRequest() {
   net::HttpRequest request = parser_->release();
   switch (net::FramingOf(request, request.version())) {
@@ -164,6 +184,12 @@
       RejectUnreadable(ErrorKind::kMalformedRequest, "ambiguous body length");
       return;
   }
+  // A client must not send content with TRACE (RFC 9110, section 9.3.8), and
+  // the HTTP library cannot write such a request.
+  if (request.method() == http::verb::trace && !request.body().empty()) {
+    RejectUnreadable(ErrorKind::kMalformedRequest, "TRACE with content");
+    return;
+  }
   auto pending = std::make_shared<Pending>();
   pending->request_id = std::string(request[names_.request_id]);
   pending->keep_alive = request.keep_alive();
@@ -254,8 +280,12 @@
   if (pending->is_head) {
     // The length is that of the body which a GET would have returned.
     current_response_.body().clear();
-  } else {
-    current_response_.prepare_payload();
+  } else if (!Contain("caller_answer",
+                      [this] { current_response_.prepare_payload(); })) {
+    // The head of this answer cannot be written, so its caller gets none.
+    is_writing_ = false;
+    OnCallerDisconnected();
+    return;
   }
   http::async_write(
       socket, current_response_,
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -54,6 +54,7 @@
   };
 
   void Read();
+  void ContainRequest();
   void OnRequest();
   void OnReadError(const boost::system::error_code& ec);
   void OnAnswer(const std::shared_ptr<Pending>& pending, CallerAnswer answer);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "entry/clock.h"
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 #include "entry/peer_json.h"
 
@@ -140,11 +141,11 @@
   return {
       .on_newest =
           [this, stream](const ReadResult& result) {
-            OnRecords(stream, result, true);
+            Contain("records", [&] { OnRecords(stream, result, true); });
           },
       .on_records =
           [this, stream](const ReadResult& result) {
-            OnRecords(stream, result, false);
+            Contain("records", [&] { OnRecords(stream, result, false); });
           },
       .on_answer =
           [this, stream] {
@@ -165,14 +166,15 @@
   switch (stream) {
     case Stream::kConfig:
       for (const StoredRecord& it : result.records) {
-        OnConfigRecord(it);
+        Contain("config_record", [&] { OnConfigRecord(it); });
       }
       break;
     case Stream::kTargets: {
       std::vector<std::string> ids;
       size_t changed = 0;
       for (const StoredRecord& it : result.records) {
-        changed += OnTargetRecord(it, complete) ? 1 : 0;
+        Contain("target_record",
+                [&] { changed += OnTargetRecord(it, complete) ? 1 : 0; });
         ids.push_back(it.key);
       }
       if (complete) {
@@ -189,7 +191,7 @@
     case Stream::kOwnership:
       ownership_end_ = std::max(ownership_end_, result.end);
       for (const StoredRecord& it : result.records) {
-        OnOwnershipRecord(it);
+        Contain("ownership_record", [&] { OnOwnershipRecord(it); });
       }
       for (auto& [service, coordinator] : coordinators_) {
         coordinator->OnEnd(ownership_end_);
@@ -354,7 +356,8 @@
           return;
         }
         const bool was_leader = is_leader_;
-        OnMembershipResult(result, requested_at);
+        Contain("membership",
+                [&] { OnMembershipResult(result, requested_at); });
         // A new leader renews its membership without delay, since the time to
         // live of a leader applies from now on.
         ScheduleMembership(is_leader_ && !was_leader
@@ -410,9 +413,11 @@
 }
 
 void Control::Tick() {
-  ApplyExpirations();
-  RunCoordinators();
-  poison_.Tick(is_leader_ && IsActive());
+  Contain("tick", [this] {
+    ApplyExpirations();
+    RunCoordinators();
+    poison_.Tick(is_leader_ && IsActive());
+  });
   tick_timer_.expires_after(is_leader_ ? kTickInterval : 5 * kTickInterval);
   tick_timer_.async_wait([this](const error_code& ec) {
     if (!ec) {
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_split.h"
 #include "core/request/attempt_rules.h"
 #include "core/request/fingerprint.h"
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 #include "entry/exchange.h"
 
@@ -165,6 +166,32 @@
   exchange->request = std::move(request);
   exchange->handler = std::move(handler);
   exchange->arrived = now;
+  RunStep(exchange, [&] { Begin(exchange, caller, now); });
+  return exchange;
+}
+
+// Runs one step of a request. An exception ends this request only: with 400 if
+// nothing of it was sent to a target, since then the request itself is the
+// cause, and otherwise with 500 and an unknown outcome.
+void Dispatcher::RunStep(const ExchangePtr& exchange,
+                         const std::function<void()>& step) {
+  if (Contain("request", step) || exchange->done) {
+    return;
+  }
+  const bool was_sent = exchange->attempts > 0 || exchange->may_have_run;
+  if (exchange->connection) {
+    exchange->connection->Abandon();
+    exchange->connection = nullptr;
+    exchange->current_target->load.OnCancelled();
+    exchange->current_target = nullptr;
+  }
+  Fail(exchange, was_sent ? ErrorKind::kInternal : ErrorKind::kMalformedRequest,
+       "exception");
+}
+
+void Dispatcher::Begin(const ExchangePtr& exchange,
+                       const std::string& caller,
+                       TimePoint now) {
   exchange->request_id = std::string(exchange->request[names_.request_id]);
   exchange->caller = caller;
   exchange->content_fingerprint = FingerprintOf(exchange->request);
@@ -175,11 +202,11 @@
   if (view_->routes == nullptr) {
     Refuse(exchange, ErrorKind::kNotConfigured, "no configuration read yet",
            milliseconds(500));
-    return exchange;
+    return;
   }
   if (refusing_) {
     Refuse(exchange, ErrorKind::kStopping, "host is stopping", kMinRetryAfter);
-    return exchange;
+    return;
   }
   exchange->routes = view_->routes;
   const std::string host(it[http::field::host]);
@@ -187,7 +214,7 @@
       host, absl::string_view(it.target().data(), it.target().size()));
   if (exchange->route == nullptr) {
     Refuse(exchange, ErrorKind::kNotFound, "no route", Duration{});
-    return exchange;
+    return;
   }
   const core::routing::Route& route = *exchange->route;
   exchange->service =
@@ -220,7 +247,7 @@
             &key) ||
         key > core::keyspace::kLastKey) {
       Refuse(exchange, ErrorKind::kMissingKey, "no key", Duration{});
-      return exchange;
+      return;
     }
     exchange->key = key;
     core::keyspace::LoadReport& report = reports_[exchange->service];
@@ -230,14 +257,13 @@
   }
   if (IsRefusedAsPoison(*exchange)) {
     FailAsPoison(exchange);
-    return exchange;
+    return;
   }
   RetriesOf(exchange->service).OnRequest(now);
   typical_times_.try_emplace(exchange->service, kInitialTypicalTime);
   if (!TryDispatch(exchange, now)) {
     Enqueue(exchange, now);
   }
-  return exchange;
 }
 
 bool Dispatcher::HasConnectionRoom(const TargetHandle& handle) const {
@@ -361,6 +387,8 @@
 void Dispatcher::SendTo(const ExchangePtr& exchange,
                         const HandlePtr& handle,
                         TimePoint now) {
+  // Built first, so that an exception leaves the counts of the target alone.
+  net::HttpRequest request = RequestFor(*exchange, *handle, now);
   RemoveFromQueue(exchange);
   exchange->attempts++;
   exchange->tried.push_back(handle->target.entry.instance);
@@ -380,20 +408,27 @@
         io_, handle->endpoint, names_, answer_memory_);
   }
   exchange->used_connections.push_back(exchange->connection);
-  net::HttpRequest request = exchange->request;
+  ArmTimer(exchange, exchange->answer_by + options_.timeout_margin);
+  exchange->connection->Send(
+      std::move(request), [this, exchange](TargetAnswer answer) {
+        RunStep(exchange, [&] { OnTargetAnswer(exchange, std::move(answer)); });
+      });
+}
+
+// Returns the request as it is sent to the target.
+net::HttpRequest Dispatcher::RequestFor(const Exchange& exchange,
+                                        const TargetHandle& handle,
+                                        TimePoint now) const {
+  net::HttpRequest request = exchange.request;
   RemoveHopHeaders(request);
-  const milliseconds left = ToMilliseconds(exchange->answer_by - now);
+  const milliseconds left = ToMilliseconds(exchange.answer_by - now);
   request.set(names_.deadline,
               std::to_string(std::max<std::int64_t>(1, left.count())));
-  request.set(names_.expected_target, handle->target.entry.instance.id);
+  request.set(names_.expected_target, handle.target.entry.instance.id);
   request.version(11);
   request.keep_alive(true);
   request.prepare_payload();
-  ArmTimer(exchange, exchange->answer_by + options_.timeout_margin);
-  exchange->connection->Send(std::move(request),
-                             [this, exchange](TargetAnswer answer) {
-                               OnTargetAnswer(exchange, std::move(answer));
-                             });
+  return request;
 }
 
 void Dispatcher::UpdateLoad(Exchange& exchange,
@@ -760,7 +795,7 @@
                                          queue->second.end());
   for (const ExchangePtr& it : waiting) {
     if (it->waiting) {
-      TryDispatch(it, now);
+      RunStep(it, [&] { TryDispatch(it, now); });
     }
   }
 }
@@ -770,7 +805,7 @@
   exchange->timer.async_wait(
       [this, exchange](const boost::system::error_code& ec) {
         if (!ec && !exchange->done) {
-          OnTimer(exchange);
+          RunStep(exchange, [&] { OnTimer(exchange); });
         }
       });
 }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -141,6 +141,13 @@
     double owner_load = 0;
   };
 
+  void RunStep(const ExchangePtr& exchange, const std::function<void()>& step);
+  void Begin(const ExchangePtr& exchange,
+             const std::string& caller,
+             core::TimePoint now);
+  net::HttpRequest RequestFor(const Exchange& exchange,
+                              const TargetHandle& handle,
+                              core::TimePoint now) const;
   DecisionInputs InputsOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -8,6 +8,7 @@
 
 #include <utility>
 
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 
 namespace toucandock::entry {
@@ -75,7 +76,14 @@
                          .Name("toucandock_entry_dropped_log_lines")
                          .Help("Log lines left out since the start")
                          .Register(*registry_)
-                         .Add({})) {}
+                         .Add({})),
+      contained_exceptions_(
+          prometheus::BuildGauge()
+              .Name("toucandock_entry_contained_exceptions")
+              .Help("Exceptions since the start that ended one request, record "
+                    "or message")
+              .Register(*registry_)
+              .Add({})) {}
 
 EntryMetrics::~EntryMetrics() = default;
 
@@ -137,6 +145,7 @@
 
 std::string EntryMetrics::Text() const {
   dropped_lines_.Set(static_cast<double>(DroppedLogLines()));
+  contained_exceptions_.Set(static_cast<double>(ContainedExceptions()));
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -62,6 +62,7 @@
   prometheus::Gauge& config_version_;
   prometheus::Gauge& unknown_words_;
   prometheus::Gauge& dropped_lines_;
+  prometheus::Gauge& contained_exceptions_;
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_join.h"
 #include "absl/strings/strip.h"
 #include "entry/clock.h"
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 #include "util/hash.h"
 
@@ -107,7 +108,8 @@
       timer_(io),
       responder_(
           io,
-          [this](const net::HttpRequest& request) { return Serve(request); }),
+          [this](const net::HttpRequest& request) { return Serve(request); },
+          ReportException),
       tracker_(options, LeaseClockNow()),
       profile_(std::move(profile)),
       load_timer_(io),
@@ -484,7 +486,8 @@
           return;
         }
         if (!ec) {
-          OnDatagram(std::string(buffer_.data(), n));
+          Contain("datagram",
+                  [&] { OnDatagram(std::string(buffer_.data(), n)); });
         }
         Receive();
       });
--- a/src/entry/settings_watch.cc
+++ b/src/entry/settings_watch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_join.h"
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 
 namespace toucandock::entry {
@@ -24,7 +25,7 @@
   timer_.expires_after(interval);
   timer_.async_wait([this, interval](const boost::system::error_code& ec) {
     if (!ec) {
-      Check();
+      Contain("settings", [this] { Check(); });
       Start(interval);
     }
   });
--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -1,6 +1,5 @@
 #include "entry/target_connection.h"
 
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
@@ -9,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 #include "net/message_framing.h"
+#include "net/message_reader.h"
 
 namespace toucandock::entry {
 namespace {
@@ -179,23 +179,22 @@
 // Reads in parts, so that the memory limit applies while the response grows. An
 // error of the connection, also while writing, ends the read with an error.
 void TargetConnection::ReadSome() {
-  http::async_read_some(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](error_code ec, size_t) {
-        if (!self->handler_) {
-          self->ReleaseBytes();
-          return;
-        }
-        if (ec) {
-          self->FinishWithoutAnswer(CauseOfReadError(ec));
-        } else if (!self->HasClearEnd() || !self->ReserveBytes()) {
-          self->FinishWithoutAnswer(AttemptCause::kBadAnswer);
-        } else if (self->parser_->is_done()) {
-          self->OnAnswer();
-        } else {
-          self->ReadSome();
-        }
-      });
+  net::ReadSome(socket_, buffer_, *parser_,
+                [self = shared_from_this()](error_code ec) {
+                  if (!self->handler_) {
+                    self->ReleaseBytes();
+                    return;
+                  }
+                  if (ec) {
+                    self->FinishWithoutAnswer(CauseOfReadError(ec));
+                  } else if (!self->HasClearEnd() || !self->ReserveBytes()) {
+                    self->FinishWithoutAnswer(AttemptCause::kBadAnswer);
+                  } else if (self->parser_->is_done()) {
+                    self->OnAnswer();
+                  } else {
+                    self->ReadSome();
+                  }
+                });
 }
 
 // Returns false if the head of the response leaves its end in doubt.
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 
 namespace toucandock::entry {
@@ -49,28 +50,32 @@
                   DispatchOptions{},
                   std::move(hooks)),
       acceptor_(io),
-      readiness_(io,
-                 [this](const net::HttpRequest&) {
-                   net::HttpResponse response;
-                   response.result(ready_ && !stopping_
-                                       ? http::status::ok
-                                       : http::status::service_unavailable);
-                   return response;
-                 }),
-      metrics_(io,
-               [this](const net::HttpRequest&) {
-                 EntryMetrics& metrics = dispatcher_.metrics();
-                 metrics.SetPoison(*dispatcher_.view().poison);
-                 metrics.SetRunning(dispatcher_.running());
-                 const auto& routes = dispatcher_.view().routes;
-                 metrics.SetConfig(routes ? routes->config()
-                                          : core::routing::RouteConfig{});
-                 net::HttpResponse response;
-                 response.result(http::status::ok);
-                 response.set(http::field::content_type, "text/plain");
-                 response.body() = metrics.Text();
-                 return response;
-               }),
+      readiness_(
+          io,
+          [this](const net::HttpRequest&) {
+            net::HttpResponse response;
+            response.result(ready_ && !stopping_
+                                ? http::status::ok
+                                : http::status::service_unavailable);
+            return response;
+          },
+          ReportException),
+      metrics_(
+          io,
+          [this](const net::HttpRequest&) {
+            EntryMetrics& metrics = dispatcher_.metrics();
+            metrics.SetPoison(*dispatcher_.view().poison);
+            metrics.SetRunning(dispatcher_.running());
+            const auto& routes = dispatcher_.view().routes;
+            metrics.SetConfig(routes ? routes->config()
+                                     : core::routing::RouteConfig{});
+            net::HttpResponse response;
+            response.result(http::status::ok);
+            response.set(http::field::content_type, "text/plain");
+            response.body() = metrics.Text();
+            return response;
+          },
+          ReportException),
       stop_timer_(io),
       limit_timer_(io) {}
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,10 +4,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
 
+#include "net/message_reader.h"
+
 namespace toucandock::net {
 namespace {
 
@@ -85,10 +86,9 @@
     parser_.emplace();
     parser_->header_limit(kMaxHeadBytes);
     parser_->body_limit(kMaxBodyBytes);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code ec, size_t) {
-                       self->Finish(!ec);
-                     });
+    ReadMessage(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](error_code ec) { self->Finish(!ec); });
   }
 
   void Finish(bool answered) {
--- a/src/net/responder.cc
+++ b/src/net/responder.cc
@@ -3,12 +3,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <memory>
 #include <optional>
 #include <utility>
 
+#include "net/message_reader.h"
+
 namespace toucandock::net {
 namespace {
 
@@ -22,8 +23,13 @@
 
 class Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(boost::asio::io_context& io, const Respond& respond)
-      : socket(io), timer_(io), respond_(respond) {}
+  Session(boost::asio::io_context& io,
+          const Respond& respond,
+          const OnException& on_exception)
+      : socket(io),
+        timer_(io),
+        respond_(respond),
+        on_exception_(on_exception) {}
 
   void Read() {
     parser_.emplace();
@@ -34,13 +40,13 @@
         Reset(self->socket);
       }
     });
-    http::async_read(socket, buffer_, *parser_,
-                     [self = shared_from_this()](error_code ec, size_t) {
-                       self->timer_.cancel();
-                       if (!ec) {
-                         self->Answer();
-                       }
-                     });
+    ReadMessage(socket, buffer_, *parser_,
+                [self = shared_from_this()](error_code ec) {
+                  self->timer_.cancel();
+                  if (!ec) {
+                    self->Answer();
+                  }
+                });
   }
 
   Tcp::socket socket;
@@ -48,10 +54,22 @@
  private:
   void Answer() {
     const HttpRequest request = parser_->release();
-    response_ = respond_(request);
+    bool keep_alive = request.keep_alive();
+    try {
+      response_ = respond_(request);
+      response_.prepare_payload();
+    } catch (const std::exception& e) {
+      // An exception costs this request only.
+      if (on_exception_) {
+        on_exception_("responder", e.what());
+      }
+      response_ = {};
+      response_.result(http::status::internal_server_error);
+      response_.prepare_payload();
+      keep_alive = false;
+    }
     response_.version(request.version());
-    response_.keep_alive(request.keep_alive());
-    response_.prepare_payload();
+    response_.keep_alive(keep_alive);
     http::async_write(socket, response_,
                       [self = shared_from_this()](error_code ec, size_t) {
                         if (!ec && self->response_.keep_alive()) {
@@ -62,6 +80,7 @@
 
   boost::asio::steady_timer timer_;
   const Respond& respond_;
+  const OnException& on_exception_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   HttpResponse response_;
@@ -95,8 +114,13 @@
   return absl::OkStatus();
 }
 
-Responder::Responder(boost::asio::io_context& io, Respond respond)
-    : io_(io), acceptor_(io), respond_(std::move(respond)) {}
+Responder::Responder(boost::asio::io_context& io,
+                     Respond respond,
+                     OnException on_exception)
+    : io_(io),
+      acceptor_(io),
+      respond_(std::move(respond)),
+      on_exception_(std::move(on_exception)) {}
 
 absl::Status Responder::Listen(const std::string& address) {
   absl::Status status = OpenAcceptor(acceptor_, address);
@@ -112,7 +136,7 @@
 }
 
 void Responder::Accept() {
-  auto session = std::make_shared<Session>(io_, respond_);
+  auto session = std::make_shared<Session>(io_, respond_, on_exception_);
   acceptor_.async_accept(session->socket, [this, session](error_code ec) {
     if (ec == boost::asio::error::operation_aborted) {
       return;
--- a/tests/entry/dispatcher_poison_test.cc
+++ b/tests/entry/dispatcher_poison_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
                     {.report_load = [](const core::keyspace::LoadReport&) {},
                      .report_poison =
                          [this](const PoisonUpdate& it) {
+                           if (hook_throws) {
+                             throw std::length_error("test");
+                           }
                            crashes.insert(crashes.end(), it.crashes.begin(),
                                           it.crashes.end());
                            safe_reports.insert(safe_reports.end(),
@@ -108,6 +112,7 @@
   std::vector<CallerAnswer> answers;
   std::vector<core::request::CrashReport> crashes;
   std::vector<SafeReport> safe_reports;
+  bool hook_throws = false;
 
  private:
   boost::asio::io_context io_;
@@ -281,4 +286,36 @@
   CHECK(host.safe_reports[0].version == "v1");
 }
 
+// Guards against a library's exception that ends the requests of all callers:
+// the hook stands for any call that throws while the answer of a target is
+// handled.
+TEST_CASE("an exception must cost only the request under which it is thrown") {
+  const RawTarget target([](RawConnection& connection) {
+    for (std::string it = connection.ReadRequest(); !it.empty();
+         it = connection.ReadRequest()) {
+      Respond(connection, it);
+    }
+  });
+  DispatcherFixture host;
+  host.SetView({target.address()},
+               {.suspected = {{FingerprintOf("/odd"), "v1"}}});
+  host.hook_throws = true;
+  host.Start("/odd");
+  host.Start("/proper");
+  host.RunUntil([&] { return host.answers.size() == 2; });
+  REQUIRE(host.answers.size() == 2);
+  const bool is_odd_first = !host.answers[0].response;
+  const CallerAnswer& odd = host.answers[is_odd_first ? 0 : 1];
+  const CallerAnswer& proper = host.answers[is_odd_first ? 1 : 0];
+  CHECK(odd.error == core::ErrorKind::kInternal);
+  CHECK(proper.response);
+
+  SUBCASE("and the target is used as before") {
+    host.Start("/proper");
+    host.RunUntilAnswered();
+    REQUIRE(host.answers.size() == 3);
+    CHECK(host.answers[2].response);
+  }
+}
+
 }  // namespace toucandock::entry
--- a/tests/entry/traffic_host.h
+++ b/tests/entry/traffic_host.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -39,10 +40,7 @@
                            [](http::RawConnection&) {})
       : target_(std::move(serve)),
         traffic_(io_,
-                 {.host_name = "h",
-                  .ip = "127.0.0.1",
-                  .caller_address = "127.0.0.1:0",
-                  .readiness_address = "127.0.0.1:0"},
+                 settings_,
                  {.request_id = "Id", .answer_digest = "Digest"},
                  {.report_load = [](const core::keyspace::LoadReport&) {},
                   .report_poison = [](const PoisonUpdate&) {}}) {
@@ -62,6 +60,7 @@
     view->complete = true;
     traffic_.SetView(std::move(view));
     address_ = traffic_.caller_address();
+    readiness_address_ = traffic_.readiness_address();
     thread_ = std::thread([this] { io_.run(); });
   }
 
@@ -74,8 +73,20 @@
   TrafficHost& operator=(const TrafficHost&) = delete;
 
   const std::string& address() const { return address_; }
+  const std::string& readiness_address() const { return readiness_address_; }
   const http::RawTarget& target() const { return target_; }
 
+  // Applies changed settings, as a reload does.
+  void ChangeSettings(const std::function<void(EntrySettings&)>& change) {
+    std::promise<void> applied;
+    boost::asio::post(io_, [&] {
+      change(settings_);
+      traffic_.SetSettings(settings_);
+      applied.set_value();
+    });
+    applied.get_future().wait();
+  }
+
   void Stop() {
     std::promise<void> stopped;
     boost::asio::post(io_,
@@ -84,10 +95,15 @@
   }
 
  private:
+  EntrySettings settings_{.host_name = "h",
+                          .ip = "127.0.0.1",
+                          .caller_address = "127.0.0.1:0",
+                          .readiness_address = "127.0.0.1:0"};
   http::RawTarget target_;
   boost::asio::io_context io_;
   Traffic traffic_;
   std::string address_;
+  std::string readiness_address_;
   std::thread thread_;
 };
 
--- /dev/null
+++ b/tests/net/http_client_test.cc
@@ -0,0 +1,40 @@
+#include "net/http_client.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "http/raw_target.h"
+
+namespace toucandock::net {
+
+// Guards against an answer of the store, a target or another host that ends the
+// control thread: the HTTP library throws for fields of 64 KiB, and does so
+// inside its own operation.
+TEST_CASE("an answer that the HTTP library cannot hold must fail its call") {
+  const std::string long_text(70'000, 'x');
+  const std::string trailers[] = {absl::StrCat("T: ", long_text),
+                                  absl::StrCat(long_text, ": x")};
+  for (const std::string& it : trailers) {
+    http::RawTarget server([&it](http::RawConnection& connection) {
+      while (!connection.ReadRequest().empty()) {
+        connection.Write(
+            absl::StrCat("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "1\r\na\r\n0\r\n",
+                         it, "\r\n\r\n"));
+      }
+    });
+    boost::asio::io_context io;
+    HttpClient client(io, *ParseEndpoint(server.address()));
+    std::optional<CallResult> result;
+    client.Call({boost::beast::http::verb::get, "/x", 11},
+                std::chrono::seconds(2),
+                [&](const CallAnswer& answer) { result = answer.result; });
+    CHECK_NOTHROW(io.run());
+    CHECK(result == CallResult::kUnanswered);
+  }
+}
+
+}  // namespace toucandock::net
