Give a control response more time while it arrives

Cause: the time-out of a control call covers the whole response. Change: while bytes of a response with a stated length arrive, the time-out is extended by 0.5 s, up to six times.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -22,6 +22,10 @@
 // 1 MB of values in base64 and their keys.
 constexpr std::uint64_t kMaxBodyBytes = 4ULL << 20;
 constexpr std::uint32_t kMaxHeadBytes = 16U << 10;
+// A response that arrives slowly gets more time as long as bytes of its body
+// arrive, since repeating the call would transfer all of them again.
+constexpr std::chrono::milliseconds kExtension{500};
+constexpr int kMaxExtensions = 6;
 
 }  // namespace
 
@@ -48,12 +52,9 @@
     request_ = std::move(request);
     handler_ = std::move(handler);
     sent_ = false;
-    timer_.expires_after(timeout);
-    timer_.async_wait([self = shared_from_this()](error_code ec) {
-      if (!ec) {
-        self->Finish(false);
-      }
-    });
+    parser_.reset();
+    extensions_ = 0;
+    SetTimeout(timeout);
     if (socket_.is_open()) {
       Write();
       return;
@@ -69,6 +70,34 @@
   }
 
  private:
+  void SetTimeout(std::chrono::milliseconds timeout) {
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (ec) {
+        return;
+      }
+      if (self->extensions_ < kMaxExtensions && self->HasProgressed()) {
+        ++self->extensions_;
+        self->SetTimeout(kExtension);
+      } else {
+        self->Finish(false);
+      }
+    });
+  }
+
+  // Whether more of the body has arrived since the last time-out. Only known
+  // for responses that state their length.
+  bool HasProgressed() {
+    if (!handler_ || !parser_ || !parser_->is_header_done()) {
+      return false;
+    }
+    const auto left = parser_->content_length_remaining();
+    const bool progressed =
+        left && (extensions_ == 0 || *left < body_bytes_left_);
+    body_bytes_left_ = left.value_or(0);
+    return progressed;
+  }
+
   void Write() {
     if (!handler_) {
       return;
@@ -165,6 +194,9 @@
   HttpRequest request_;
   CallHandler handler_;
   bool sent_ = false;
+  int extensions_ = 0;
+  // At the last time-out.
+  std::uint64_t body_bytes_left_ = 0;
   // The last response repeated the id of its call.
   bool matched_ = false;
   bool server_sends_ids_ = false;
@@ -183,7 +215,7 @@
 
 // Calls the handler on the thread of the I/O context, never before this
 // function returns. The time-out covers connecting, sending and the complete
-// response.
+// response; it is extended by up to 3 s while a response arrives slowly.
 void HttpClient::Call(HttpRequest request,
                       std::chrono::milliseconds timeout,
                       CallHandler handler,
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "absl/strings/str_cat.h"
 #include "http/raw_target.h"
@@ -37,4 +39,40 @@
   }
 }
 
+// Guards against a large configuration that is transferred again and again over
+// a slow link because its response takes longer than the time-out.
+TEST_CASE("a response that arrives slowly must not be given up midway") {
+  using std::chrono::milliseconds;
+  constexpr int kPieces = 8;
+  constexpr milliseconds kTimeout{300};
+  const auto call = [&](int pieces_sent) {
+    http::RawTarget server([&](http::RawConnection& connection) {
+      while (!connection.ReadRequest().empty()) {
+        connection.Write(absl::StrCat(
+            "HTTP/1.1 200 OK\r\nContent-Length: ", kPieces, "\r\n\r\n"));
+        for (int n = 0; n < pieces_sent; ++n) {
+          std::this_thread::sleep_for(milliseconds(100));
+          connection.Write("x");
+        }
+      }
+    });
+    boost::asio::io_context io;
+    HttpClient client(io, *ParseEndpoint(server.address()));
+    std::optional<CallResult> result;
+    client.Call({boost::beast::http::verb::get, "/x", 11}, kTimeout,
+                [&](const CallAnswer& answer) { result = answer.result; });
+    const auto start = std::chrono::steady_clock::now();
+    io.run();
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+    return result;
+  };
+
+  SUBCASE("all of it arrives after the time-out") {
+    CHECK(call(kPieces) == CallResult::kAnswered);
+  }
+  SUBCASE("it stops arriving") {
+    CHECK(call(2) == CallResult::kUnanswered);
+  }
+}
+
 }  // namespace toucandock::net
