Count the evidence of an outage over the hosts that a record names

Cause: a leader without the store took three quarters of the hosts that still sent it heartbeats for the fleet. Reports were as old as their arrival, so a process that had been paused took messages from before its pause for news. The successor judged by its own store alone whether longer leases had been granted.

Change (decision 0011): the ownership record names the other members of the group. A leader acts without the store only on reports of three quarters of this list, each from a host that follows it and at most 1.5 s old, shown by a stamp of the leader that the report repeats. A successor waits for 70.7 s for owners that it cannot reach, unless more than the remaining quarter of the same list follow it; their reports say since when they have had the store. The two quorums share a host, so they cannot both be met. Lists of earlier leaders are handed on in the record until their grants have ended.

The same cause elsewhere: relays and substitutes decide who reads the store, not who owns keys.

--- a/src/core/keyspace/grant_coordinator.cc
+++ b/src/core/keyspace/grant_coordinator.cc
@@ -10,6 +10,17 @@
 // record are higher than all of them.
 constexpr int kFenceBits = 20;
 
+// Returns the lists over which the writer of a record and earlier ones may
+// count, each once. A writer without a list does not act without the store.
+std::vector<HostList> ListsOf(const OwnershipTable& table) {
+  std::vector<HostList> lists = table.earlier_hosts;
+  lists.push_back(table.hosts);
+  std::sort(lists.begin(), lists.end());
+  lists.erase(std::unique(lists.begin(), lists.end()), lists.end());
+  std::erase_if(lists, [](const HostList& it) { return it.empty(); });
+  return lists;
+}
+
 }  // namespace
 
 absl::string_view ToString(CommandResult result) {
@@ -36,6 +47,7 @@
       writer_(std::move(writer)),
       report_address_(std::move(report_address)),
       options_(options),
+      evidence_(options.outage),
       samples_(options.samples) {}
 
 void GrantCoordinator::OnLeadership(bool is_leader, TimePoint confirmed_at) {
@@ -88,26 +100,70 @@
                                   : options_.leadership_lease);
 }
 
-bool GrantCoordinator::IsOutage(TimePoint now) const {
-  return now < outage_reported_ + options_.outage_report_lifetime;
+void GrantCoordinator::OnStoreAnswered(TimePoint now) {
+  store_answered_ = now;
+  if (!store_up_since_) {
+    store_up_since_ = now;
+  }
+}
+
+void GrantCoordinator::OnHostReport(const HostReport& report, TimePoint now) {
+  evidence_.OnReport(report, now);
+  UpdateOutage();
+  UpdateInheritedUntil();
+}
+
+// A record that was proposed may be on the store without this process knowing
+// it. A successor would then count over its list.
+void GrantCoordinator::UpdateOutage() {
+  if (!committed_ || committed_->writer != writer_) {
+    outage_until_ = TimePoint{};
+    return;
+  }
+  std::vector<HostList> lists = proposed_lists_;
+  lists.push_back(committed_->hosts);
+  outage_until_ = evidence_.OutageEnd(lists);
+}
+
+Duration GrantCoordinator::OutageGrantLease() const {
+  return std::max(options_.grant_lease, options_.outage_grant_lease);
 }
 
 Duration GrantCoordinator::CurrentGrantLease(TimePoint now) const {
-  return IsOutage(now)
-             ? std::max(options_.grant_lease, options_.outage_grant_lease)
-             : options_.grant_lease;
+  return IsOutage(now) ? OutageGrantLease() : options_.grant_lease;
+}
+
+// Takes over from the writer of a record. Targets may hold keys because of
+// grants of that writer and of its predecessors.
+void GrantCoordinator::InheritFrom(const OwnershipTable& predecessor,
+                                   TimePoint now) {
+  inherited_lists_ = ListsOf(predecessor);
+  own_store_up_since_ = store_up_since_.value_or(now);
+  inherited_until_ = now + options_.outage_leadership_lease +
+                     WithDrift(OutageGrantLease()) + options_.grant_timeout;
 }
 
-// Returns the longest lease that a previous leader may have granted and that
-// may still be valid.
-Duration GrantCoordinator::InheritedGrantLease(TimePoint now) const {
-  const TimePoint last_outage_sign = std::max(store_lost_at_, first_event_);
-  const bool was_outage = now < last_outage_sign +
-                                    WithDrift(options_.outage_grant_lease) +
-                                    options_.outage_detection_time;
-  return was_outage
-             ? std::max(options_.grant_lease, options_.outage_grant_lease)
-             : options_.grant_lease;
+// Shortens the time for which grants of earlier leaders may last, as soon as
+// enough hosts follow this one.
+void GrantCoordinator::UpdateInheritedUntil() {
+  if (!committed_ || committed_->writer != writer_) {
+    return;
+  }
+  const std::optional<TimePoint> since = evidence_.ExcludedSince(
+      inherited_lists_, report_address_, own_store_up_since_);
+  if (!since) {
+    return;
+  }
+  // An earlier leader renews leases until its leadership lease ends, and may
+  // have granted longer ones while reports of an outage were valid.
+  const TimePoint usual_end = taken_over_at_ + options_.leadership_lease +
+                              WithDrift(options_.grant_lease) +
+                              options_.grant_timeout;
+  const TimePoint outage_end = *since + options_.outage.report_lifetime +
+                               WithDrift(OutageGrantLease()) +
+                               options_.grant_timeout;
+  inherited_until_ =
+      std::min(inherited_until_, std::max(usual_end, outage_end));
 }
 
 bool GrantCoordinator::CanMove(TimePoint now) const {
@@ -137,15 +193,8 @@
 // Takes the newest record as the state to act on. Keeps the progress of ranges
 // that the record does not change.
 void GrantCoordinator::Adopt(const OwnershipTable& table, TimePoint now) {
-  if (first_event_ == TimePoint{}) {
-    first_event_ = now;
-  }
   const bool is_own_record = table.writer == writer_;
   const bool was_own_record = committed_ && committed_->writer == writer_;
-  // The previous leader may renew leases until its leadership lease ends.
-  const TimePoint inherited = now + options_.leadership_lease +
-                              WithDrift(InheritedGrantLease(now)) +
-                              options_.grant_timeout;
   std::vector<RangeState> next;
   for (const Assignment& it : table.assignments) {
     RangeState state{.assignment = it,
@@ -174,7 +223,7 @@
       // The new owner may already hold the keys because of a grant by the
       // previous leader or as part of another range.
       const bool owner_may_hold = !(is_own_record && was_own_record) ||
-                                  EarlierLeaseEnd(it.keys, it.owner) > now;
+                                  EndOf(EarlierHold(it.keys, it.owner)) > now;
       if (owner_may_hold && !it.serving &&
           std::find(holders.begin(), holders.end(), it.owner) ==
               holders.end()) {
@@ -188,12 +237,12 @@
       }
     }
     const bool inherits = !(is_own_record && was_own_record);
-    state.may_hold_until =
-        inherits ? inherited : EarlierLeaseEnd(it.keys, it.owner);
+    state.hold =
+        inherits ? Hold{.inherited = true} : EarlierHold(it.keys, it.owner);
     for (PendingRelease& pending_release : state.pending_releases) {
-      pending_release.may_hold_until =
-          inherits ? inherited
-                   : EarlierLeaseEnd(it.keys, pending_release.target);
+      pending_release.hold = inherits
+                                 ? Hold{.inherited = true}
+                                 : EarlierHold(it.keys, pending_release.target);
     }
     next.push_back(std::move(state));
   }
@@ -201,7 +250,12 @@
   if (is_own_record && !was_own_record && committed_) {
     moves_allowed_from_ = now + options_.move_lease + options_.grant_timeout;
   }
+  if (is_own_record && !was_own_record) {
+    InheritFrom(committed_.value_or(OwnershipTable{}), now);
+    evidence_.OnTakeover(table.offset);
+  }
   committed_ = table;
+  proposed_lists_.clear();
   fence_count_ = 0;
   if (!is_own_record) {
     commands_.clear();
@@ -209,12 +263,15 @@
   if (is_own_record && !was_own_record) {
     contacts_.clear();
     taken_over_at_ = now;
+    heard_since_ = now;
   }
   if (!is_own_record && was_own_record) {
     is_leader_ = false;
     may_renew_ = false;
     successor_seen_at_ = now;
   }
+  UpdateOutage();
+  UpdateInheritedUntil();
 }
 
 Duration GrantCoordinator::WithDrift(Duration lease) const {
@@ -231,28 +288,36 @@
   return command_count_;
 }
 
-// Returns the time until which a target may hold any of the keys, according to
-// the state before a new record is adopted.
-TimePoint GrantCoordinator::EarlierLeaseEnd(
+TimePoint GrantCoordinator::EndOf(const Hold& hold) const {
+  return hold.inherited ? std::max(hold.until, inherited_until_) : hold.until;
+}
+
+// Returns until when a target may hold any of the keys, according to the state
+// before a new record is adopted.
+GrantCoordinator::Hold GrantCoordinator::EarlierHold(
     const KeyRange& keys,
     const TargetInstance& target) const {
-  TimePoint until{};
+  Hold hold;
+  const auto join = [&hold](const Hold& it) {
+    hold.until = std::max(hold.until, it.until);
+    hold.inherited = hold.inherited || it.inherited;
+  };
   for (const RangeState& it : ranges_) {
     if (it.assignment.keys.last < keys.first ||
         keys.last < it.assignment.keys.first) {
       continue;
     }
     if (it.assignment.owner == target) {
-      until = std::max(until, it.may_hold_until);
+      join(it.hold);
     }
     for (const PendingRelease& pending_release : it.pending_releases) {
       if (pending_release.target == target &&
           pending_release.stage != ReleaseStage::kDone) {
-        until = std::max(until, pending_release.may_hold_until);
+        join(pending_release.hold);
       }
     }
   }
-  return until;
+  return hold;
 }
 
 GrantCoordinator::Contact& GrantCoordinator::ContactOf(
@@ -366,14 +431,14 @@
     range->command_id = 0;
     if (command_response.result == CommandResult::kDone) {
       range->granted = true;
-      // may_hold_until stays: it was raised when the grant was sent, and a
+      // The hold stays: it was raised when the grant was sent, and a
       // shorter grant does not end the hold of an earlier, longer one.
       range->handover.clear();
       range->next_grant = pending_command.sent + options_.renew_interval;
     } else {
       range->next_grant = now + options_.grant_retry_interval;
       if (command_response.result == CommandResult::kNotSent) {
-        range->may_hold_until = range->held_before_command;
+        range->hold.until = range->held_before_command;
       }
     }
     return;
@@ -393,7 +458,7 @@
         continue;
       }
       if (command_response.result == CommandResult::kNotSent) {
-        it.may_hold_until = it.held_before_command;
+        it.hold.until = it.held_before_command;
       }
       if (it.raise_count >= options_.max_fence_raises) {
         it.stage = ReleaseStage::kRelease;
@@ -447,7 +512,7 @@
     if (it.stage == ReleaseStage::kDone) {
       continue;
     }
-    if (HasCertainlyEnded(it.target) || now >= it.may_hold_until) {
+    if (HasCertainlyEnded(it.target) || now >= EndOf(it.hold)) {
       it.stage = ReleaseStage::kDone;
       continue;
     }
@@ -485,10 +550,10 @@
                                 .lease = options_.fence_raise_lease,
                                 .kept_connection_only = contact.connected});
     contact.grant_in_flight = it.command_id;
-    it.held_before_command = it.may_hold_until;
-    it.may_hold_until =
-        std::max(it.may_hold_until, now + options_.grant_timeout +
-                                        WithDrift(options_.fence_raise_lease));
+    it.held_before_command = it.hold.until;
+    it.hold.until =
+        std::max(it.hold.until, now + options_.grant_timeout +
+                                    WithDrift(options_.fence_raise_lease));
     out.push_back(GrantCommand{.id = it.command_id,
                                .target = it.target,
                                .keys = range.assignment.keys,
@@ -523,9 +588,9 @@
                                  .lease = lease,
                                  .kept_connection_only = contact.connected});
   contact.grant_in_flight = range.command_id;
-  range.held_before_command = range.may_hold_until;
-  range.may_hold_until = std::max(
-      range.may_hold_until, now + options_.grant_timeout + WithDrift(lease));
+  range.held_before_command = range.hold.until;
+  range.hold.until = std::max(range.hold.until,
+                              now + options_.grant_timeout + WithDrift(lease));
   out.push_back(GrantCommand{.id = range.command_id,
                              .target = it.owner,
                              .keys = it.keys,
@@ -536,15 +601,53 @@
                              .kept_connection_only = contact.connected});
 }
 
+void GrantCoordinator::NoteHosts(TimePoint now) {
+  HostList hosts = evidence_.Hosts(now);
+  if (hosts != heard_hosts_) {
+    heard_hosts_ = std::move(hosts);
+    heard_since_ = now;
+  }
+}
+
+// The list in the record is kept while the hosts change, and until a new leader
+// has heard from them.
+bool GrantCoordinator::IsHostListDue(TimePoint now) const {
+  return now - heard_since_ >= options_.host_list_delay &&
+         (heard_hosts_ != committed_->hosts ||
+          (!committed_->earlier_hosts.empty() && now >= inherited_until_));
+}
+
 void GrantCoordinator::Propose(std::vector<Assignment> assignments,
+                               TimePoint now,
                                std::vector<Action>& out) {
+  OwnershipTable table{.service = service_,
+                       .writer = writer_,
+                       .report_address = report_address_,
+                       .offset = *end_,
+                       .assignments = std::move(assignments)};
+  if (committed_ && committed_->writer == writer_) {
+    table.hosts = IsHostListDue(now) ? heard_hosts_ : committed_->hosts;
+    if (now < inherited_until_) {
+      table.earlier_hosts = inherited_lists_;
+    }
+  } else if (committed_) {
+    // Until this host has heard from others, it counts over those that its
+    // predecessor knew, and the predecessor.
+    table.hosts = committed_->hosts;
+    table.hosts.push_back(committed_->report_address);
+    std::erase(table.hosts, report_address_);
+    std::sort(table.hosts.begin(), table.hosts.end());
+    table.hosts.erase(std::unique(table.hosts.begin(), table.hosts.end()),
+                      table.hosts.end());
+    table.earlier_hosts = ListsOf(*committed_);
+  }
   append_pending_ = true;
-  out.push_back(AppendCommand{.table = {.service = service_,
-                                        .writer = writer_,
-                                        .report_address = report_address_,
-                                        .offset = *end_,
-                                        .assignments = std::move(assignments)},
-                              .at = *end_});
+  if (std::find(proposed_lists_.begin(), proposed_lists_.end(), table.hosts) ==
+      proposed_lists_.end()) {
+    proposed_lists_.push_back(table.hosts);
+  }
+  UpdateOutage();
+  out.push_back(AppendCommand{.table = std::move(table), .at = *end_});
 }
 
 // Writes a record of the new owners that have confirmed their grants.
@@ -575,7 +678,7 @@
   }
   if (all_granted || now - first_unrecorded_ >= options_.record_batch) {
     first_unrecorded_ = TimePoint{};
-    Propose(MergeNeighbours(std::move(next)), out);
+    Propose(MergeNeighbours(std::move(next)), now, out);
   }
 }
 
@@ -617,7 +720,7 @@
   std::optional<std::vector<Assignment>> plan =
       PlanRanges(input, options_.plan);
   if (plan) {
-    Propose(std::move(*plan), out);
+    Propose(std::move(*plan), now, out);
   }
 }
 
@@ -637,9 +740,10 @@
     // owners yet.
     Propose(committed_ ? committed_->assignments
                        : std::vector<Assignment>{Assignment{}},
-            out);
+            now, out);
     return out;
   }
+  NoteHosts(now);
   const bool can_move = CanMove(now);
   for (RangeState& it : ranges_) {
     if (can_move) {
@@ -655,6 +759,13 @@
     RecordGrantsIfDue(now, out);
   }
   PlanIfDue(now, out);
+  if (!append_pending_ && can_move && IsHostListDue(now)) {
+    std::vector<Assignment> unchanged;
+    for (const RangeState& it : ranges_) {
+      unchanged.push_back(it.assignment);
+    }
+    Propose(std::move(unchanged), now, out);
+  }
   return out;
 }
 
--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -11,6 +11,7 @@
 
 #include "absl/strings/string_view.h"
 #include "core/keyspace/key_samples.h"
+#include "core/keyspace/outage_evidence.h"
 #include "core/keyspace/ownership.h"
 #include "core/keyspace/range_planner.h"
 #include "core/time.h"
@@ -49,14 +50,14 @@
   // confirmed it. A successor that cannot reach an owner waits for this time in
   // addition to the lease.
   Duration leadership_lease = std::chrono::milliseconds(4'500);
-  // While most other hosts report that they have lost the store as well, no
-  // other host can become the leader, and leases are renewed for up to this
-  // long after the last confirmation.
+  // While most other hosts report that they have lost the store as well, leases
+  // are renewed for up to this long after the last confirmation. A successor
+  // that cannot rule out such reports waits for this time (decision 0011).
   Duration outage_leadership_lease = std::chrono::seconds(60);
-  // Such a report of the other hosts is valid for this long.
-  Duration outage_report_lifetime = std::chrono::seconds(1);
-  // All hosts detect an outage of the store within this time.
-  Duration outage_detection_time = std::chrono::milliseconds(2'500);
+  OutageOptions outage;
+  // The list of hosts in the record is renewed when another one has been heard
+  // from or not for this long. Shorter losses cost no call to the store.
+  Duration host_list_delay = std::chrono::seconds(2);
   // Owners change only for this long after the store last confirmed the leader.
   // A successor waits for the same time before its own first change, so that
   // two processes never carry out different changes at the same time.
@@ -174,11 +175,11 @@
   void OnCommandResponse(const CommandResponse& command_response,
                          TimePoint now);
   void OnLoad(const LoadReport& report, TimePoint now);
-  void OnStoreAnswered(TimePoint now) { store_answered_ = now; }
+  void OnStoreAnswered(TimePoint now);
   // Calls of this host to the store fail.
-  void OnStoreLost(TimePoint now) { store_lost_at_ = now; }
-  // Most other hosts report that they have lost the store.
-  void OnOutageReported(TimePoint now) { outage_reported_ = now; }
+  void OnStoreLost() { store_up_since_ = std::nullopt; }
+  // Another host has sent a heartbeat.
+  void OnHostReport(const HostReport& report, TimePoint now);
 
   std::vector<Action> Tick(TimePoint now);
 
@@ -195,6 +196,14 @@
   // are released (kRelease).
   enum class ReleaseStage { kQuiesce, kRaiseFence, kRelease, kDone };
 
+  // Until when a target may hold keys.
+  struct Hold {
+    // Because of any grant that this process has sent to it.
+    TimePoint until{};
+    // Also because of grants of an earlier leader, until inherited_until_.
+    bool inherited = false;
+  };
+
   // A previous owner that has to release its keys.
   struct PendingRelease {
     TargetInstance target;
@@ -203,19 +212,16 @@
     bool fence_raised = false;
     std::uint64_t command_id = 0;
     TimePoint next_try{};
-    // The target may hold the keys until this time because of any grant that
-    // was sent to it.
-    TimePoint may_hold_until{};
-    // Value of may_hold_until before the command in flight, restored if that
+    Hold hold;
+    // Value of hold.until before the command in flight, restored if that
     // command was not sent.
     TimePoint held_before_command{};
   };
 
   struct RangeState {
     Assignment assignment;
-    // The owner may hold the keys until this time because of any grant that was
-    // sent to it.
-    TimePoint may_hold_until{};
+    // For the owner.
+    Hold hold;
     TimePoint held_before_command{};
     // Previous owners receive no command before this time.
     TimePoint first_command_at{};
@@ -264,12 +270,17 @@
   bool MayGrantTo(const Contact& contact, TimePoint now) const;
   Fence NextFence();
   std::uint64_t NewCommand(PendingCommand pending_command);
-  TimePoint EarlierLeaseEnd(const KeyRange& keys,
-                            const TargetInstance& target) const;
+  Hold EarlierHold(const KeyRange& keys, const TargetInstance& target) const;
+  TimePoint EndOf(const Hold& hold) const;
   Duration WithDrift(Duration lease) const;
-  bool IsOutage(TimePoint now) const;
+  bool IsOutage(TimePoint now) const { return now < outage_until_; }
+  Duration OutageGrantLease() const;
   Duration CurrentGrantLease(TimePoint now) const;
-  Duration InheritedGrantLease(TimePoint now) const;
+  void InheritFrom(const OwnershipTable& predecessor, TimePoint now);
+  void UpdateInheritedUntil();
+  void UpdateOutage();
+  void NoteHosts(TimePoint now);
+  bool IsHostListDue(TimePoint now) const;
   Contact& ContactOf(const TargetInstance& target);
   RangeState* FindRange(const KeyRange& keys);
   bool HasCertainlyEnded(const TargetInstance& target) const;
@@ -282,7 +293,9 @@
                              std::vector<Action>& out);
   void GrantRange(RangeState& range, TimePoint now, std::vector<Action>& out);
   void PlanIfDue(TimePoint now, std::vector<Action>& out);
-  void Propose(std::vector<Assignment> assignments, std::vector<Action>& out);
+  void Propose(std::vector<Assignment> assignments,
+               TimePoint now,
+               std::vector<Action>& out);
   void RecordGrantsIfDue(TimePoint now, std::vector<Action>& out);
 
   const std::string service_;
@@ -300,13 +313,25 @@
   // Until this time, a previous leader may still change owners.
   TimePoint moves_allowed_from_{};
   TimePoint store_answered_{};
-  // Times of the last failed call to the store and of the first record. The
-  // later of them is the last time at which another host may have noticed an
-  // outage and granted longer leases, since nothing is known about the time
-  // before the first record.
-  TimePoint store_lost_at_{};
-  TimePoint first_event_{};
-  TimePoint outage_reported_{};
+  // Since when the store has answered this host; empty while it does not.
+  std::optional<TimePoint> store_up_since_;
+  // The same when this host took over.
+  TimePoint own_store_up_since_{};
+  OutageEvidence evidence_;
+  // Until this time, the reports of other hosts allow this one to renew leases
+  // without the store.
+  TimePoint outage_until_{};
+  // Lists of hosts that earlier leaders may count over, and the time until
+  // which targets may hold keys because of their grants.
+  std::vector<HostList> inherited_lists_;
+  TimePoint inherited_until_{};
+  // Lists of records that were proposed after the newest known one. The store
+  // may carry out an append without a response, also later.
+  std::vector<HostList> proposed_lists_;
+  // The hosts that were heard from at the last tick, and since when they are
+  // the same.
+  HostList heard_hosts_;
+  TimePoint heard_since_{};
   // Instances whose address now belongs to another process.
   std::set<TargetInstance> replaced_targets_;
   std::optional<OwnershipTable> committed_;
--- a/src/core/keyspace/ownership.h
+++ b/src/core/keyspace/ownership.h
@@ -37,6 +37,9 @@
   bool operator==(const Assignment&) const = default;
 };
 
+// Peer addresses of hosts ("IP:PORT"), sorted.
+using HostList = std::vector<std::string>;
+
 // The owners of the keys of one service, as last recorded on the store.
 // Assignments are sorted by their keys and cover all of them.
 struct OwnershipTable {
@@ -50,6 +53,12 @@
   // records and of their fences.
   Offset offset = 0;
   std::vector<Assignment> assignments;
+  // The other hosts, over which the writer counts reports of an outage, and
+  // over which its successor counts the hosts that follow it. A writer without
+  // such a list does not act while the store is unavailable.
+  HostList hosts;
+  // The lists of earlier writers that may still act.
+  std::vector<HostList> earlier_hosts;
 };
 
 const Assignment* FindAssignment(const OwnershipTable& table,
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -316,7 +316,7 @@
 
 void Control::OnStoreFailure() {
   for (auto& [service, coordinator] : coordinators_) {
-    coordinator->OnStoreLost(LeaseClockNow());
+    coordinator->OnStoreLost();
   }
   if (!store_lost_) {
     store_lost_ = true;
@@ -332,13 +332,7 @@
       is_leader_ || active_ || store_lost_ || relay_.NeedsMembership();
   if (std::exchange(is_member_, is_needed) != is_needed) {
     LogEvent("membership", {{"is_member", is_needed}});
-    if (is_needed) {
-      // A host that was not a member has not seen which leases an earlier
-      // leader granted during an outage.
-      for (auto& [service, coordinator] : coordinators_) {
-        coordinator->OnStoreLost(requested_at);
-      }
-    } else {
+    if (!is_needed) {
       member_hosts_ = 1;
       UpdateLiveHosts();
     }
@@ -668,10 +662,22 @@
             }
           },
       .is_member = [this] { return is_member_; },
-      .on_outage_reported =
+      .newest_table =
           [this] {
+            NewestTable newest;
+            for (const auto& [service, table] : tables_) {
+              if (table.offset + 1 > newest.end) {
+                newest = {.address = table.report_address,
+                          .end = table.offset + 1};
+              }
+            }
+            return newest;
+          },
+      .is_active = [this] { return IsActive(); },
+      .on_host_report =
+          [this](const core::keyspace::HostReport& report) {
             for (auto& [service, coordinator] : coordinators_) {
-              coordinator->OnOutageReported(LeaseClockNow());
+              coordinator->OnHostReport(report, LeaseClockNow());
             }
           },
       .on_host_count =
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -11,6 +11,7 @@
 
 using codec::ObjectReader;
 using core::keyspace::Assignment;
+using core::keyspace::HostList;
 using core::keyspace::TargetInstance;
 
 // Returns the position of a target instance in the list of a record, and adds
@@ -27,6 +28,8 @@
 
 constexpr std::uint64_t kMaxHosts = 100'000;
 constexpr Json::ArrayIndex kMaxRelays = 1'000;
+// Members of the group from which the store chooses the leader.
+constexpr Json::ArrayIndex kMaxListedHosts = 1'000;
 // Limit of `store_up`; longer times count as this one.
 constexpr std::chrono::milliseconds kMaxStoreUp{std::chrono::hours(1)};
 
@@ -63,6 +66,14 @@
   return assignment;
 }
 
+Json::Value ToJson(const HostList& hosts) {
+  Json::Value value(Json::arrayValue);
+  for (const std::string& it : hosts) {
+    value.append(it);
+  }
+  return value;
+}
+
 Json::Value ToJson(const core::keyspace::OwnershipTable& table) {
   Json::Value value;
   value["service"] = table.service;
@@ -88,9 +99,31 @@
     instance.append(Json::Int64(it.start_time_ms));
     targets.append(std::move(instance));
   }
+  if (!table.hosts.empty()) {
+    value["hosts"] = ToJson(table.hosts);
+  }
+  for (const HostList& it : table.earlier_hosts) {
+    value["earlier_hosts"].append(ToJson(it));
+  }
   return value;
 }
 
+absl::StatusOr<HostList> DecodeHosts(const Json::Value& value) {
+  HostList hosts;
+  if (!value.isArray() || value.size() > kMaxListedHosts) {
+    return absl::InvalidArgumentError(
+        "a list of hosts must be an array of at most 1000 addresses");
+  }
+  for (const Json::Value& it : value) {
+    if (!it.isString()) {
+      return absl::InvalidArgumentError(
+          "a list of hosts must hold nothing but addresses");
+    }
+    hosts.push_back(it.asString());
+  }
+  return hosts;
+}
+
 // Reads a table, whose ranges need not cover all keys.
 core::keyspace::OwnershipTable ReadTable(ObjectReader& fields,
                                          absl::Status& status) {
@@ -116,6 +149,26 @@
     }
     table.assignments.push_back(*std::move(range));
   }
+  // Records of earlier versions hold no lists of hosts.
+  const auto add = [&status](const Json::Value& value,
+                             std::vector<HostList>& lists) {
+    auto hosts = DecodeHosts(value);
+    if (hosts.ok()) {
+      lists.push_back(*std::move(hosts));
+    } else {
+      status.Update(hosts.status());
+    }
+  };
+  if (fields.Has("hosts")) {
+    std::vector<HostList> lists;
+    add(fields.Array("hosts"), lists);
+    table.hosts = lists.empty() ? HostList{} : lists.front();
+  }
+  if (fields.Has("earlier_hosts")) {
+    for (const Json::Value& it : fields.Array("earlier_hosts")) {
+      add(it, table.earlier_hosts);
+    }
+  }
   return table;
 }
 
@@ -233,8 +286,20 @@
     value["d"] = heartbeat.failure_domain;
     value["c"] = heartbeat.capacity;
     value["h"] = heartbeat.hosts;
+    // Other hosts cannot become the leader, so nobody asks them.
+    if (heartbeat.is_member) {
+      value["su"] = Json::UInt64(heartbeat.store_up.count());
+      value["o"] = codec::Uint(heartbeat.ownership_end);
+      value["f"] = heartbeat.follows_receiver ? 1 : 0;
+    }
+    if (heartbeat.stamp != 0) {
+      value["t"] = Json::UInt64(heartbeat.stamp);
+    }
     return value;
   }
+  if (heartbeat.stamp != 0) {
+    value["t"] = Json::UInt64(heartbeat.stamp);
+  }
   if (heartbeat.is_relay) {
     value["lr"] = heartbeat.leader_reachable ? 1 : 0;
     value["ld"] = heartbeat.leader_digest;
@@ -257,8 +322,19 @@
     const Json::Value& it = value[name];
     return it.isUInt() ? it.asUInt() : missing;
   };
+  const auto read_long = [&value](const char* name) {
+    const Json::Value& it = value[name];
+    return it.isUInt64() ? std::uint64_t{it.asUInt64()} : 0;
+  };
   heartbeat.relays_version = read("v", 0);
+  heartbeat.stamp = read_long("t");
   if (!heartbeat.is_answer) {
+    heartbeat.store_up = std::min(
+        kMaxStoreUp,
+        std::chrono::milliseconds(static_cast<std::int64_t>(
+            std::min<std::uint64_t>(read_long("su"), kMaxStoreUp.count()))));
+    heartbeat.ownership_end = read_long("o");
+    heartbeat.follows_receiver = read("f", 0) != 0;
     heartbeat.is_member = read("m", 1) != 0;
     heartbeat.hosts = static_cast<int>(std::min<std::uint32_t>(
         read("h", 1), static_cast<std::uint32_t>(kMaxHosts)));
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -67,9 +67,17 @@
   StreamState config;
   StreamState targets;
   StreamState ownership;
-  // In a reply: for how long the store has answered the sender without
-  // interruption; zero while it does not.
+  // For how long the store has answered the sender without interruption; zero
+  // while it does not.
   std::chrono::milliseconds store_up{0};
+  // In a heartbeat of a member: offset after the newest ownership table that
+  // the sender knows, and whether the receiver has written that table.
+  core::Offset ownership_end = 0;
+  bool follows_receiver = false;
+  // In a reply: the time of the sender, in a form that only it can read. In a
+  // heartbeat: the last stamp that the receiver has sent, which shows that the
+  // heartbeat is not older. Zero if there is none.
+  std::uint64_t stamp = 0;
   // In a heartbeat: number of hosts that send heartbeats to the sender,
   // including itself; 0 if a relay counts the sender. In a reply: number of
   // hosts of the fleet.
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -1,6 +1,7 @@
 #include "entry/peer_relay.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -41,9 +42,14 @@
 constexpr char kFromParameter[] = "&from=";
 // Sent by a host whose own calls to the store fail: lifts the size limit.
 constexpr char kAnySizeParameter[] = "&any_size=1";
-// The store counts as unavailable to all hosts if at least this fraction of the
-// other hosts reports that it is.
-constexpr double kOutageFraction = 0.75;
+// A stamp holds the milliseconds since the start of its sender in the lower
+// bits, enough for 34 years, and a number of that start in the others.
+constexpr int kStampTimeBits = 40;
+constexpr std::uint64_t kStampTimeMask = (1ULL << kStampTimeBits) - 1;
+constexpr std::uint64_t kStampNumberMask = (1ULL << (64 - kStampTimeBits)) - 1;
+// Stamps are kept for the hosts that this one sends heartbeats to: the leader,
+// substitutes and a relay, also earlier ones.
+constexpr size_t kMaxStamps = 64;
 constexpr size_t kMaxSubstitutes = 4;
 constexpr core::relay::TreeOptions kTreeOptions;
 // A new leader appoints relays only after the hosts that it does not know yet
@@ -108,7 +114,9 @@
       responder_(
           io,
           [this](const net::HttpRequest& request) { return Serve(request); }),
-      tracker_(options, LeaseClockNow()),
+      started_(LeaseClockNow()),
+      start_number_(std::random_device{}() & kStampNumberMask),
+      tracker_(options, started_),
       profile_(std::move(profile)),
       load_timer_(io),
       push_timer_(io) {}
@@ -401,14 +409,24 @@
 // `hosts`: number of hosts that the receiver is to count for this one.
 void PeerRelay::SendHeartbeat(const std::string& address, int hosts) {
   if (const auto to = net::ParseEndpoint(address); to.ok()) {
-    Send({to->address(), to->port()},
-         EncodeHeartbeat({.store_lost = hooks_.store_lost(),
-                          .is_member = hooks_.is_member(),
-                          .failure_domain = profile_.failure_domain,
-                          .capacity = profile_.capacity,
-                          .relays_version = relays_version_,
-                          .poison_digest = hooks_.poison_digest(),
-                          .hosts = hosts}));
+    const udp::endpoint endpoint(to->address(), to->port());
+    const auto stamp = stamps_.find(endpoint);
+    const auto up_since = hooks_.store_up_since();
+    const NewestTable table = hooks_.newest_table();
+    Send(endpoint,
+         EncodeHeartbeat(
+             {.store_lost = hooks_.store_lost(),
+              .is_member = hooks_.is_member(),
+              .failure_domain = profile_.failure_domain,
+              .capacity = profile_.capacity,
+              .relays_version = relays_version_,
+              .poison_digest = hooks_.poison_digest(),
+              .store_up = up_since ? ToMilliseconds(LeaseClockNow() - *up_since)
+                                   : milliseconds(0),
+              .ownership_end = table.end,
+              .follows_receiver = table.address == address,
+              .stamp = stamp == stamps_.end() ? 0 : stamp->second,
+              .hosts = hosts}));
   }
 }
 
@@ -531,30 +549,51 @@
       .hosts = heartbeat.hosts,
       .profile = {.failure_domain = heartbeat.failure_domain,
                   .capacity = heartbeat.capacity}};
-  // Only members call the store, so only they notice an outage, and only they
-  // can become the leader.
-  const auto members =
-      std::count_if(heartbeat_senders_.begin(), heartbeat_senders_.end(),
-                    [](const auto& it) { return it.second.is_member; });
-  const auto lost = std::count_if(
-      heartbeat_senders_.begin(), heartbeat_senders_.end(), [](const auto& it) {
-        return it.second.is_member && it.second.store_lost;
-      });
-  if (members > 0 && static_cast<double>(lost) >=
-                         kOutageFraction * static_cast<double>(members)) {
-    hooks_.on_outage_reported();
-  }
+  ReportHost(heartbeat, now);
   CompareDigests(heartbeat);
-  if (!ServesOthers()) {
+  // A host that acts on owners needs reports that are not older than its stamp.
+  if (!ServesOthers() && !hooks_.is_active()) {
     return;
   }
   PeerHeartbeat answer = MakeAnswer(now);
+  answer.stamp = heartbeat.is_member ? MakeStamp(now) : 0;
   if (heartbeat.relays_version != relays_version_) {
     answer.relays = relay_choice_->relays();
   }
   Send(sender_, EncodeHeartbeat(answer));
 }
 
+std::uint64_t PeerRelay::MakeStamp(core::TimePoint now) const {
+  return (start_number_ << kStampTimeBits) |
+         (static_cast<std::uint64_t>(ToMilliseconds(now - started_).count()) &
+          kStampTimeMask);
+}
+
+// Returns the time at which this process made the stamp; empty if it did not.
+std::optional<core::TimePoint> PeerRelay::ReadStamp(std::uint64_t stamp,
+                                                    core::TimePoint now) const {
+  const core::TimePoint time =
+      started_ +
+      milliseconds(static_cast<std::int64_t>(stamp & kStampTimeMask));
+  if (stamp == 0 || stamp >> kStampTimeBits != start_number_ || time > now) {
+    return std::nullopt;
+  }
+  return time;
+}
+
+// Only members of the group call the store and can become the leader.
+void PeerRelay::ReportHost(const PeerHeartbeat& heartbeat,
+                           core::TimePoint now) {
+  if (heartbeat.is_member) {
+    hooks_.on_host_report({.host = ToString(sender_),
+                           .store_lost = heartbeat.store_lost,
+                           .store_up = heartbeat.store_up,
+                           .records_end = heartbeat.ownership_end,
+                           .follows_receiver = heartbeat.follows_receiver,
+                           .sent_after = ReadStamp(heartbeat.stamp, now)});
+  }
+}
+
 PeerHeartbeat PeerRelay::MakeAnswer(core::TimePoint now) const {
   PeerHeartbeat answer{.is_answer = true,
                        .relays_version = relays_version_,
@@ -598,6 +637,12 @@
 void PeerRelay::OnAnswer(const PeerHeartbeat& answer) {
   const core::TimePoint now = LeaseClockNow();
   const std::string from = ToString(sender_);
+  if (answer.stamp != 0) {
+    if (stamps_.size() >= kMaxStamps) {
+      stamps_.clear();
+    }
+    stamps_[sender_] = answer.stamp;
+  }
   const auto relay = OwnRelay(now);
   if (answer.is_relay && relay && from != *relay) {
     // A relay that this host no longer uses.
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -18,6 +18,7 @@
 
 #include "absl/status/status.h"
 #include "core/keyspace/key_samples.h"
+#include "core/keyspace/outage_evidence.h"
 #include "core/relay/relay_tree.h"
 #include "core/relay/source_tracker.h"
 #include "core/time.h"
@@ -38,6 +39,14 @@
   double capacity = 0;
 };
 
+// The newest ownership table that a host knows, of any service.
+struct NewestTable {
+  // Peer address of the host that wrote it; empty if there is no table.
+  std::string address;
+  // Offset after its record.
+  core::Offset end = 0;
+};
+
 struct PeerRelayHooks {
   std::function<void(const core::keyspace::LoadReport&)> on_load;
   // Peer address of the host that decides about the owners of a service; empty
@@ -65,9 +74,12 @@
   // Whether this host is a member of the group from which the store chooses the
   // leader.
   std::function<bool()> is_member;
-  // Called when most hosts that send heartbeats to this one report that their
-  // calls to the store fail, too.
-  std::function<void()> on_outage_reported;
+  std::function<NewestTable()> newest_table;
+  // Whether this host acts on the owners of keys, even if the store has chosen
+  // another leader.
+  std::function<bool()> is_active;
+  // Called with what another member of the group says of itself.
+  std::function<void(const core::keyspace::HostReport&)> on_host_report;
   // Called with the number of hosts that the leader reports, including itself.
   std::function<void(int hosts)> on_host_count;
   // Called when the leader, which answered this host before, no longer does.
@@ -138,6 +150,10 @@
   void UseSource(const PeerHeartbeat& answer);
   void SendHeartbeat(const std::string& address, int hosts);
   PeerHeartbeat MakeAnswer(core::TimePoint now) const;
+  std::uint64_t MakeStamp(core::TimePoint now) const;
+  std::optional<core::TimePoint> ReadStamp(std::uint64_t stamp,
+                                           core::TimePoint now) const;
+  void ReportHost(const PeerHeartbeat& heartbeat, core::TimePoint now);
   void ExpireSenders(core::TimePoint now);
   void AppointRelays();
   void SetRelays(std::vector<core::relay::Relay> relays);
@@ -199,6 +215,11 @@
   std::optional<boost::asio::ip::udp::endpoint> source_;
   std::unique_ptr<net::HttpClient> source_client_;
   std::map<Stream, bool> fetching_;
+  // The start of this process, by time and by a random number.
+  const core::TimePoint started_;
+  const std::uint64_t start_number_;
+  // Last stamp of each host that has replied.
+  std::map<boost::asio::ip::udp::endpoint, std::uint64_t> stamps_;
   core::relay::SourceTracker tracker_;
   bool leader_was_reachable_ = false;
   // Addresses of the hosts that read the store for the others when the leader
--- a/tests/core/keyspace/coordinator_fixture.h
+++ b/tests/core/keyspace/coordinator_fixture.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,12 @@
   void SetLeader(int host) { leader_ = host; }
   int leader() const { return leader_; }
   void CutFromStore(int host, bool cut) { hosts_[host].cut = cut; }
+  // Cuts messages between two hosts. If `one_way`, those of the second one
+  // still arrive.
+  void CutHosts(int host, int other, bool cut, bool one_way = false);
+  // Cuts one host from one target.
+  void CutPath(int host, int target, bool cut);
+  int hosts() const { return options_.hosts; }
   // A paused host neither acts nor processes what arrives.
   void Pause(int host, bool paused);
   void RestartHost(int host);
@@ -86,6 +93,13 @@
     bool active = false;
     std::vector<std::function<void()>> held_back;
     Offset read = 0;
+    bool store_lost = false;
+    std::optional<TimePoint> store_up_since;
+    // Hosts and targets that its messages do not reach.
+    std::set<int> cut_hosts;
+    std::set<int> cut_targets;
+    // The time of the last message that each host sent to this one.
+    std::map<int, TimePoint> stamps;
     // The instance of each target to which the host has a connection for
     // grants.
     std::map<std::string, std::int64_t> connected;
@@ -101,12 +115,16 @@
   void Step(int host);
   void Confirm(int host);
   void AskForLeadership(int host);
+  void SendHeartbeat(int host);
+  void SendHostMessage(int from, int to, std::function<void()> event);
   void ReadStore(int host);
+  void ReadRecords(int host, Offset end);
   void Store(const AppendCommand& command);
   void Execute(int host, const Action& action);
   CommandResult Apply(const GrantCommand& command, TimePoint arrived);
   CommandResult Apply(const ReleaseCommand& command, TimePoint arrived);
   Target* Find(const TargetInstance& instance);
+  Target* FindFrom(int host, const TargetInstance& instance);
   void ListTargets(int host);
   void AppendToHistory(size_t key, const std::string& what);
   void Report(size_t key, const std::string& fault);
