Let fleets grow and shrink in the model of partitions

Cause: in the model, the hosts were the same from the start, so every list in a record named hosts that the successor's list named, too.

Change: on every fourth seed some hosts join only after the first cuts, and on every fifth one more stops answering for good.

--- a/tests/core/keyspace/grant_coordinator_test.cc
+++ b/tests/core/keyspace/grant_coordinator_test.cc
@@ -488,9 +488,23 @@
          .seed = seed});
     std::uniform_int_distribution<int> pick(0, 9'999);
     const auto any = [&](int n) { return pick(simulation.random()) % n; };
+    // Some hosts join later, when the lists do not name them, or leave for
+    // good.
+    const int late_host = seed % 4 == 0 ? 1 + any(hosts - 1) : hosts;
+    for (int i = late_host; i < hosts; ++i) {
+      simulation.Pause(i, true);
+    }
     // Short enough on some seeds for hosts that no list names yet.
     simulation.Run(milliseconds(1'000 + any(6'000)));
     for (int round = 0; round < 4; ++round) {
+      if (round == 1) {
+        for (int i = late_host; i < hosts; ++i) {
+          simulation.RestartHost(i);
+        }
+      }
+      if (round == 2 && seed % 5 == 0) {
+        simulation.Pause(any(hosts), true);
+      }
       switch (any(4)) {
         case 0:
         case 1:
