--- a/src/core/relay/stream_freshness.cc
+++ b/src/core/relay/stream_freshness.cc
@@ -5,9 +5,8 @@
 namespace toucandock::core::relay {
 namespace {
 
-// Of the time in which a change has to take effect. The rest is for a read of
-// the store that has to be repeated, and for the interval at which hosts check
-// their records.
+// Of the time in which a change has to take effect. The rest is for the
+// interval at which hosts check their records, and for a read of the store.
 constexpr double kMaxAgeFraction = 0.65;
 constexpr double kMaxServingAgeFraction = 0.55;
 // Reports arrive faster than the records that they announce are fetched.
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -22,6 +22,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kHeartbeatInterval{300};
+// If a heartbeat is later than this, this process did not run for a while.
+constexpr milliseconds kMaxTickDelay = 2 * kHeartbeatInterval;
 // A host that has sent no heartbeat for this long counts as stopped.
 constexpr milliseconds kHeartbeatLifetime{2'000};
 // A host is a source of a stream while its records were complete at most this
@@ -406,6 +408,10 @@
 
 void PeerRelay::SendHeartbeats() {
   const core::TimePoint now = LeaseClockNow();
+  if (now - heartbeat_at_ > kMaxTickDelay) {
+    stalled_since_ = heartbeat_at_;
+    stall_ended_at_ = now;
+  }
   heartbeat_at_ = now;
   ExpireSenders(now);
   UpdateFollowers();
@@ -729,11 +735,12 @@
   UpdateFollowers();
 }
 
-// Takes how old the records of the sender are. A datagram that this process was
-// too slow to receive says nothing about the time since then.
+// Takes how old the records of the sender are. Datagrams that were waiting
+// while this process did not run say nothing about the time since then.
 void PeerRelay::NoteStates(const PeerHeartbeat& answer, core::TimePoint now) {
-  const core::TimePoint received =
-      std::min(now, heartbeat_at_ + 2 * kHeartbeatInterval);
+  const bool was_waiting = now - stall_ended_at_ < kHeartbeatInterval;
+  const core::TimePoint received = std::min(
+      now, (was_waiting ? stalled_since_ : heartbeat_at_) + kMaxTickDelay);
   const std::pair<Stream, StreamState> streams[] = {
       {Stream::kConfig, answer.config},
       {Stream::kTargets, answer.targets},
@@ -822,9 +829,13 @@
   }
   for (const auto& [stream, state] : streams) {
     const StreamFollower& follower = *followers_[stream];
-    // The store returns the records that are missing, so they are not fetched.
+    // The records that are missing have been refused, and the store is read for
+    // them. A read for another reason may fail, so it does not count.
+    const auto refused = refused_from_.find(stream);
     const bool reads_store =
-        follower.is_reading_now() || tracker_.IsBackingOff(now);
+        tracker_.IsBackingOff(now) ||
+        (follower.is_reading_now() && refused != refused_from_.end() &&
+         refused->second == follower.next());
     const bool waits = reads_store || (stream != Stream::kOwnership &&
                                        tracker_.IsStarting(now));
     if (follower.has_newest() && !waits && follower.next() < state.next) {
@@ -905,6 +916,7 @@
                                {"next", followers_[stream]->next()},
                                {"source", SourceOf(stream)},
                                {"cause", "too large, read from the store"}});
+    refused_from_[stream] = followers_[stream]->next();
     followers_[stream]->ReadOnce();
     return;
   }
@@ -941,6 +953,8 @@
   for (const core::keyspace::OwnershipDelta& it : update->deltas) {
     const auto table = tables_.Apply(it);
     if (!table) {
+      refused_from_[Stream::kOwnership] =
+          followers_[Stream::kOwnership]->next();
       followers_[Stream::kOwnership]->ReadOnce();
       return true;
     }
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -227,6 +227,9 @@
   std::optional<boost::asio::ip::udp::endpoint> source_;
   std::unique_ptr<net::HttpClient> source_client_;
   std::map<Stream, bool> fetching_;
+  // First of the records that the source has refused to return, since they are
+  // too large.
+  std::map<Stream, core::Offset> refused_from_;
   // The start of this process, by time and by a random number.
   const core::TimePoint started_;
   const std::uint64_t start_number_;
@@ -248,6 +251,9 @@
   PeerHeartbeat last_answer_;
   core::TimePoint fresh_answer_at_{};
   core::TimePoint heartbeat_at_{};
+  // The last time in which this process did not run.
+  core::TimePoint stalled_since_{};
+  core::TimePoint stall_ended_at_{};
   // Load reports of this host and of those that use it as their relay.
   std::map<std::string, core::keyspace::LoadReport> summed_loads_;
   boost::asio::steady_timer load_timer_;
--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -8,6 +8,8 @@
 namespace toucandock::entry {
 namespace {
 
+using std::chrono::milliseconds;
+
 // A read that follows a pause waits for less time, so that the store responds
 // as often as without the pause, but not so often that it is loaded by it.
 constexpr std::chrono::milliseconds kMinPollWait{100};
@@ -90,6 +92,7 @@
     return;
   }
   failures_ = 0;
+  restarts_after_read_ = false;
   hooks_.on_answer();
   // A response whose end lies before the records that were read already is
   // outdated.
@@ -121,27 +124,41 @@
     return;
   }
   failures_ = 0;
+  restarts_after_read_ = false;
   hooks_.on_answer();
   const core::TimePoint as_of = std::min(LeaseClockNow(), response_due);
-  if (result.records.empty()) {
-    next_ = std::max(next_, result.end);
-    hooks_.on_complete(as_of);
-    ScheduleRead(std::chrono::milliseconds(0));
-    return;
-  }
-  next_ = std::max(next_, result.records.back().offset + 1);
-  hooks_.on_records(result);
+  const bool has_records = TakeRecords(result);
   if (result.has_more) {
     skip_poll_wait_ = true;
     ReadNext();
     return;
   }
   hooks_.on_complete(as_of);
-  pause_before_read_ = batch_pause_;
-  ScheduleRead(batch_pause_);
+  pause_before_read_ = has_records ? batch_pause_ : milliseconds(0);
+  ScheduleRead(pause_before_read_);
+}
+
+// Passes on the records that are not known yet. A response that arrives late
+// may start with records that a peer has delivered meanwhile, together with
+// newer ones of the same keys.
+bool StreamFollower::TakeRecords(const ReadResult& result) {
+  ReadResult unknown = result;
+  std::erase_if(unknown.records,
+                [this](const StoredRecord& it) { return it.offset < next_; });
+  next_ = std::max(next_, result.end);
+  if (unknown.records.empty()) {
+    return false;
+  }
+  next_ = std::max(next_, unknown.records.back().offset + 1);
+  hooks_.on_records(unknown);
+  return true;
 }
 
 void StreamFollower::PauseAfterFailure() {
+  if (std::exchange(restarts_after_read_, false)) {
+    ScheduleRead(milliseconds(0));
+    return;
+  }
   if (++failures_ == 1) {
     ScheduleRead(options_.initial_retry_delay);
     return;
@@ -165,12 +182,7 @@
 }
 
 void StreamFollower::Deliver(const ReadResult& result) {
-  const bool has_records =
-      !result.records.empty() && result.records.back().offset >= next_;
-  next_ = std::max(next_, result.end);
-  if (has_records) {
-    hooks_.on_records(result);
-  }
+  TakeRecords(result);
 }
 
 void StreamFollower::ReadOnce() {
@@ -183,6 +195,7 @@
 
 void StreamFollower::Restart(std::chrono::milliseconds delay) {
   if (is_reading_now_) {
+    restarts_after_read_ = true;
     return;
   }
   ++read_id_;
--- a/src/entry/stream_follower.h
+++ b/src/entry/stream_follower.h
@@ -55,7 +55,8 @@
   // Reads the newest records without waiting for a peer any longer.
   void EndWait();
   // Abandons a read that waits for new records, which may never be answered,
-  // and starts another after the delay. A read without waiting goes on.
+  // and starts another after the delay. A read without waiting goes on; if it
+  // fails, another follows at once.
   void Restart(std::chrono::milliseconds delay);
   void SetPollWait(std::chrono::milliseconds wait) { poll_wait_ = wait; }
   // Sets the pause after a read that returned records.
@@ -82,6 +83,7 @@
   void ReadNext();
   void OnNewest(const ReadResult& result, core::TimePoint sent);
   void OnRead(const ReadResult& result, core::TimePoint response_due);
+  bool TakeRecords(const ReadResult& result);
   void PauseAfterFailure();
   void ScheduleRead(std::chrono::milliseconds delay);
 
@@ -106,6 +108,8 @@
   // records. It is never replaced by another: if something that recurs replaced
   // it, no response would ever be used over a slow link.
   bool is_reading_now_ = false;
+  // Restart() was called during such a read.
+  bool restarts_after_read_ = false;
   int failures_ = 0;
   // Number of the latest read. The response to an earlier read is ignored.
   std::uint64_t read_id_ = 0;
--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -243,6 +243,29 @@
     }
   }
 
+  // The store no longer answers the leader and the hosts that are no relays.
+  void CutOthersFromStore() {
+    for (const auto& it : hosts_) {
+      it->is_cut = it == hosts_.front() || !it->relay->NeedsMembership();
+    }
+  }
+
+  // The same as TimeUntilConnectedHave() for all hosts but the leader.
+  std::optional<milliseconds> TimeUntilMembersAndTheirHostsHave(
+      Stream stream,
+      core::Offset next,
+      milliseconds limit) {
+    const auto start = steady_clock::now();
+    while (steady_clock::now() - start < limit) {
+      Run(milliseconds(10));
+      if (CountWith(stream, next) + 1 >= hosts_.size()) {
+        return std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                        start);
+      }
+    }
+    return std::nullopt;
+  }
+
   // Runs until all hosts that reach the store have read as many records of the
   // stream. Returns the time that it took, or nothing if it is longer.
   std::optional<milliseconds> TimeUntilConnectedHave(Stream stream,
@@ -434,6 +457,20 @@
         fleet.TimeUntilConnectedHave(Stream::kConfig, 2, milliseconds(10'000));
     REQUIRE(time);
     CHECK(*time <= kApplyLimit);
+    // A host reads the store when its records are 0.65 of the limit old, which
+    // it checks at each heartbeat (decision 0012).
+    constexpr milliseconds kNoticeLimit{1'700};
+    CHECK(*time <= kNoticeLimit);
+  }
+
+  SUBCASE(
+      "or that takes records from a relay, after all others lost the store") {
+    fleet.CutOthersFromStore();
+    fleet.store.Append(Stream::kConfig, "second");
+    const auto time = fleet.TimeUntilMembersAndTheirHostsHave(
+        Stream::kConfig, 2, milliseconds(10'000));
+    REQUIRE(time);
+    CHECK(*time <= kApplyLimit);
   }
 }
 
--- a/tests/entry/stream_follower_test.cc
+++ b/tests/entry/stream_follower_test.cc
@@ -42,6 +42,7 @@
   boost::asio::io_context& io;
   milliseconds transfer;
   int reads = 0;
+  StoreStatus status = StoreStatus::kOk;
 
   PlatformHooks Hooks() {
     return {.read_newest =
@@ -52,7 +53,7 @@
                 [this](Stream, core::Offset from, milliseconds,
                        const std::function<void(ReadResult)>& handler) {
                   ++reads;
-                  ReadResult result{.status = StoreStatus::kOk, .end = 6};
+                  ReadResult result{.status = status, .end = 6};
                   if (from <= 5) {
                     result.records.push_back({.offset = 5, .key = "config"});
                   }
@@ -149,6 +150,69 @@
   }
 }
 
+// Guards against a response that arrives late and puts older records in the
+// place of newer ones that a peer has delivered meanwhile.
+TEST_CASE("late responses must not bring back records that were replaced") {
+  boost::asio::io_context io;
+  SlowStore store{.io = io, .transfer = milliseconds(100)};
+  const PlatformHooks platform = store.Hooks();
+  std::vector<core::Offset> received;
+  auto follower = std::make_shared<StreamFollower>(
+      io, platform, Stream::kConfig, FollowerOptions{},
+      FollowerHooks{.on_newest = [](const ReadResult&) {},
+                    .on_records =
+                        [&](const ReadResult& result) {
+                          for (const StoredRecord& it : result.records) {
+                            received.push_back(it.offset);
+                          }
+                        },
+                    .on_answer = [] {},
+                    .on_complete = [](core::TimePoint) {},
+                    .on_history_lost = [] {},
+                    .on_failure = [] {}});
+  follower->Start(milliseconds(0));
+  io.run_for(milliseconds(20));
+  REQUIRE(follower->has_newest());
+  follower->SetRelayed(true);
+  follower->Deliver({.status = StoreStatus::kOk,
+                     .records = {{.offset = 5, .key = "config"},
+                                 {.offset = 6, .key = "config"}},
+                     .end = 7});
+  io.restart();
+  io.run_for(milliseconds(200));
+  CHECK(received == std::vector<core::Offset>{5, 6});
+  CHECK(follower->next() == 7);
+}
+
+// Guards against a host that waits for seconds after the store is back, because
+// it learned of that while a read hung which then failed.
+TEST_CASE("a restart during a read that fails must not be forgotten") {
+  boost::asio::io_context io;
+  SlowStore store{.io = io, .transfer = milliseconds(100)};
+  const PlatformHooks platform = store.Hooks();
+  int failures = 0;
+  auto follower = std::make_shared<StreamFollower>(
+      io, platform, Stream::kConfig, FollowerOptions{},
+      FollowerHooks{.on_newest = [](const ReadResult&) {},
+                    .on_records = [](const ReadResult&) {},
+                    .on_answer = [] {},
+                    .on_complete = [](core::TimePoint) {},
+                    .on_history_lost = [] {},
+                    .on_failure = [&] { ++failures; }});
+  store.status = StoreStatus::kUnknown;
+  follower->Start(milliseconds(0));
+  // The first read fails, and so does the second one when the store is back.
+  io.run_for(milliseconds(150));
+  REQUIRE(follower->has_newest());
+  follower->ReadOnce();
+  store.status = StoreStatus::kOk;
+  follower->Restart(milliseconds(10));
+  io.restart();
+  io.run_for(milliseconds(400));
+  CHECK(failures == 0);
+  CHECK(follower->next() == 6);
+}
+
 // Guards against a host that no longer gets records because a single read of
 // the store failed or found its records gone while a peer relayed the stream.
 TEST_CASE("a host that takes records from a peer must not lose the stream") {
