Deliver answers that are ready, however slowly their callers read

Cause: three limits cut answers that were already on their way. A connection that the host closes was reset 1 s after the answer had reached the kernel's buffer, also while the caller still read it; such a connection did not keep a stopping process from ending; and TCP_USER_TIMEOUT of 2.5 s, meant for peers that have disappeared, ended connections of callers that paused.

Change: the host ends its side of a connection and waits until the caller has acknowledged everything and has ended the connection, or 1 s after the acknowledgment. What the caller still sends is read and discarded, up to 1 MiB, since closing with unread bytes would reset the connection. Idle connections with unacknowledged bytes are not closed. A stopping host waits for its readers until 0.15 s before the end of the grace. While an answer is being sent, the kernel's limit is the new setting caller_read_limit (15 s by default, applied on reload); the limit for callers that have disappeared stays 2.5 s otherwise. Both ends are logged and counted.

Elsewhere: the same TCP_USER_TIMEOUT holds for connections to targets. From reading, a target that accepts a long body and does not read it for 2.5 s loses the connection, and the request then counts as broken; not shown by a run and not changed here.

--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -22,16 +22,21 @@
 // Callers may reuse an idle connection up to the configured limit. It is closed
 // this much later, so that the close does not coincide with their last request.
 constexpr std::chrono::milliseconds kIdleMargin{1'000};
-// Time for the caller to receive its last response before the connection is
-// reset.
+// Time for the caller to end a connection whose last response it has
+// acknowledged. Until then, what it still sends is discarded: closing a
+// connection with unread bytes would reset it.
 constexpr std::chrono::milliseconds kCloseLinger{1'000};
+// A caller that goes on sending loses its connection after this many bytes.
+constexpr size_t kMaxDiscardedBytes = 1U << 20;
+constexpr size_t kDiscardBytes = 4'096;
 
 }  // namespace
 
 CallerConnection::CallerConnection(boost::asio::io_context& io,
                                    Dispatcher& dispatcher,
-                                   const net::HeaderNames& names)
-    : socket(io), dispatcher_(dispatcher), names_(names), linger_timer_(io) {}
+                                   const net::HeaderNames& names,
+                                   const AnswerDelivery& delivery)
+    : socket(io), dispatcher_(dispatcher), names_(names), delivery_(delivery) {}
 
 void CallerConnection::Start() {
   net::SetConnectionOptions(socket);
@@ -67,28 +72,41 @@
   buffer_.max_size(limits.header_bytes + net::kMaxUnparsedBytes);
   last_active_at_ = Clock::now();
   request_began_at_ = {};
-  net::ReadMessage(socket, buffer_, *parser_,
-                   [self = shared_from_this()](error_code ec) {
-                     self->is_reading_ = false;
-                     if (self->is_end_announced_) {
-                       // Ignored: the end of the connection was announced, so
-                       // the caller sends the request again on another one.
-                       return;
-                     }
-                     if (ec) {
-                       self->OnReadError(ec);
-                       return;
-                     }
-                     // A request that was rejected as too slow must not run.
-                     if (!self->is_rejected_) {
-                       self->ContainRequest();
-                     }
-                   });
+  net::ReadMessage(
+      socket, buffer_, *parser_, [self = shared_from_this()](error_code ec) {
+        self->is_reading_ = false;
+        if (self->is_end_announced_) {
+          // Ignored: the end of the connection was announced, so
+          // the caller sends the request again on another one.
+          self->is_input_ended_ = ec == http::error::end_of_stream ||
+                                  ec == http::error::partial_message;
+          if (self->is_lingering_) {
+            self->DiscardInput();
+          }
+          return;
+        }
+        if (ec) {
+          self->OnReadError(ec);
+          return;
+        }
+        // A request that was rejected as too slow must not run.
+        if (!self->is_rejected_) {
+          self->ContainRequest();
+        }
+      });
 }
 
 // Called at short intervals for each connection, which costs less than a timer
 // for each request.
 void CallerConnection::CheckLimits(Clock::time_point now) {
+  if (!socket.is_open()) {
+    return;
+  }
+  UpdatePeerTimeout();
+  if (is_lingering_) {
+    CheckLinger(now);
+    return;
+  }
   // Covers a disconnect behind requests that are not read yet.
   if (!is_reading_ && !pending_.empty() && !is_end_announced_ &&
       socket.is_open() && net::HasPeerClosed(socket)) {
@@ -225,6 +243,7 @@
 void CallerConnection::OnAnswer(const std::shared_ptr<Pending>& pending,
                                 CallerAnswer answer) {
   pending->response = ToResponse(pending->request_id, std::move(answer));
+  pending->hold = HoldAnswer(pending->response->body().size());
   WriteNext();
 }
 
@@ -267,6 +286,7 @@
   const std::shared_ptr<Pending> pending = pending_.front();
   pending_.pop_front();
   current_response_ = std::move(*pending->response);
+  current_hold_ = std::move(pending->hold);
   // While further requests are pending, a later response announces the end of
   // the connection instead.
   bool keep_alive = pending->keep_alive;
@@ -292,7 +312,7 @@
       [self = shared_from_this(), keep_alive](error_code ec, size_t) {
         self->is_writing_ = false;
         if (ec) {
-          self->OnCallerDisconnected();
+          self->OnWriteError(ec);
           return;
         }
         self->OnWritten(keep_alive);
@@ -301,6 +321,9 @@
 
 void CallerConnection::OnWritten(bool keep_alive) {
   last_active_at_ = Clock::now();
+  current_response_ = {};
+  current_hold_ = nullptr;
+  may_have_unsent_ = true;
   if (!keep_alive) {
     CloseGracefully();
     return;
@@ -314,6 +337,7 @@
 void CallerConnection::OnCallerDisconnected() {
   closing_ = true;
   net::Reset(socket);
+  current_hold_ = nullptr;
   for (const std::shared_ptr<Pending>& it : pending_) {
     if (it->exchange) {
       dispatcher_.Cancel(it->exchange);
@@ -322,33 +346,148 @@
   pending_.clear();
 }
 
-// Returns whether at least a part of a request has arrived whose response has
-// not been written completely.
+void CallerConnection::OnWriteError(const error_code& ec) {
+  if (ec == boost::asio::error::timed_out) {
+    LogEvent("answer_undelivered",
+             {{"cause", "read-limit"}, {"caller", CallerAddress()}});
+    dispatcher_.metrics().CountUndelivered("read-limit");
+  }
+  OnCallerDisconnected();
+}
+
+core::request::HeldAnswers::Hold CallerConnection::HoldAnswer(size_t bytes) {
+  return delivery_.held->Add(bytes, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->GiveUpAnswer();
+    }
+  });
+}
+
+// Called when too many answers are held and this connection has held one for
+// longest.
+void CallerConnection::GiveUpAnswer() {
+  if (!socket.is_open()) {
+    return;
+  }
+  if (is_lingering_ && net::UnsentBytes(socket) == 0U) {
+    // The caller has its answer and only has not ended the connection yet.
+    Close();
+    return;
+  }
+  LogEvent("answer_undelivered",
+           {{"cause", "held-limit"}, {"caller", CallerAddress()}});
+  dispatcher_.metrics().CountUndelivered("held-limit");
+  OnCallerDisconnected();
+}
+
+// Gives a caller that is being sent an answer more time to make room for it
+// than the kernel gives to a peer that may have disappeared. Looked at here
+// rather than for each answer, since most are received at once.
+void CallerConnection::UpdatePeerTimeout() {
+  const bool is_sending =
+      is_writing_ || is_lingering_ ||
+      (may_have_unsent_ && net::UnsentBytes(socket).value_or(0) > 0);
+  may_have_unsent_ = is_sending;
+  if (is_sending && !is_lingering_) {
+    last_active_at_ = Clock::now();
+  }
+  const auto wanted =
+      is_sending ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                       delivery_.read_limit)
+                 : net::kPeerTimeout;
+  if (wanted != peer_timeout_) {
+    peer_timeout_ = wanted;
+    net::SetPeerTimeout(socket, wanted);
+  }
+}
+
 bool CallerConnection::HasWork() {
-  return socket.is_open() && !is_end_announced_ &&
-         (!pending_.empty() || is_writing_ ||
-          (is_reading_ && parser_->got_some()) || net::HasUnreadInput(socket));
+  if (!socket.is_open()) {
+    return false;
+  }
+  if (is_lingering_) {
+    return !acknowledged_at_ && net::UnsentBytes(socket).value_or(1) > 0;
+  }
+  if (is_writing_ || net::UnsentBytes(socket).value_or(0) > 0) {
+    return true;
+  }
+  return !is_end_announced_ &&
+         (!pending_.empty() || (is_reading_ && parser_->got_some()) ||
+          net::HasUnreadInput(socket));
 }
 
 void CallerConnection::CloseIfIdle(core::Duration min_idle) {
-  if (!socket.is_open() || is_end_announced_ || HasWork() ||
-      Clock::now() - last_active_at_ < min_idle) {
+  if (!socket.is_open() || is_end_announced_ ||
+      Clock::now() - last_active_at_ < min_idle || HasWork()) {
     return;
   }
+  Close();
+}
+
+void CallerConnection::Close() {
   closing_ = true;
+  current_hold_ = nullptr;
   error_code ec;
   socket.close(ec);
 }
 
+// Ends the connection after its last response. The caller may take its time to
+// read it: a reset would discard what it has not read.
 void CallerConnection::CloseGracefully() {
+  is_lingering_ = true;
+  // No bytes are held any more, but a connection is.
+  current_hold_ = HoldAnswer(0);
+  if (!socket.is_open()) {
+    return;
+  }
+  UpdatePeerTimeout();
   error_code ec;
   socket.shutdown(net::Tcp::socket::shutdown_send, ec);
-  linger_timer_.expires_after(kCloseLinger);
-  linger_timer_.async_wait([self = shared_from_this()](error_code timer_ec) {
-    if (!timer_ec) {
-      net::Reset(self->socket);
-    }
-  });
+  if (!is_reading_) {
+    DiscardInput();
+  }
+}
+
+// Reads until the caller ends the connection.
+void CallerConnection::DiscardInput() {
+  if (!socket.is_open() || is_input_ended_) {
+    CheckLinger(Clock::now());
+    return;
+  }
+  buffer_.clear();
+  socket.async_read_some(buffer_.prepare(kDiscardBytes),
+                         [self = shared_from_this()](error_code ec, size_t n) {
+                           if (!self->socket.is_open()) {
+                             return;
+                           }
+                           self->discarded_bytes_ += n;
+                           if ((ec && ec != boost::asio::error::eof) ||
+                               self->discarded_bytes_ > kMaxDiscardedBytes) {
+                             self->OnWriteError(ec);
+                             return;
+                           }
+                           self->is_input_ended_ = !!ec;
+                           self->DiscardInput();
+                         });
+}
+
+// Closes the connection when the caller has received its last response and has
+// ended the connection, or does not do so. Where the kernel does not tell what
+// was received, the read limit applies.
+void CallerConnection::CheckLinger(Clock::time_point now) {
+  if (!socket.is_open()) {
+    return;
+  }
+  const std::optional<size_t> unsent = net::UnsentBytes(socket);
+  if (unsent == 0U && !acknowledged_at_) {
+    acknowledged_at_ = now;
+  }
+  const bool is_received = acknowledged_at_ || (!unsent && is_input_ended_);
+  if ((is_received && is_input_ended_) ||
+      (acknowledged_at_ && now - *acknowledged_at_ >= kCloseLinger) ||
+      (!unsent && now - last_active_at_ >= delivery_.read_limit)) {
+    Close();
+  }
 }
 
 }  // namespace toucandock::entry
--- a/src/entry/caller_connection.h
+++ b/src/entry/caller_connection.h
@@ -4,7 +4,6 @@
 #include "net/http_client.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <deque>
@@ -13,12 +12,20 @@
 #include <optional>
 #include <string>
 
+#include "core/request/held_answers.h"
 #include "core/routing/route_table.h"
 #include "entry/dispatcher.h"
 #include "entry/exchange.h"
 
 namespace toucandock::entry {
 
+// How answers reach their callers, for all connections of a traffic thread.
+struct AnswerDelivery {
+  // A caller that takes nothing of its answer for this long loses it.
+  core::Duration read_limit{};
+  std::shared_ptr<core::request::HeldAnswers> held;
+};
+
 // A connection of a caller. Callers may send requests before earlier ones have
 // been answered (pipelining); responses are written in the order of the
 // requests. Reading continues while requests are in flight, so that a
@@ -29,13 +36,16 @@
 
   CallerConnection(boost::asio::io_context& io,
                    Dispatcher& dispatcher,
-                   const net::HeaderNames& names);
+                   const net::HeaderNames& names,
+                   const AnswerDelivery& delivery);
 
   void Start();
   // Makes the next response announce the end of the connection.
   void BeginStop() { stopping_ = true; }
   // Closes the connection if it has been idle for at least this time.
   void CloseIfIdle(core::Duration min_idle);
+  // Returns whether a request has arrived, at least in part, whose answer the
+  // caller has not received completely.
   bool HasWork();
   // Closes the connection when the caller has been idle for too long, and
   // rejects a request that takes too long to arrive.
@@ -51,6 +61,7 @@
     std::optional<net::HttpResponse> response;
     bool keep_alive = true;
     bool is_head = false;
+    core::request::HeldAnswers::Hold hold;
   };
 
   void Read();
@@ -66,19 +77,28 @@
   void OnWritten(bool keep_alive);
   void WatchForDisconnect();
   void OnCallerDisconnected();
+  void OnWriteError(const boost::system::error_code& ec);
+  core::request::HeldAnswers::Hold HoldAnswer(size_t bytes);
+  void GiveUpAnswer();
+  void UpdatePeerTimeout();
   void CloseGracefully();
+  void DiscardInput();
+  void CheckLinger(Clock::time_point now);
+  void Close();
   core::routing::CallerLimits Limits() const;
   std::string CallerAddress() const;
 
   Dispatcher& dispatcher_;
   const net::HeaderNames& names_;
-  boost::asio::steady_timer linger_timer_;
+  const AnswerDelivery& delivery_;
   boost::beast::flat_buffer buffer_;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
   std::deque<std::shared_ptr<Pending>> pending_;
   net::HttpResponse current_response_;
+  core::request::HeldAnswers::Hold current_hold_;
+  std::chrono::milliseconds peer_timeout_ = net::kPeerTimeout;
   // Time of the last start of a read or end of a response.
   Clock::time_point last_active_at_{};
   // Time at which the first bytes of the request that is being read were
@@ -93,6 +113,15 @@
   bool is_rejected_ = false;
   // A response has announced the end of the connection.
   bool is_end_announced_ = false;
+  // The last response was written, and the caller may still be reading it.
+  bool is_lingering_ = false;
+  // An answer was written that the caller may not have acknowledged.
+  bool may_have_unsent_ = false;
+  // The caller sends no more.
+  bool is_input_ended_ = false;
+  size_t discarded_bytes_ = 0;
+  // Time at which the caller had acknowledged its last response.
+  std::optional<Clock::time_point> acknowledged_at_;
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -34,6 +34,10 @@
                     .Name("toucandock_entry_rejected_requests_total")
                     .Help("Requests that could not be read, by error")
                     .Register(*registry_)),
+      undelivered_(prometheus::BuildCounter()
+                       .Name("toucandock_entry_undelivered_answers_total")
+                       .Help("Answers that callers did not take, by cause")
+                       .Register(*registry_)),
       retries_(prometheus::BuildCounter()
                    .Name("toucandock_entry_retries_total")
                    .Help("Requests sent to a further target")
@@ -102,6 +106,10 @@
   rejected_.Add({{"error", std::string(core::ToString(error))}}).Increment();
 }
 
+void EntryMetrics::CountUndelivered(absl::string_view cause) {
+  undelivered_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
 void EntryMetrics::CountRetry(const std::string& service) {
   retries_.Add({{"service", service}}).Increment();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -32,6 +32,8 @@
                     core::Duration latency);
   // Counts a request that could not be read, so that its service is unknown.
   void CountRejected(core::ErrorKind error);
+  // Counts an answer that was ready and that its caller did not take in whole.
+  void CountUndelivered(absl::string_view cause);
   void CountRetry(const std::string& service);
   // `cause` says why an attempt at a target returned no usable response.
   void CountFailedAttempt(const std::string& service, absl::string_view cause);
@@ -53,6 +55,7 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Family<prometheus::Counter>& rejected_;
+  prometheus::Family<prometheus::Counter>& undelivered_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
   prometheus::Family<prometheus::Counter>& connections_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -6,6 +6,11 @@
 namespace toucandock::entry {
 namespace {
 
+// Limits of `caller_read_limit`. Below the first, a lost packet would end an
+// answer; the kernel takes the time in milliseconds as an int.
+constexpr std::chrono::seconds kMinReadLimit{1};
+constexpr std::chrono::hours kMaxReadLimit{1};
+
 void ReadRetries(codec::YamlMap& map,
                  core::balance::RetryWindowOptions& options) {
   map.Read("ratio", options.ratio);
@@ -46,6 +51,7 @@
     map.Read("address_file", settings.address_file);
     map.Read("longest_lease", settings.max_lease);
     map.Read("stop_limit", settings.stop_limit);
+    map.Read("caller_read_limit", settings.caller_read_limit);
     map.Read("shortest_membership", settings.min_membership);
     map.Read("store_partitions", settings.store_partitions);
     map.Read("processors", settings.processors);
@@ -85,6 +91,11 @@
   };
   check_positive("processors", settings.processors);
   check_positive("link_mbps", settings.link_mbps);
+  if (settings.caller_read_limit < kMinReadLimit ||
+      settings.caller_read_limit > kMaxReadLimit) {
+    errors.Add(errors.LineOf("caller_read_limit"), "caller_read_limit",
+               "is not between 1s and 1h");
+  }
   if (!errors.empty()) {
     return errors.ToStatus();
   }
@@ -108,6 +119,7 @@
     }
   };
   apply("stop_limit", &EntrySettings::stop_limit);
+  apply("caller_read_limit", &EntrySettings::caller_read_limit);
   apply("retries", &EntrySettings::retries);
   compare("host_name", &EntrySettings::host_name);
   compare("failure_domain", &EntrySettings::failure_domain);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -31,6 +31,9 @@
   core::Duration max_lease = std::chrono::seconds(10);
   // A stopping process is killed after this time.
   core::Duration stop_limit = std::chrono::seconds(6);
+  // A caller that takes nothing of its answer for this long loses it. Several
+  // times the deadline of 4 s on the users' pages, so that it has given up.
+  core::Duration caller_read_limit = std::chrono::seconds(15);
   core::Duration min_membership = std::chrono::seconds(1);
   int store_partitions = 24;
   // Number of processors that the host may use, and bandwidth of its link in
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -24,8 +24,12 @@
 // The time limits of callers are several seconds, so they are checked this
 // often.
 constexpr milliseconds kLimitCheckInterval{500};
-// Part of the stop limit that is reserved for the end of the process.
+// Part of the stop limit that is reserved for the errors that end the last
+// requests.
 constexpr milliseconds kShutdownMargin{500};
+// Part of the stop limit that is reserved for the end of the process; until
+// then, callers may take their answers.
+constexpr milliseconds kExitTime{150};
 // From this number of connections on, entries of closed ones are removed before
 // a new connection is added.
 constexpr size_t kRemovalStep = 256;
@@ -49,6 +53,9 @@
                   settings.retries,
                   DispatchOptions{},
                   std::move(hooks)),
+      delivery_{.read_limit = settings.caller_read_limit,
+                .held = std::make_shared<core::request::HeldAnswers>(
+                    core::request::HeldAnswerLimits{})},
       acceptor_(io),
       readiness_(
           io,
@@ -110,6 +117,7 @@
 
 void Traffic::SetSettings(const EntrySettings& settings) {
   settings_ = settings;
+  delivery_.read_limit = settings.caller_read_limit;
   dispatcher_.SetRetryOptions(settings.retries);
 }
 
@@ -124,7 +132,7 @@
 
 void Traffic::Accept() {
   auto connection =
-      std::make_shared<CallerConnection>(io_, dispatcher_, names_);
+      std::make_shared<CallerConnection>(io_, dispatcher_, names_, delivery_);
   acceptor_.async_accept(connection->socket, [this, connection](error_code ec) {
     if (ec == boost::asio::error::operation_aborted) {
       return;
@@ -187,8 +195,8 @@
   }
   if (elapsed >= settings_.stop_limit - kShutdownMargin) {
     dispatcher_.FailAll();
-    has_work = false;
   }
+  has_work = has_work && elapsed < settings_.stop_limit - kExitTime;
   const bool is_last = drops_new_since_ && !has_work &&
                        now - *drops_new_since_ >= kLastRequestTime;
   // Waits for another interval before the end, so that the last responses are
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -48,6 +48,7 @@
   EntrySettings settings_;
   const net::HeaderNames names_;
   Dispatcher dispatcher_;
+  AnswerDelivery delivery_;
   net::Tcp::acceptor acceptor_;
   net::Responder readiness_;
   net::Responder metrics_;
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -1,8 +1,10 @@
 #include "net/socket.h"
 
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -63,6 +65,19 @@
             static_cast<int>(kPeerTimeout.count()));
 }
 
+void SetPeerTimeout(Tcp::socket& socket, std::chrono::milliseconds timeout) {
+  SetOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(timeout.count()));
+}
+
+std::optional<size_t> UnsentBytes(Tcp::socket& socket) {
+  int n = 0;
+  if (ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0 || n < 0) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(n);
+}
+
 // Attaches a socket filter that drops SYN segments and passes all others, so
 // that handshakes in progress complete and their connections can be accepted
 // before the listening socket is closed. Callers whose SYN was dropped send it
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -31,6 +32,15 @@
 // The same for a socket that is not registered with an I/O context.
 void SetConnectionOptions(int fd);
 
+// Replaces kPeerTimeout for one connection. The kernel ends a connection when
+// its peer has acknowledged nothing for this long, or has left no room for
+// further data.
+void SetPeerTimeout(Tcp::socket& socket, std::chrono::milliseconds timeout);
+
+// Number of bytes, including the end of the stream, that the peer has not
+// acknowledged; nothing if the kernel does not tell.
+std::optional<size_t> UnsentBytes(Tcp::socket& socket);
+
 // Connections that are established but not accepted yet are reset when the
 // listening socket is closed. To avoid this, call DropNewConnections() and keep
 // accepting for kHandshakeLimit, which is several round trips between hosts and
--- a/tests/entry/settings_test.cc
+++ b/tests/entry/settings_test.cc
@@ -15,6 +15,7 @@
   REQUIRE(settings.ok());
   CHECK(settings->report_port == 7'620);
   CHECK(settings->stop_limit == std::chrono::seconds(6));
+  CHECK(settings->caller_read_limit == std::chrono::seconds(15));
   CHECK(settings->fleet_starts);
   CHECK(settings->retries.slack == 64);
 
@@ -44,6 +45,10 @@
        "f:11: processors"},
       {"a link without bandwidth", "fleet_starts",
        "link_mbps: -1\nfleet_starts", "f:11: link_mbps"},
+      {"a read limit that one lost packet exceeds", "fleet_starts",
+       "caller_read_limit: 900ms\nfleet_starts", "f:11: caller_read_limit"},
+      {"a read limit beyond the kernel's", "fleet_starts",
+       "caller_read_limit: 2h\nfleet_starts", "f:11: caller_read_limit"},
       {"an unknown setting", "ip:", "ipv6: x\nip:", "ipv6"},
   };
   for (const Row& row : rows) {
--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -1,10 +1,14 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <memory>
 #include <thread>
+#include <vector>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "process/platform_journal.h"
+#include "support/raw_caller.h"
 
 namespace toucandock::process {
 namespace {
@@ -91,6 +95,76 @@
   CheckGuarantees(fleet, load.Stop(), {{.from = began, .to = ended}});
 }
 
+// Guards against a planned stop, or a reload, that cuts answers on their way to
+// callers with slow links (an answer takes 2 s at 1.6 Mbit/s).
+TEST_CASE("on the platform, a planned stop cuts no answer of a slow caller") {
+  constexpr int kCallers = 40;
+  constexpr int kReceiveBuffer = 32'768;
+  constexpr support::ReadPace kSlowLink{.bytes = 20'000,
+                                        .interval = milliseconds(100)};
+  PlatformFleet fleet({});
+  Prepare(fleet);
+  PlatformLoad load(fleet, {});
+  WaitForAll(fleet, load, 20);
+  const auto request = [](const std::string& query, int n) {
+    return absl::StrCat("GET /look/1", query,
+                        " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: slow-", n,
+                        "\r\nDeadline-Ms: 5000\r\n\r\n");
+  };
+  std::vector<std::unique_ptr<support::RawCaller>> callers;
+  for (int n = 0; n < kCallers; ++n) {
+    callers.push_back(std::make_unique<support::RawCaller>(
+        fleet.CallerAddress(0), kReceiveBuffer));
+    callers.back()->Write(request("", n));
+    REQUIRE(support::RawCaller::IsComplete(callers.back()->ReadMessage({})));
+  }
+  std::atomic<int> whole = 0;
+  std::atomic<int> cut = 0;
+  std::vector<std::thread> threads;
+  const auto call_all = [&] {
+    for (int n = 0; n < kCallers; ++n) {
+      threads.emplace_back([&, n] {
+        callers[n]->Write(request("?size=400000", kCallers + n));
+        const std::string answer = callers[n]->ReadMessage(kSlowLink);
+        const bool is_complete = support::RawCaller::IsComplete(answer);
+        cut += is_complete ? 0 : 1;
+        whole +=
+            is_complete && absl::StartsWith(answer, "HTTP/1.1 200 ") ? 1 : 0;
+      });
+    }
+  };
+
+  SUBCASE("when the requests arrive after the signal") {
+    fleet.host(0).process->Send(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(300));
+    call_all();
+    CHECK(fleet.host(0).process->WaitForExit("a planned stop",
+                                             milliseconds(8'000)) == 0);
+  }
+  SUBCASE("when the signal arrives in the middle of the answers") {
+    call_all();
+    std::this_thread::sleep_for(milliseconds(500));
+    fleet.host(0).process->Send(SIGTERM);
+    CHECK(fleet.host(0).process->WaitForExit("a planned stop",
+                                             milliseconds(8'000)) == 0);
+  }
+  SUBCASE("when the settings change in the middle of the answers") {
+    call_all();
+    std::this_thread::sleep_for(milliseconds(500));
+    const std::string file = fleet.host(0).name + ".yaml";
+    fleet.folder().WriteFile(file, ReadFile(fleet.folder().PathOf(file)) +
+                                       "caller_read_limit: 9s\n");
+    fleet.host(0).process->Send(SIGHUP);
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  CHECK(cut == 0);
+  // Some may be refused while the targets are busy.
+  CHECK(whole >= kCallers / 2);
+  CheckGuarantees(fleet, load.Stop(), {});
+}
+
 // Guards against a host that terminates, or stops following the list of
 // targets, when it reads an entry that no correct target writes: deep nesting,
 // values out of range, or ids that are not UTF-8 or contain control characters
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -7,21 +7,39 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/string_view.h"
 
 namespace toucandock::support {
 
+// How fast a caller reads: so many bytes in each interval, and with one pause.
+struct ReadPace {
+  size_t bytes = 65'536;
+  std::chrono::milliseconds interval{0};
+  // Number of bytes after which it pauses.
+  size_t pause_at = 0;
+  std::chrono::milliseconds pause{0};
+};
+
 // A connection on which the test writes the bytes of requests itself.
 class RawCaller {
  public:
-  explicit RawCaller(const std::string& address)
+  // `receive_buffer`: bytes that the kernel holds for the caller, set before
+  // the connection exists; 0 leaves them to the kernel.
+  explicit RawCaller(const std::string& address, int receive_buffer = 0)
       : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    if (receive_buffer > 0) {
+      setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+    }
     const auto endpoint = net::ParseEndpoint(address);
     REQUIRE(endpoint.ok());
     REQUIRE(connect(fd_, endpoint->data(),
@@ -51,8 +69,52 @@
     }
     return all;
   }
+  // Returns whether the message that was read has its announced length.
+  static bool IsComplete(const std::string& message) {
+    const size_t head_end = message.find("\r\n\r\n");
+    return head_end != std::string::npos &&
+           message.size() ==
+               head_end + 4 + LengthIn(message.substr(0, head_end));
+  }
+  // Reads one message that has a length, or what arrives of it before the
+  // connection ends.
+  std::string ReadMessage(ReadPace pace) const {
+    std::string all;
+    size_t size = std::string::npos;
+    std::string buf(pace.bytes, 0);
+    while (all.size() < size) {
+      if (pace.pause_at > 0 && all.size() >= pace.pause_at) {
+        std::this_thread::sleep_for(pace.pause);
+        pace.pause_at = 0;
+      }
+      std::this_thread::sleep_for(pace.interval);
+      const ssize_t n =
+          recv(fd_, buf.data(), std::min(buf.size(), size - all.size()), 0);
+      if (n <= 0) {
+        break;
+      }
+      all.append(buf, 0, static_cast<size_t>(n));
+      const size_t head_end = all.find("\r\n\r\n");
+      if (size == std::string::npos && head_end != std::string::npos) {
+        size = head_end + 4 + LengthIn(all.substr(0, head_end));
+      }
+    }
+    return all;
+  }
 
  private:
+  static size_t LengthIn(const std::string& head) {
+    const std::string lower = absl::AsciiStrToLower(head);
+    const size_t begin = lower.find("\r\ncontent-length: ");
+    size_t length = 0;
+    if (begin != std::string::npos) {
+      (void)absl::SimpleAtoi(
+          lower.substr(begin + 18, lower.find('\r', begin + 2) - begin - 18),
+          &length);
+    }
+    return length;
+  }
+
   const int fd_;
 };
 
