Let a target pause before it reads a long body

Cause: the limit of 2.5 s that cut callers which pause (TCP_USER_TIMEOUT) also ended connections to targets that read nothing of a long body for so long. The request then had an unknown outcome, though the target still answered.

Change: while a body of more than 64 KiB, which does not fit into the buffers on the way, is sent, the limit is 15 s; the request's own deadline ends it before. Requests with shorter bodies keep the limit of 2.5 s. The price: a target that disappears under a long body is noticed only at the deadline.

Elsewhere: control calls (HttpClient) have a time-out of their own and bodies of a few kilobytes; the readiness, metrics and peer ports send at most 256 KB to peers that read at once.

--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -33,6 +33,14 @@
 // target in another failure domain arrives. A request that was not sent has
 // certainly not run and can go elsewhere.
 constexpr std::chrono::milliseconds kRejectionWait{5};
+// A body of up to this length fits into the buffers between host and target, so
+// that the target acknowledges it also while it does not read.
+constexpr size_t kBufferedBodyBytes = 64U << 10;
+// Time for which a target may leave no room for the rest of a longer body.
+// Several times the deadline of 4 s on the users' pages, which ends such a
+// request before. The price is that a target that disappears under a long body
+// is noticed later.
+constexpr std::chrono::milliseconds kLongBodyTimeout{15'000};
 // Used when the target announces no keep-alive time-out. Not reduced by
 // kIdlePercent.
 constexpr std::chrono::milliseconds kDefaultIdleTimeout{5'000};
@@ -157,6 +165,12 @@
 // Starts to read the response together with the write, because a target may
 // refuse a request before it has read all of it.
 void TargetConnection::Write() {
+  const auto timeout = request_.body().size() > kBufferedBodyBytes
+                           ? kLongBodyTimeout
+                           : net::kPeerTimeout;
+  if (timeout != std::exchange(peer_timeout_, timeout)) {
+    net::SetPeerTimeout(socket_, timeout);
+  }
   sent_ = true;
   sent_at_ = std::chrono::steady_clock::now();
   http::async_write(socket_, request_,
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -120,6 +120,7 @@
   bool sent_ = false;
   bool written_ = false;
   bool is_reused_ = false;
+  std::chrono::milliseconds peer_timeout_ = net::kPeerTimeout;
   std::chrono::milliseconds idle_limit_{};
   std::chrono::steady_clock::time_point sent_at_{};
   std::chrono::steady_clock::time_point idle_since_{};
--- a/tests/entry/slow_caller_test.cc
+++ b/tests/entry/slow_caller_test.cc
@@ -199,4 +199,20 @@
   }
 }
 
+// Guards against uploads with an unknown outcome: the kernel ended connections
+// to targets that read nothing for 2.5 s.
+TEST_CASE("a target that pauses before it reads a long body must get it") {
+  TrafficHost host([](http::RawConnection& connection) {
+    std::this_thread::sleep_for(milliseconds(4'000));
+    ServeSize(connection);
+  });
+  const RawCaller caller(host.address());
+  constexpr size_t kBodyBytes = 1'000'000;
+  caller.Write(
+      absl::StrCat("POST /run/2 HTTP/1.1\r\nHost: x\r\nId: r1\r\n"
+                   "Content-Length: ",
+                   kBodyBytes, "\r\n\r\n", std::string(kBodyBytes, 'x')));
+  CHECK(IsWhole(caller.ReadMessage({}), 2));
+}
+
 }  // namespace toucandock::entry
