--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -6,8 +6,13 @@
 namespace toucandock::entry {
 namespace {
 
-// The store is read about every 700 ms on behalf of other hosts.
-constexpr std::chrono::milliseconds kMinChangeLimit{500};
+// The store is read every 700 ms on behalf of other hosts, so the records of
+// hosts would count as overdue all the time below this.
+constexpr std::chrono::milliseconds kMinChangeLimit{1'500};
+// Limits of `caller_read_limit`. Below the first, a lost packet would end an
+// answer; the kernel takes the time in milliseconds as an int.
+constexpr std::chrono::seconds kMinReadLimit{1};
+constexpr std::chrono::hours kMaxReadLimit{1};
 
 void ReadRetries(codec::YamlMap& map,
                  core::balance::RetryWindowOptions& options) {
@@ -49,6 +54,7 @@
     map.Read("address_file", settings.address_file);
     map.Read("longest_lease", settings.max_lease);
     map.Read("stop_limit", settings.stop_limit);
+    map.Read("caller_read_limit", settings.caller_read_limit);
     map.Read("shortest_membership", settings.min_membership);
     map.Read("store_partitions", settings.store_partitions);
     map.Read("processors", settings.processors);
@@ -92,7 +98,12 @@
   if (!errors.HasErrorAt("change_limit") &&
       settings.change_limit < kMinChangeLimit) {
     errors.Add(errors.LineOf("change_limit"), "change_limit",
-               "is below 500ms, which the hosts cannot keep");
+               "is below 1500ms, which the hosts cannot keep");
+  }
+  if (settings.caller_read_limit < kMinReadLimit ||
+      settings.caller_read_limit > kMaxReadLimit) {
+    errors.Add(errors.LineOf("caller_read_limit"), "caller_read_limit",
+               "is not between 1s and 1h");
   }
   if (!errors.empty()) {
     return errors.ToStatus();
@@ -117,6 +128,7 @@
     }
   };
   apply("stop_limit", &EntrySettings::stop_limit);
+  apply("caller_read_limit", &EntrySettings::caller_read_limit);
   apply("retries", &EntrySettings::retries);
   compare("host_name", &EntrySettings::host_name);
   compare("failure_domain", &EntrySettings::failure_domain);
