Report what the head of a response says about its target

A declaration counts from the head on, also in a failure, a late response, one whose body cannot be used, and in a health or interim response. Requests whose connection is still being established were sent in any case. Change: target connections report Server-Leaving of any head and Retry-After of a 503, and ask before the first request on a new connection whether it may still be sent. Interim responses with a status that Beast does not name (103) were taken for the final one; they are now told by their number. Result: "what any head says about the availability of a target must count" failed for the response after a 103 and passes with the change; the hooks are new, so that the rest of it could not fail before.

--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -55,6 +55,25 @@
   return kDefaultIdleTimeout;
 }
 
+std::vector<std::string> ValuesOf(const net::HttpResponse& response,
+                                  absl::string_view name) {
+  std::vector<std::string> values;
+  if (name.empty()) {
+    return values;
+  }
+  const auto [begin, end] =
+      response.equal_range(boost::beast::string_view(name.data(), name.size()));
+  for (auto it = begin; it != end; ++it) {
+    values.emplace_back(it->value());
+  }
+  return values;
+}
+
+std::string ValueOf(const net::HttpResponse& response, absl::string_view name) {
+  const std::vector<std::string> values = ValuesOf(response, name);
+  return values.empty() ? "" : values.front();
+}
+
 // Distinguishes the end of the connection from bytes that are not HTTP or
 // exceed the limits.
 AttemptCause CauseOfReadError(const error_code& ec) {
@@ -85,6 +104,8 @@
       return "bad-answer";
     case AttemptCause::kTargetReportedFailure:
       return "target-says-so";
+    case AttemptCause::kTargetUnavailable:
+      return "target-unavailable";
   }
   return "";
 }
@@ -92,12 +113,14 @@
 TargetConnection::TargetConnection(boost::asio::io_context& io,
                                    net::Tcp::endpoint target,
                                    const net::HeaderNames& names,
-                                   std::shared_ptr<AnswerMemory> memory)
+                                   std::shared_ptr<AnswerMemory> memory,
+                                   TargetConnectionHooks hooks)
     : socket_(io),
       rejection_timer_(io),
       target_(std::move(target)),
       names_(names),
       memory_(std::move(memory)),
+      hooks_(std::move(hooks)),
       buffer_(net::kMaxUnparsedBytes) {}
 
 TargetConnection::~TargetConnection() {
@@ -145,7 +168,11 @@
           return;
         }
         if (ec == boost::asio::error::operation_aborted) {
-          self->Write();
+          if (self->hooks_.may_send && !self->hooks_.may_send()) {
+            self->FinishWithoutAnswer(AttemptCause::kTargetUnavailable);
+          } else {
+            self->Write();
+          }
         } else {
           // Bytes that arrive before the request belong to no
           // request, so the connection is not used either.
@@ -168,6 +195,7 @@
 
 void TargetConnection::ReadAnswer() {
   ReleaseBytes();
+  is_head_reported_ = false;
   parser_.emplace();
   parser_->header_limit(kMaxHeadBytes);
   parser_->body_limit(kMaxBodyBytes);
@@ -186,6 +214,10 @@
           self->ReleaseBytes();
           return;
         }
+        // A body beyond the limit is detected at the end of the head.
+        if (self->parser_->is_header_done() || ec == http::error::body_limit) {
+          self->ReportNotice();
+        }
         if (ec) {
           self->FinishWithoutAnswer(CauseOfReadError(ec));
         } else if (!self->HasClearEnd() || !self->ReserveBytes()) {
@@ -198,6 +230,28 @@
       });
 }
 
+// Reports what a complete head says about the target, before the response is
+// judged: also an unusable response shows that the target leaves or pauses.
+void TargetConnection::ReportNotice() {
+  if (is_head_reported_ || !hooks_.on_notice) {
+    return;
+  }
+  is_head_reported_ = true;
+  const net::HttpResponse& response = parser_->get();
+  TargetNotice notice{.leaving = ValuesOf(response, names_.leaving),
+                      .status = static_cast<int>(response.result_int())};
+  if (response.result() == http::status::service_unavailable) {
+    notice.retry_after = ValuesOf(response, "Retry-After");
+  }
+  if (notice.leaving.empty() && notice.retry_after.empty()) {
+    return;
+  }
+  notice.date = ValueOf(response, "Date");
+  notice.target_id = ValueOf(response, names_.target_id);
+  notice.request_id = std::string(request_[names_.request_id]);
+  hooks_.on_notice(notice);
+}
+
 // Returns false if the head of the response leaves its end in doubt.
 bool TargetConnection::HasClearEnd() const {
   return !parser_->is_header_done() ||
@@ -221,7 +275,8 @@
 void TargetConnection::OnAnswer() {
   const bool ends_with_connection = parser_->need_eof();
   net::HttpResponse response = parser_->release();
-  const bool interim = http::to_status_class(response.result()) ==
+  // result() does not know each status: 103 would have no class.
+  const bool interim = http::to_status_class(response.result_int()) ==
                        http::status_class::informational;
   const AnsweredRequest answered_request = AnsweredRequestOf(response);
   if (answered_request == AnsweredRequest::kAmbiguous && !interim) {
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "core/request/attempt_rules.h"
@@ -34,6 +35,9 @@
   kBadAnswer,
   // The complete response states that the target failed or refused the request.
   kTargetReportedFailure,
+  // While the connection was being established, the target declared that it
+  // leaves or wants no requests for some time, so nothing was sent.
+  kTargetUnavailable,
 };
 
 absl::string_view ToString(AttemptCause cause);
@@ -60,6 +64,31 @@
 
 using TargetAnswerHandler = std::function<void(TargetAnswer)>;
 
+// What the head of a response says about the availability of its target, as it
+// was received.
+struct TargetNotice {
+  // Values of the header that says that the target leaves.
+  std::vector<std::string> leaving;
+  // Values of Retry-After, only with status 503.
+  std::vector<std::string> retry_after;
+  // Time of the response by the target's clock; empty if not given.
+  std::string date;
+  // Id of the target that created the response; empty if not given.
+  std::string target_id;
+  // Id of the request that was sent last on the connection.
+  std::string request_id;
+  int status = 0;
+};
+
+struct TargetConnectionHooks {
+  // Asked before a request is written to a new connection, which may take
+  // seconds to establish. If it returns false, nothing is sent.
+  std::function<bool()> may_send;
+  // Called as soon as the head of a response with such a header is complete,
+  // whatever becomes of the response.
+  std::function<void(const TargetNotice&)> on_notice;
+};
+
 // Memory used by incomplete responses, over all connections of a traffic
 // thread.
 struct AnswerMemory {
@@ -77,7 +106,8 @@
   TargetConnection(boost::asio::io_context& io,
                    net::Tcp::endpoint target,
                    const net::HeaderNames& names,
-                   std::shared_ptr<AnswerMemory> memory);
+                   std::shared_ptr<AnswerMemory> memory,
+                   TargetConnectionHooks hooks = {});
   ~TargetConnection();
 
   void Send(net::HttpRequest request, TargetAnswerHandler handler);
@@ -94,6 +124,7 @@
   void Write();
   void ReadAnswer();
   void ReadSome();
+  void ReportNotice();
   bool HasClearEnd() const;
   bool ReserveBytes();
   void ReleaseBytes();
@@ -108,6 +139,7 @@
   const net::Tcp::endpoint target_;
   const net::HeaderNames& names_;
   const std::shared_ptr<AnswerMemory> memory_;
+  const TargetConnectionHooks hooks_;
   // Bytes of the response that is being read; counted in `memory_`.
   size_t reserved_bytes_ = 0;
   boost::beast::flat_buffer buffer_;
@@ -119,6 +151,8 @@
   int skipped_answers_ = 0;
   bool sent_ = false;
   bool written_ = false;
+  // The head of the current response has been examined for a notice.
+  bool is_head_reported_ = false;
   bool is_reused_ = false;
   std::chrono::milliseconds idle_limit_{};
   std::chrono::steady_clock::time_point sent_at_{};
--- a/src/net/header_names.h
+++ b/src/net/header_names.h
@@ -23,6 +23,11 @@
   std::string target_load;
   // Digest that shows that the response was created by a target.
   std::string answer_digest;
+  // With the value 1 in a response: the target is about to end and wants no new
+  // requests.
+  std::string leaving;
+  // Id of the target that created a response.
+  std::string target_id;
 };
 
 }  // namespace toucandock::net
--- a/tests/entry/target_connection_test.cc
+++ b/tests/entry/target_connection_test.cc
@@ -29,7 +29,9 @@
           .expected_target = "Expected",
           .not_executed = "Not-Run",
           .target_load = "Load",
-          .answer_digest = "Digest"};
+          .answer_digest = "Digest",
+          .leaving = "Leaving",
+          .target_id = "Target"};
 }
 
 std::string Answer(const std::string& id, const std::string& body) {
@@ -41,6 +43,7 @@
 struct ExchangeOutcome {
   TargetAnswer answer;
   bool usable = false;
+  std::vector<TargetNotice> notices;
 };
 
 // Sends one request to a target that writes `bytes` and then closes the
@@ -61,12 +64,15 @@
   });
   boost::asio::io_context io;
   const net::HeaderNames names = Names();
+  ExchangeOutcome result;
   const auto connection = std::make_shared<TargetConnection>(
       io, *net::ParseEndpoint(target.address()), names,
-      std::make_shared<AnswerMemory>());
+      std::make_shared<AnswerMemory>(),
+      TargetConnectionHooks{.on_notice = [&result](const TargetNotice& it) {
+        result.notices.push_back(it);
+      }});
   net::HttpRequest request{beast_http::verb::get, "/x", 11};
   request.set("Id", "mine");
-  ExchangeOutcome result;
   connection->Send(std::move(request), [&](TargetAnswer answer) {
     result.answer = std::move(answer);
     result.usable = connection->IsUsable(kLongIdle);
@@ -419,4 +425,128 @@
   }
 }
 
+// Guards against a declaration of a target that is missed because of the kind
+// or the quality of the response that contains it.
+TEST_CASE("what any head says about the availability of a target must count") {
+  const auto notices = [](const std::string& status_and_headers,
+                          const std::string& rest = "Content-Length: 0\r\n\r\n",
+                          bool close = false) {
+    return RunExchange("HTTP/1.1 " + status_and_headers + "\r\n" + rest, close)
+        .notices;
+  };
+  const std::string own = "\r\nId: mine\r\nDigest: d";
+
+  SUBCASE("that it leaves, in every kind of response") {
+    for (const std::string& it :
+         {"200 OK" + own, "404 Not Found" + own, "500 Failed" + own,
+          "503 Full" + own + "\r\nNot-Run: 1", "421 Wrong" + own,
+          "429 Many" + own + "\r\nNot-Run: 1",
+          std::string("200 No digest\r\nId: mine"),
+          std::string("200 No id and no digest"),
+          "200 Encoded" + own + "\r\nContent-Encoding: gzip"}) {
+      CAPTURE(it);
+      const auto found = notices(it + "\r\nLeaving: 1\r\nTarget: t1");
+      REQUIRE(found.size() == 1);
+      CHECK(found[0].leaving == std::vector<std::string>{"1"});
+      CHECK(found[0].target_id == "t1");
+      CHECK(found[0].request_id == "mine");
+    }
+  }
+
+  SUBCASE("in a response whose body cannot be used") {
+    const std::string head = "200 OK" + own + "\r\nLeaving: 1";
+    CHECK(notices(head, "Content-Length: 9\r\n\r\nhalf", true).size() == 1);
+    CHECK(notices(head, "Content-Length: 99999999999\r\n\r\n").size() == 1);
+    CHECK(notices(head, "Transfer-Encoding: gzip\r\n\r\n", true).size() == 1);
+    CHECK(notices(head, "Transfer-Encoding: chunked\r\n\r\nnonsense").size() ==
+          1);
+  }
+
+  SUBCASE("in a late response to another request, and in an interim one") {
+    const std::string late =
+        "HTTP/1.1 200 OK\r\nId: other\r\nDigest: d\r\nLeaving: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+    const std::string interim = "HTTP/1.1 103 Hints\r\nLeaving: 1\r\n\r\n";
+    for (const std::string& it : {late, interim}) {
+      CAPTURE(it);
+      const ExchangeOutcome found = RunExchange(it + Answer("mine", ""), false);
+      CHECK(found.notices.size() == 1);
+      CHECK(found.answer.end == AttemptEnd::kAnswered);
+    }
+  }
+
+  SUBCASE("that it wants a pause, with status 503 only") {
+    const std::string pause = own + "\r\nRetry-After: 2\r\nRetry-After: 3";
+    const auto found = notices("503 Full" + pause + "\r\nDate: now");
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].retry_after == std::vector<std::string>{"2", "3"});
+    CHECK(found[0].leaving.empty());
+    CHECK(found[0].date == "now");
+    CHECK(notices("429 Many" + pause).empty());
+    CHECK(notices("200 OK" + pause).empty());
+  }
+
+  SUBCASE("but not a head without such a header, or one that ends early") {
+    CHECK(notices("503 Full" + own).empty());
+    CHECK(notices("200 OK" + own).empty());
+    CHECK(notices("200 OK" + own + "\r\nLeaving: 1", "", true).empty());
+  }
+
+  SUBCASE("before the body has arrived") {
+    std::atomic<bool> reported = false;
+    RawTarget target([&reported](RawConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(
+          "HTTP/1.1 200 OK\r\nId: mine\r\nDigest: d\r\nLeaving: 1\r\n"
+          "Content-Length: 4\r\n\r\n");
+      for (int n = 0; n < 200 && !reported; ++n) {
+        connection.IsClosedWithin(milliseconds(10));
+      }
+      connection.Write(reported ? "done" : "late");
+    });
+    boost::asio::io_context io;
+    const net::HeaderNames names = Names();
+    const auto connection = std::make_shared<TargetConnection>(
+        io, *net::ParseEndpoint(target.address()), names,
+        std::make_shared<AnswerMemory>(),
+        TargetConnectionHooks{.on_notice = [&reported](const TargetNotice&) {
+          reported = true;
+        }});
+    net::HttpRequest request{beast_http::verb::get, "/x", 11};
+    request.set("Id", "mine");
+    std::string body;
+    connection->Send(std::move(request), [&](const TargetAnswer& answer) {
+      body = answer.response.body();
+      connection->Abandon();
+    });
+    io.run();
+    CHECK(body == "done");
+  }
+}
+
+// Guards against a request that reaches a target which declared that it leaves
+// while the connection was being established.
+TEST_CASE("a request must be kept back if its target becomes unavailable") {
+  std::atomic<bool> has_request = false;
+  RawTarget target([&has_request](RawConnection& connection) {
+    has_request = !connection.ReadRequest().empty();
+  });
+  boost::asio::io_context io;
+  const net::HeaderNames names = Names();
+  const auto connection = std::make_shared<TargetConnection>(
+      io, *net::ParseEndpoint(target.address()), names,
+      std::make_shared<AnswerMemory>(),
+      TargetConnectionHooks{.may_send = [] { return false; }});
+  net::HttpRequest request{beast_http::verb::get, "/x", 11};
+  request.set("Id", "mine");
+  TargetAnswer result;
+  connection->Send(std::move(request),
+                   [&](TargetAnswer answer) { result = std::move(answer); });
+  io.run();
+  CHECK(result.end == AttemptEnd::kNotSent);
+  CHECK(result.cause == AttemptCause::kTargetUnavailable);
+  target.Stop();
+  CHECK_FALSE(has_request);
+}
+
 }  // namespace toucandock::entry
