Send nothing new to targets that leave or asked for a pause

Change: entry/target_notices applies what heads of responses say to the core's table, with a log line and a counter for each. No first send, retry, waiting request, kept or new connection, or test connection after a break reaches such a target; a request that was chosen but not yet sent goes elsewhere without using up an attempt. A request that no target can take in time is refused at once with a Retry-After that ends after the pause. Keys of a leaving owner are waited for as in any move, for 2 s. A retry that could not be sent in time takes nothing from the budget.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -19,6 +19,7 @@
 using core::ErrorKind;
 using core::TimePoint;
 using core::balance::AttemptHealth;
+using core::balance::Availability;
 using core::request::AttemptDecision;
 using core::request::AttemptEnd;
 using std::chrono::milliseconds;
@@ -98,6 +99,7 @@
       view_(std::make_shared<RoutingView>()),
       crashes_(core::request::CrashDetectorOptions{}),
       safe_contents_(options.safe_contents),
+      notices_(io, metrics_),
       report_timer_(io),
       dispatch_timer_(io),
       random_(std::random_device{}()) {
@@ -136,6 +138,7 @@
     }
   }
   handles_ = std::move(handles);
+  OnTargetsListed(now);
   std::vector<std::string> services;
   for (const auto& [service, queue] : waiting_) {
     services.push_back(service);
@@ -251,9 +254,9 @@
   return handle.load.in_flight() < share;
 }
 
-// Returns the owner of the request's key, or null if the request must not be
-// sent there now.
-Dispatcher::HandlePtr Dispatcher::OwnerOf(Exchange& exchange, TimePoint now) {
+// Returns the owner of the request's key if it is listed and serves the key.
+Dispatcher::HandlePtr Dispatcher::ListedOwnerOf(
+    const Exchange& exchange) const {
   const auto table = view_->ownership.find(exchange.service);
   if (table == view_->ownership.end() ||
       exchange.misdirected_at == table->second.offset) {
@@ -265,18 +268,25 @@
     return nullptr;
   }
   const auto handle = handles_.find(assignment->owner);
-  if (handle == handles_.end()) {
+  return handle == handles_.end() ? nullptr : handle->second;
+}
+
+// Returns the owner of the request's key, or null if the request must not be
+// sent there now.
+Dispatcher::HandlePtr Dispatcher::OwnerOf(Exchange& exchange, TimePoint now) {
+  HandlePtr handle = ListedOwnerOf(exchange);
+  if (handle == nullptr) {
     return nullptr;
   }
   const core::balance::PickCandidate candidate{
-      .load = &handle->second->load,
-      .slots = handle->second->target.entry.slots};
-  if (handle->second->load.IsPaused(now) ||
+      .load = &handle->load, .slots = handle->target.entry.slots};
+  if (!notices_.IsOpen(handle->target.entry.instance, now) ||
+      handle->load.IsPaused(now) ||
       !core::balance::HasCapacity(candidate, pick_options_, now) ||
-      !HasConnectionRoom(*handle->second)) {
+      !HasConnectionRoom(*handle)) {
     return nullptr;
   }
-  return handle->second;
+  return handle;
 }
 
 Dispatcher::HandlePtr Dispatcher::ChooseTarget(Exchange& exchange,
@@ -291,10 +301,10 @@
   std::vector<core::balance::PickCandidate> candidates;
   std::vector<HandlePtr> handles;
   for (const HandlePtr& it : found->second) {
-    if (!HasConnectionRoom(*it)) {
+    const core::discovery::TargetEntry& entry = it->target.entry;
+    if (!notices_.IsOpen(entry.instance, now) || !HasConnectionRoom(*it)) {
       continue;
     }
-    const core::discovery::TargetEntry& entry = it->target.entry;
     candidates.push_back(
         {.load = &it->load,
          .slots = entry.slots,
@@ -323,7 +333,11 @@
   }
   const HandlePtr handle = ChooseTarget(*exchange, now);
   if (handle == nullptr) {
-    return false;
+    const auto reason = FindUnavailability(*exchange, now);
+    if (reason) {
+      RefuseAsUnavailable(exchange, *reason);
+    }
+    return reason.has_value();
   }
   SendTo(exchange, handle, now);
   return true;
@@ -367,6 +381,7 @@
   exchange->current_target = handle;
   exchange->sent_at = now;
   handle->load.OnSent();
+  notices_.OnSent(handle->target.entry.instance, now);
   const milliseconds max_idle = exchange->route->IsIdempotent()
                                     ? options_.max_idle_idempotent
                                     : options_.max_idle_non_idempotent;
@@ -375,9 +390,7 @@
     metrics_.CountRetry(exchange->service);
   }
   if (!exchange->connection) {
-    metrics_.CountConnection(exchange->service);
-    exchange->connection = std::make_shared<TargetConnection>(
-        io_, handle->endpoint, names_, answer_memory_);
+    exchange->connection = Connect(handle);
   }
   exchange->used_connections.push_back(exchange->connection);
   net::HttpRequest request = exchange->request;
@@ -400,6 +413,10 @@
                             const TargetAnswer& answer,
                             TimePoint now) {
   TargetHandle& handle = *exchange.current_target;
+  if (answer.cause == AttemptCause::kTargetUnavailable) {
+    handle.load.OnCancelled();
+    return;
+  }
   const Duration taken = now - exchange.sent_at;
   bool has_queue = false;
   const auto load = answer.response.find(names_.target_load);
@@ -446,7 +463,10 @@
   UpdateLoad(*exchange, answer, now);
   const std::string service = exchange->service;
   const HandlePtr handle = exchange->current_target;
-  if (exchange->connection->IsUsable(options_.max_idle_idempotent)) {
+  const Availability availability =
+      notices_.StateOf(handle->target.entry.instance, now).availability;
+  if (availability != Availability::kLeaving &&
+      exchange->connection->IsUsable(options_.max_idle_idempotent)) {
     handle->idle.push_back(std::move(exchange->connection));
   }
   exchange->connection = nullptr;
@@ -471,8 +491,10 @@
        .attempts = exchange->attempts,
        .max_attempts = exchange->route->max_attempts,
        .time_left = exchange->answer_by - now},
-      [this, &service, now] {
-        return RetriesOf(service).TryRetry(view_->live_hosts, now);
+      [&] {
+        // A retry that could not be sent in time would only use up the budget.
+        return !FindUnavailability(*exchange, now) &&
+               RetriesOf(service).TryRetry(view_->live_hosts, now);
       });
   exchange->may_have_run =
       exchange->may_have_run || core::request::MayHaveRun(answer.end);
@@ -504,14 +526,25 @@
       if (answer.end == AttemptEnd::kNotSent) {
         exchange->attempts--;
       }
+      if (!exchange->key && (availability == Availability::kLeaving ||
+                             availability == Availability::kPaused)) {
+        NoteRedirected(*exchange, handle->target.entry.instance.id,
+                       availability, "other-target");
+      }
       if (!TryDispatch(exchange, now)) {
         Enqueue(exchange, now);
       }
       break;
-    case AttemptDecision::kRefuse:
-      Refuse(exchange, ErrorKind::kOverloaded, "target refused",
-             kRetryAfterMove);
+    case AttemptDecision::kRefuse: {
+      const auto reason = FindUnavailability(*exchange, now);
+      if (reason) {
+        RefuseAsUnavailable(exchange, *reason);
+      } else {
+        Refuse(exchange, ErrorKind::kOverloaded, "target refused",
+               kRetryAfterMove);
+      }
       break;
+    }
     case AttemptDecision::kFail:
       Fail(exchange, ErrorKind::kOutcomeUnknown, "no usable answer");
       break;
@@ -569,8 +602,11 @@
                           const HandlePtr& handle,
                           Duration probe_delay,
                           TimePoint now) {
-  // A target that is no longer listed was stopped as planned and did not crash.
-  if (!handles_.contains(handle->target.entry.instance)) {
+  // A target that leaves or is no longer listed was stopped as planned and did
+  // not crash.
+  const core::discovery::TargetInstance& instance =
+      handle->target.entry.instance;
+  if (!handles_.contains(instance) || notices_.IsLeaving(instance)) {
     return;
   }
   crashes_.OnBroken({.target = handle->target.entry,
@@ -583,11 +619,26 @@
     return;
   }
   handle->is_probe_scheduled = true;
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-  timer->expires_after(probe_delay);
+  ScheduleProbe(handle, now + probe_delay);
+}
+
+// Probes the target at the given time, or after the pause that it asked for.
+void Dispatcher::ScheduleProbe(const HandlePtr& handle, TimePoint at) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, at);
   timer->async_wait([this, handle, timer](const boost::system::error_code&) {
+    const core::discovery::TargetInstance& instance =
+        handle->target.entry.instance;
+    const TimePoint now = Now();
+    const core::balance::AvailabilityState state =
+        notices_.StateOf(instance, now);
+    const bool is_needed = state.availability != Availability::kLeaving &&
+                           crashes_.IsPending(instance, now);
+    if (is_needed && state.availability == Availability::kPaused) {
+      ScheduleProbe(handle, state.until);
+      return;
+    }
     handle->is_probe_scheduled = false;
-    if (crashes_.IsPending(handle->target.entry.instance, Now())) {
+    if (is_needed) {
       ProbeTarget(handle);
     }
   });
@@ -701,6 +752,14 @@
     OnTimer(exchange);
     return;
   }
+  const Availability availability =
+      AvailabilityFor(*exchange, now).availability;
+  if (availability == Availability::kLeaving ||
+      availability == Availability::kPaused) {
+    const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
+    NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
+                   availability, "wait");
+  }
   exchange->waiting = true;
   // The queue is ordered by the priority of the route, the most urgent first,
   // and then by the deadline.
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -24,6 +24,7 @@
 #include "entry/poison_json.h"
 #include "entry/routing_view.h"
 #include "entry/target_handle.h"
+#include "entry/target_notices.h"
 #include "net/header_names.h"
 
 namespace toucandock::entry {
@@ -66,6 +67,16 @@
   // A test connection that is neither accepted nor refused within this time is
   // abandoned without a result.
   core::Duration probe_limit = std::chrono::milliseconds(500);
+  // A key whose owner declared that it leaves usually moves within this time.
+  // Later requests for it are refused at once.
+  core::Duration max_move_time = std::chrono::seconds(2);
+  // Retry-After when all targets of a service leave, or the owner of a key does
+  // and the key has not moved: the time in which others are usually listed.
+  core::Duration retry_after_leaving = std::chrono::seconds(1);
+  // Callers that are refused because of a pause are asked to return at
+  // different times, up to this fraction of the remaining pause after its end.
+  double return_spread_ratio = 0.25;
+  core::Duration max_return_spread = std::chrono::milliseconds(500);
   // Holds two fingerprints of 16 bytes for each request that completed without
   // a crash in the last minutes.
   core::request::SafeContentOptions safe_contents{.max_entries = 4'096};
@@ -141,10 +152,30 @@
     double owner_load = 0;
   };
 
+  // Why no target can take a request in time, from what the targets declared.
+  struct Unavailability {
+    core::balance::Availability cause = core::balance::Availability::kOpen;
+    core::Duration retry_after{};
+  };
+
   DecisionInputs InputsOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
   HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
+  HandlePtr ListedOwnerOf(const Exchange& exchange) const;
+  core::balance::AvailabilityState AvailabilityFor(const Exchange& exchange,
+                                                   core::TimePoint now) const;
+  std::optional<Unavailability> FindUnavailability(const Exchange& exchange,
+                                                   core::TimePoint now);
+  void RefuseAsUnavailable(const ExchangePtr& exchange,
+                           const Unavailability& reason);
+  void NoteRedirected(Exchange& exchange,
+                      const std::string& target,
+                      core::balance::Availability cause,
+                      const char* action);
+  std::shared_ptr<TargetConnection> Connect(const HandlePtr& handle);
+  void OnNotice(const HandlePtr& handle, const TargetNotice& notice);
+  void OnTargetsListed(core::TimePoint now);
   bool HasConnectionRoom(const TargetHandle& handle) const;
   static std::shared_ptr<TargetConnection> TakeIdleConnection(
       const Exchange& exchange,
@@ -167,6 +198,7 @@
                 const HandlePtr& handle,
                 core::Duration probe_delay,
                 core::TimePoint now);
+  void ScheduleProbe(const HandlePtr& handle, core::TimePoint at);
   void ProbeTarget(const HandlePtr& handle);
   void ReportCrashes(const std::vector<core::request::Crash>& crashes,
                      core::TimePoint now);
@@ -214,6 +246,7 @@
       std::make_shared<AnswerMemory>();
   core::request::CrashDetector crashes_;
   core::request::SafeContents safe_contents_;
+  TargetNotices notices_;
   boost::asio::steady_timer report_timer_;
   boost::asio::steady_timer dispatch_timer_;
   std::minstd_rand random_;
--- /dev/null
+++ b/src/entry/dispatcher_availability.cc
@@ -0,0 +1,183 @@
+// The part of the dispatcher that acts on what targets declared about
+// themselves: that they leave, or want no requests for some time.
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "entry/dispatcher.h"
+#include "entry/event_log.h"
+#include "entry/exchange.h"
+
+namespace toucandock::entry {
+namespace {
+
+using core::Duration;
+using core::ErrorKind;
+using core::TimePoint;
+using core::balance::Availability;
+using core::balance::AvailabilityState;
+using core::balance::Listing;
+using core::discovery::TargetInstance;
+
+}  // namespace
+
+std::shared_ptr<TargetConnection> Dispatcher::Connect(const HandlePtr& handle) {
+  metrics_.CountConnection(handle->target.entry.service);
+  // The handle owns idle connections, so they do not own the handle.
+  const std::weak_ptr<TargetHandle> weak = handle;
+  return std::make_shared<TargetConnection>(
+      io_, handle->endpoint, names_, answer_memory_,
+      TargetConnectionHooks{
+          .may_send =
+              [this, instance = handle->target.entry.instance] {
+                return !notices_.IsUnavailable(
+                    instance, std::chrono::steady_clock::now());
+              },
+          .on_notice =
+              [this, weak](const TargetNotice& notice) {
+                if (const HandlePtr it = weak.lock()) {
+                  OnNotice(it, notice);
+                }
+              }});
+}
+
+// A response with another target's id was sent by a process that has taken over
+// the address. It says something about a target only if that one is listed at
+// the same address.
+void Dispatcher::OnNotice(const HandlePtr& handle, const TargetNotice& notice) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  const core::discovery::TargetEntry& expected = handle->target.entry;
+  HandlePtr sender = handle;
+  if (!notice.target_id.empty() && notice.target_id != expected.instance.id) {
+    const auto it =
+        std::find_if(handles_.begin(), handles_.end(), [&](const auto& listed) {
+          return listed.first.id == notice.target_id &&
+                 listed.second->target.entry.address == expected.address;
+        });
+    if (it == handles_.end()) {
+      notices_.ReportUnusual(expected, notice, "other-target",
+                             notice.target_id);
+      return;
+    }
+    sender = it->second;
+  }
+  const TargetInstance& instance = sender->target.entry.instance;
+  notices_.Apply(sender->target.entry, notice, now);
+  if (notices_.IsLeaving(instance)) {
+    sender->idle.clear();
+  }
+}
+
+void Dispatcher::OnTargetsListed(TimePoint now) {
+  notices_.OnListChanged(
+      [this](const TargetInstance& instance) {
+        const auto it = handles_.lower_bound(instance);
+        if (it != handles_.end() && it->first == instance) {
+          return Listing::kListed;
+        }
+        return it != handles_.end() && it->first.id == instance.id
+                   ? Listing::kReplaced
+                   : Listing::kUnlisted;
+      },
+      now);
+}
+
+// Returns the state of the target that may receive the request first. A request
+// without listed targets is not held up by any declaration.
+AvailabilityState Dispatcher::AvailabilityFor(const Exchange& exchange,
+                                              TimePoint now) const {
+  if (exchange.key) {
+    const HandlePtr owner = ListedOwnerOf(exchange);
+    return owner ? notices_.StateOf(owner->target.entry.instance, now)
+                 : AvailabilityState{};
+  }
+  const auto handles = handles_by_service_.find(exchange.service);
+  if (handles == handles_by_service_.end() || handles->second.empty()) {
+    return {};
+  }
+  AvailabilityState first{.availability = Availability::kLeaving};
+  for (const HandlePtr& it : handles->second) {
+    const AvailabilityState state =
+        notices_.StateOf(it->target.entry.instance, now);
+    if (state.availability != Availability::kLeaving &&
+        state.availability != Availability::kPaused) {
+      return state;
+    }
+    if (state.availability == Availability::kPaused &&
+        (first.availability == Availability::kLeaving ||
+         state.until < first.until)) {
+      first = state;
+    }
+  }
+  return first;
+}
+
+// Returns a value if it is known that no target will take the request while it
+// may wait.
+std::optional<Dispatcher::Unavailability> Dispatcher::FindUnavailability(
+    const Exchange& exchange,
+    TimePoint now) {
+  const AvailabilityState state = AvailabilityFor(exchange, now);
+  if (state.availability == Availability::kLeaving) {
+    // The key may move to another owner in time.
+    if (exchange.key && now < state.since + options_.max_move_time) {
+      return std::nullopt;
+    }
+    return Unavailability{.cause = Availability::kLeaving,
+                          .retry_after = options_.retry_after_leaving};
+  }
+  if (state.availability != Availability::kPaused ||
+      state.until <= exchange.wait_deadline) {
+    return std::nullopt;
+  }
+  const Duration left = state.until - now;
+  const Duration spread = std::min(options_.max_return_spread,
+                                   std::chrono::duration_cast<Duration>(
+                                       left * options_.return_spread_ratio));
+  return Unavailability{
+      .cause = Availability::kPaused,
+      .retry_after = left + std::chrono::duration_cast<Duration>(
+                                spread * std::uniform_real_distribution<double>(
+                                             0, 1)(random_))};
+}
+
+void Dispatcher::RefuseAsUnavailable(const ExchangePtr& exchange,
+                                     const Unavailability& reason) {
+  const bool is_leaving = reason.cause == Availability::kLeaving;
+  const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
+  NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
+                 reason.cause, "refused");
+  if (exchange->may_have_run) {
+    Fail(exchange, ErrorKind::kOutcomeUnknown, "no target for a retry");
+    return;
+  }
+  if (exchange->key) {
+    Refuse(exchange, ErrorKind::kOwnerUnavailable,
+           is_leaving ? "owner leaves" : "owner pauses", reason.retry_after);
+    return;
+  }
+  Refuse(exchange, ErrorKind::kOverloaded,
+         is_leaving ? "all targets leave" : "all targets pause or leave",
+         reason.retry_after);
+}
+
+// Logs once for each request, and counts, that a target received no request
+// because of what it declared.
+void Dispatcher::NoteRedirected(Exchange& exchange,
+                                const std::string& target,
+                                Availability cause,
+                                const char* action) {
+  metrics_.CountUnavailableTarget(exchange.service,
+                                  core::balance::ToString(cause), action);
+  if (std::exchange(exchange.is_redirect_logged, true)) {
+    return;
+  }
+  LogEvent("target_unavailable", {{"request", exchange.request_id},
+                                  {"service", exchange.service},
+                                  {"target", target},
+                                  {"cause", core::balance::ToString(cause)},
+                                  {"action", action},
+                                  {"attempts", exchange.attempts}});
+}
+
+}  // namespace toucandock::entry
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -50,6 +50,23 @@
               .Name("toucandock_entry_crashed_attempts_total")
               .Help("Requests that targets ran when they ended, by evidence")
               .Register(*registry_)),
+      target_notices_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_target_notices_total")
+              .Help("Declarations of targets that they leave or pause, and "
+                    "those that could not be applied as they were")
+              .Register(*registry_)),
+      ended_pauses_(prometheus::BuildCounter()
+                        .Name("toucandock_entry_ended_pauses_total")
+                        .Help("Ends of pauses that targets asked for")
+                        .Register(*registry_)
+                        .Add({})),
+      unavailable_target_requests_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_unavailable_target_requests_total")
+              .Help("Requests that did not go to a target because it leaves or "
+                    "pauses, by what was done instead")
+              .Register(*registry_)),
       poison_(prometheus::BuildGauge()
                   .Name("toucandock_entry_poison")
                   .Help("Fingerprints of requests that were in flight when "
@@ -111,6 +128,26 @@
       .Increment();
 }
 
+void EntryMetrics::CountTargetNotice(const std::string& service,
+                                     absl::string_view notice) {
+  target_notices_.Add({{"service", service}, {"notice", std::string(notice)}})
+      .Increment();
+}
+
+void EntryMetrics::CountEndedPause() {
+  ended_pauses_.Increment();
+}
+
+void EntryMetrics::CountUnavailableTarget(const std::string& service,
+                                          absl::string_view cause,
+                                          absl::string_view action) {
+  unavailable_target_requests_
+      .Add({{"service", service},
+            {"cause", std::string(cause)},
+            {"action", std::string(action)}})
+      .Increment();
+}
+
 void EntryMetrics::SetPoison(const PoisonView& poison) {
   const std::pair<const char*, double> values[] = {
       {"suspected", static_cast<double>(poison.suspected.size())},
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -38,6 +38,14 @@
   // `evidence` names the sign from which it was concluded that a target had
   // ended.
   void CountTargetCrash(const std::string& service, absl::string_view evidence);
+  // `notice` names what a target declared, or why that could not be applied.
+  void CountTargetNotice(const std::string& service, absl::string_view notice);
+  void CountEndedPause();
+  // `cause` says why a target received no request, `action` what was done with
+  // the request instead.
+  void CountUnavailableTarget(const std::string& service,
+                              absl::string_view cause,
+                              absl::string_view action);
   // Sets the number of requests that were in flight when targets ended, of
   // those that are refused, and of the reports about them that were sent to and
   // received from other hosts since the start.
@@ -57,6 +65,9 @@
   prometheus::Family<prometheus::Counter>& failed_attempts_;
   prometheus::Family<prometheus::Counter>& connections_;
   prometheus::Family<prometheus::Counter>& target_crashes_;
+  prometheus::Family<prometheus::Counter>& target_notices_;
+  prometheus::Counter& ended_pauses_;
+  prometheus::Family<prometheus::Counter>& unavailable_target_requests_;
   prometheus::Family<prometheus::Gauge>& poison_;
   prometheus::Gauge& running_;
   prometheus::Gauge& config_version_;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -43,6 +43,9 @@
   bool waiting = false;
   // The handler was called, or the exchange was cancelled.
   bool done = false;
+  // It was logged that a target received no request because it leaves or
+  // pauses.
+  bool is_redirect_logged = false;
   // Offset of the ownership record by which the request was sent to a target
   // that responded that it does not hold the key.
   std::optional<core::Offset> misdirected_at;
