Name leaving and pausing targets in explain-request

The report would have blamed lack of room for refusals that a target's own word had caused. Change: the new causes of refusals and failed attempts have a conclusion and an advice of their own, and the context shows what the targets concerned had said. Result: section "because targets paused or left" of "the cause of a failed request must be found in the hosts' logs" passes; it was written with the change and not run without it.

--- a/src/observe/request_report.cc
+++ b/src/observe/request_report.cc
@@ -88,9 +88,15 @@
     return subject.key && NumberOf(line, "first") <= *subject.key &&
            *subject.key <= NumberOf(line, "last");
   }
-  if (line.event == "target_gone") {
+  if (line.event == "target_gone" || line.event == "target_pause_ended") {
     return subject.targets.contains(TextOf(line, "target"));
   }
+  if (line.event == "target_leaving" || line.event == "target_paused" ||
+      line.event == "target_notice_unusual") {
+    // The requests of a service without keys may go to any of its targets.
+    return subject.targets.contains(TextOf(line, "target")) ||
+           (!subject.key && TextOf(line, "service") == subject.service);
+  }
   if (line.event == "target_entry") {
     // A target renews its entry regularly. Only its first entry and those of a
     // draining target are relevant.
@@ -205,6 +211,11 @@
     return absl::StrCat("the connection to ", target, " ended", after,
                         " without a whole answer");
   }
+  if (end == "not-sent" && TextOf(line, "cause") == "target-unavailable") {
+    return absl::StrCat(target,
+                        " declared that it leaves or pauses before the request "
+                        "was sent");
+  }
   if (end == "not-sent") {
     return absl::StrCat(target, " could not be reached");
   }
@@ -217,6 +228,27 @@
 void ExplainKeyedRefusal(const LogLine& line, RequestReport& report) {
   const std::string owner = TextOf(line, "owner");
   const std::uint64_t key = NumberOf(line, "key");
+  const std::string cause = TextOf(line, "cause");
+  if (cause == "owner pauses") {
+    report.conclusion = absl::StrCat(
+        owner, " owned key ", key, " and had asked ", line.host,
+        " for a pause that outlasted the request; the caller was told to "
+        "return in ",
+        NumberOf(line, "retry_after_ms"), " ms.");
+    report.advice =
+        "Nothing for a short pause. If pauses go on, the owner is overloaded: "
+        "see what its keys get, or add targets to the service.";
+    return;
+  }
+  if (cause == "owner leaves") {
+    report.conclusion =
+        absl::StrCat(owner, " owned key ", key, " and had declared to ",
+                     line.host, " that it leaves, and the key had not moved.");
+    report.advice =
+        "Look for the target_entry line of the owner: keys move once the store "
+        "lists it as draining.";
+    return;
+  }
   if (line.fields["owner_denied"].asBool()) {
     report.conclusion = absl::StrCat(
         owner, " did not hold key ", key, ", although record ",
@@ -298,6 +330,20 @@
     report.advice = "The caller mends its request.";
     return;
   }
+  const std::string cause = TextOf(line, "cause");
+  if (cause == "all targets leave" || cause == "all targets pause or leave") {
+    report.conclusion = absl::StrCat(
+        "Each listed target of ", TextOf(line, "service"), " had declared to ",
+        line.host,
+        cause == "all targets leave" ? " that it leaves."
+                                     : " that it leaves or wants a pause.",
+        " The caller was told to return in ", NumberOf(line, "retry_after_ms"),
+        " ms.");
+    report.advice =
+        "Ask those who run the service: its targets stop or are overloaded all "
+        "at once.";
+    return;
+  }
   const LogLine* attempt = FindLast(report.steps, "attempt_failed");
   report.conclusion =
       attempt != nullptr && TextOf(line, "cause") == "target refused"
@@ -357,6 +403,14 @@
     report.advice = "Ask those who run the service.";
   } else {
     // Successful responses are not logged, and lines may be missing.
+    if (last.event == "target_unavailable") {
+      report.conclusion = absl::StrCat(
+          "It was answered later, or still waits: ", TextOf(last, "target"),
+          " declared itself ", TextOf(last, "cause"),
+          ". Answers have no line of their own.");
+      report.advice = "Nothing.";
+      return;
+    }
     report.conclusion = absl::StrCat(
         "It was answered by a later attempt, or still runs: ",
         DescribeAttempt(last), " before. Answers have no line of their own.");
--- a/tests/observe/request_report_test.cc
+++ b/tests/observe/request_report_test.cc
@@ -121,6 +121,33 @@
       CHECK(report.conclusion ==
             "Refused for lack of room: t2 refused it with 503 after 4 ms.");
     }
+    SUBCASE("because targets paused or left") {
+      const std::string paused =
+          Line("h1", 18, "target_paused",
+               "\"target\":\"t1\",\"service\":\"maps\",\"answer_to\":\"r0\","
+               "\"until_ms\":3000");
+      const RequestReport keyed =
+          Report(paused + Refusal("owner-unavailable",
+                                  serving_owner + ",\"cause\":\"owner pauses\","
+                                                  "\"retry_after_ms\":1100"));
+      CHECK(keyed.outcome == Outcome::kNotRun);
+      CHECK(keyed.conclusion ==
+            "t1 owned key 700 and had asked h1 for a pause that outlasted the "
+            "request; the caller was told to return in 1100 ms.");
+      CHECK(keyed.context.size() == 1);
+      const RequestReport plain =
+          Report(paused + Refusal("overloaded",
+                                  "\"cause\":\"all targets pause or leave\","
+                                  "\"retry_after_ms\":900"));
+      CHECK(absl::StrContains(plain.conclusion,
+                              "Each listed target of maps had declared to h1"));
+      CHECK(plain.context.size() == 1);
+      CHECK(absl::StrContains(
+          Report(Refusal("owner-unavailable",
+                         serving_owner + ",\"cause\":\"owner leaves\""))
+              .conclusion,
+          "had declared to h1 that it leaves"));
+    }
     SUBCASE("because the host was stopping or had no configuration") {
       CHECK(Report(Refusal("stopping", "\"key\":0")).conclusion ==
             "h1 was stopping.");
