--- a/tests/standins/platform_target_main.cc
+++ b/tests/standins/platform_target_main.cc
@@ -4,10 +4,15 @@
 //   work_ms=N: how long the request runs.
 //   size=N: number of bytes that are added to the response.
 //   crash=1: ends the process.
+//   leaving=1: the response declares that the target leaves.
+//   pause_ms=N: the request is refused with 503 and a Retry-After of N ms.
 // Faults are set over HTTP: POST /fault?fail_percent=N&lose_percent=N&slow_ms=N
 //   fail_percent: share of the requests that get status 500.
 //   lose_percent: share of the requests whose response is lost.
 //   slow_ms: is added to the time of each request.
+//   leaving: with 1, each response declares that the target leaves, while its
+//     entry still says that it is ready.
+//   pause_ms: each request is refused with 503 and a Retry-After of N ms.
 // On SIGTERM the target registers itself as draining, serves for some time,
 // removes its entry and ends.
 #include <poll.h>
@@ -113,6 +118,8 @@
       fail_percent_ = NumberIn(request, "fail_percent", fail_percent_);
       lose_percent_ = NumberIn(request, "lose_percent", lose_percent_);
       slow_ms_ = NumberIn(request, "slow_ms", slow_ms_);
+      leaving_ = NumberIn(request, "leaving", leaving_);
+      pause_ms_ = NumberIn(request, "pause_ms", pause_ms_);
       return http::JsonResponse(200, "{}");
     }
     const std::string expected = Header(request, "Expected-Instance");
@@ -125,7 +132,14 @@
     if (request.path == "/release") {
       return Release(request);
     }
-    return Run(request);
+    http::Response response = Respond(request);
+    if (leaving_ != 0 || NumberIn(request, "leaving", 0) != 0) {
+      response.headers.emplace_back("Server-Leaving", "1");
+      WriteJournalEvent("declared",
+                        {{"notice", "leaving"},
+                         {"request_id", Header(request, "Request-Id")}});
+    }
+    return response;
   }
 
   void Register(const std::string& address) {
@@ -182,6 +196,23 @@
            result.response.status == 200;
   }
 
+  // Refuses the request with a pause if one is set, and otherwise runs it.
+  http::Response Respond(const http::Request& request) {
+    const std::uint64_t pause_ms = NumberIn(request, "pause_ms", pause_ms_);
+    if (pause_ms == 0) {
+      return Run(request);
+    }
+    WriteJournalEvent("declared",
+                      {{"notice", "pause"},
+                       {"request_id", Header(request, "Request-Id")},
+                       {"pause_ms", std::to_string(pause_ms)}});
+    http::Response response = NotExecuted(503);
+    response.headers.emplace_back("Request-Id", Header(request, "Request-Id"));
+    response.headers.emplace_back(
+        "Retry-After", absl::StrCat(static_cast<double>(pause_ms) / 1'000));
+    return response;
+  }
+
   http::Response NotExecuted(int status) const {
     http::Response response{.status = status, .body = "not executed"};
     response.headers = {{"Not-Executed", "1"}, {"Instance-Id", id_}};
@@ -391,6 +422,8 @@
   std::atomic<std::uint64_t> fail_percent_ = 0;
   std::atomic<std::uint64_t> lose_percent_ = 0;
   std::atomic<std::uint64_t> slow_ms_ = 0;
+  std::atomic<std::uint64_t> leaving_ = 0;
+  std::atomic<std::uint64_t> pause_ms_ = 0;
   std::mutex mutex_;
   // Notified when a request has ended.
   std::condition_variable work_ended_;
