--- a/tests/entry/dispatcher_availability_test.cc
+++ b/tests/entry/dispatcher_availability_test.cc
@@ -168,6 +168,7 @@
 
   std::vector<std::shared_ptr<CallerResult>> StartMany(int requests) {
     std::vector<std::shared_ptr<CallerResult>> results;
+    results.reserve(static_cast<size_t>(requests));
     for (int n = 0; n < requests; ++n) {
       results.push_back(Start());
     }
