--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "entry/clock.h"
+#include "entry/contained_exception.h"
 #include "entry/event_log.h"
 #include "entry/peer_json.h"
 
@@ -141,11 +142,11 @@
   return {
       .on_newest =
           [this, stream](const ReadResult& result) {
-            OnRecords(stream, result, true);
+            Contain("records", [&] { OnRecords(stream, result, true); });
           },
       .on_records =
           [this, stream](const ReadResult& result) {
-            OnRecords(stream, result, false);
+            Contain("records", [&] { OnRecords(stream, result, false); });
           },
       .on_answer = [this] { OnStoreAnswer(); },
       .on_complete =
@@ -167,14 +168,15 @@
   switch (stream) {
     case Stream::kConfig:
       for (const StoredRecord& it : result.records) {
-        OnConfigRecord(it);
+        Contain("config_record", [&] { OnConfigRecord(it); });
       }
       break;
     case Stream::kTargets: {
       std::vector<std::string> ids;
       size_t changed = 0;
       for (const StoredRecord& it : result.records) {
-        changed += OnTargetRecord(it, complete) ? 1 : 0;
+        Contain("target_record",
+                [&] { changed += OnTargetRecord(it, complete) ? 1 : 0; });
         ids.push_back(it.key);
       }
       if (complete) {
@@ -191,7 +193,7 @@
     case Stream::kOwnership:
       ownership_end_ = std::max(ownership_end_, result.end);
       for (const StoredRecord& it : result.records) {
-        OnOwnershipRecord(it);
+        Contain("ownership_record", [&] { OnOwnershipRecord(it); });
       }
       for (auto& [service, coordinator] : coordinators_) {
         coordinator->OnEnd(ownership_end_);
@@ -324,7 +326,7 @@
 
 void Control::OnStoreFailure() {
   for (auto& [service, coordinator] : coordinators_) {
-    coordinator->OnStoreLost(LeaseClockNow());
+    coordinator->OnStoreLost();
   }
   if (!store_lost_) {
     store_lost_ = true;
@@ -340,13 +342,7 @@
       is_leader_ || active_ || store_lost_ || relay_.NeedsMembership();
   if (std::exchange(is_member_, is_needed) != is_needed) {
     LogEvent("membership", {{"is_member", is_needed}});
-    if (is_needed) {
-      // A host that was not a member has not seen which leases an earlier
-      // leader granted during an outage.
-      for (auto& [service, coordinator] : coordinators_) {
-        coordinator->OnStoreLost(requested_at);
-      }
-    } else {
+    if (!is_needed) {
       member_hosts_ = 1;
       UpdateLiveHosts();
     }
@@ -362,7 +358,8 @@
           return;
         }
         const bool was_leader = is_leader_;
-        OnMembershipResult(result, requested_at);
+        Contain("membership",
+                [&] { OnMembershipResult(result, requested_at); });
         // A new leader renews its membership without delay, since the time to
         // live of a leader applies from now on.
         ScheduleMembership(is_leader_ && !was_leader
@@ -418,9 +415,11 @@
 }
 
 void Control::Tick() {
-  ApplyExpirations();
-  RunCoordinators();
-  poison_.Tick(is_leader_ && IsActive());
+  Contain("tick", [this] {
+    ApplyExpirations();
+    RunCoordinators();
+    poison_.Tick(is_leader_ && IsActive());
+  });
   tick_timer_.expires_after(is_leader_ ? kTickInterval : 5 * kTickInterval);
   tick_timer_.async_wait([this](const error_code& ec) {
     if (!ec) {
@@ -676,10 +675,22 @@
             }
           },
       .is_member = [this] { return is_member_; },
-      .on_outage_reported =
+      .newest_table =
           [this] {
+            NewestTable newest;
+            for (const auto& [service, table] : tables_) {
+              if (table.offset + 1 > newest.end) {
+                newest = {.address = table.report_address,
+                          .end = table.offset + 1};
+              }
+            }
+            return newest;
+          },
+      .is_active = [this] { return IsActive(); },
+      .on_host_report =
+          [this](const core::keyspace::HostReport& report) {
             for (auto& [service, coordinator] : coordinators_) {
-              coordinator->OnOutageReported(LeaseClockNow());
+              coordinator->OnHostReport(report, LeaseClockNow());
             }
           },
       .on_host_count =
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,10 +4,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
 
+#include "net/message_reader.h"
+
 namespace toucandock::net {
 namespace {
 
@@ -21,13 +22,22 @@
 // 1 MB of values in base64 and their keys.
 constexpr std::uint64_t kMaxBodyBytes = 4ULL << 20;
 constexpr std::uint32_t kMaxHeadBytes = 16U << 10;
+// A response that arrives slowly gets more time as long as bytes of its body
+// arrive, since repeating the call would transfer all of them again.
+constexpr std::chrono::milliseconds kExtension{500};
+constexpr int kMaxExtensions = 6;
 
 }  // namespace
 
 class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(boost::asio::io_context& io, std::weak_ptr<Pool> pool)
-      : socket_(io), timer_(io), pool_(std::move(pool)) {}
+  Connection(boost::asio::io_context& io,
+             std::shared_ptr<const MatchOptions> match,
+             std::weak_ptr<Pool> pool)
+      : socket_(io),
+        timer_(io),
+        match_(std::move(match)),
+        pool_(std::move(pool)) {}
 
   bool IsUsable() {
     return socket_.is_open() &&
@@ -42,12 +52,9 @@
     request_ = std::move(request);
     handler_ = std::move(handler);
     sent_ = false;
-    timer_.expires_after(timeout);
-    timer_.async_wait([self = shared_from_this()](error_code ec) {
-      if (!ec) {
-        self->Finish(false);
-      }
-    });
+    parser_.reset();
+    extensions_ = 0;
+    SetTimeout(timeout);
     if (socket_.is_open()) {
       Write();
       return;
@@ -63,6 +70,34 @@
   }
 
  private:
+  void SetTimeout(std::chrono::milliseconds timeout) {
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (ec) {
+        return;
+      }
+      if (self->extensions_ < kMaxExtensions && self->HasProgressed()) {
+        ++self->extensions_;
+        self->SetTimeout(kExtension);
+      } else {
+        self->Finish(false);
+      }
+    });
+  }
+
+  // Whether more of the body has arrived since the last time-out. Only known
+  // for responses that state their length.
+  bool HasProgressed() {
+    if (!handler_ || !parser_ || !parser_->is_header_done()) {
+      return false;
+    }
+    const auto left = parser_->content_length_remaining();
+    const bool progressed =
+        left && (extensions_ == 0 || *left < body_bytes_left_);
+    body_bytes_left_ = left.value_or(0);
+    return progressed;
+  }
+
   void Write() {
     if (!handler_) {
       return;
@@ -85,10 +120,41 @@
     parser_.emplace();
     parser_->header_limit(kMaxHeadBytes);
     parser_->body_limit(kMaxBodyBytes);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code ec, size_t) {
-                       self->Finish(!ec);
-                     });
+    ReadMessage(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](error_code ec) { self->OnResponse(ec); });
+  }
+
+  void OnResponse(error_code ec) {
+    if (ec || !handler_ || BelongsToCall()) {
+      Finish(!ec);
+      return;
+    }
+    if (match_->on_stray_response) {
+      match_->on_stray_response();
+    }
+    Read();
+  }
+
+  // A server that has repeated the id of a call does so in every response.
+  // Another id, or none, then shows a response to an earlier call.
+  bool BelongsToCall() {
+    matched_ = false;
+    if (match_->id_header.empty()) {
+      return true;
+    }
+    const auto ids = parser_->get().equal_range(match_->id_header);
+    if (ids.first == ids.second) {
+      return !server_sends_ids_;
+    }
+    for (auto it = ids.first; it != ids.second; ++it) {
+      if (it->value() != request_[match_->id_header]) {
+        return false;
+      }
+    }
+    matched_ = true;
+    server_sends_ids_ = true;
+    return true;
   }
 
   void Finish(bool answered) {
@@ -106,7 +172,8 @@
       answer.result = sent_ ? CallResult::kUnanswered : CallResult::kNotSent;
     }
     const bool keep =
-        answered && answer.response.keep_alive() && buffer_.size() == 0;
+        answered && answer.response.keep_alive() && buffer_.size() == 0 &&
+        (matched_ || match_->id_header.empty() || match_->keep_unmatched);
     if (keep) {
       idle_since_ = std::chrono::steady_clock::now();
       if (const auto pool = pool_.lock()) {
@@ -120,23 +187,35 @@
 
   Tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  const std::shared_ptr<const MatchOptions> match_;
   std::weak_ptr<Pool> pool_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpRequest request_;
   CallHandler handler_;
   bool sent_ = false;
+  int extensions_ = 0;
+  // At the last time-out.
+  std::uint64_t body_bytes_left_ = 0;
+  // The last response repeated the id of its call.
+  bool matched_ = false;
+  bool server_sends_ids_ = false;
   std::chrono::steady_clock::time_point idle_since_{};
 };
 
-HttpClient::HttpClient(boost::asio::io_context& io, Tcp::endpoint server)
-    : io_(io), server_(std::move(server)), pool_(std::make_shared<Pool>()) {}
+HttpClient::HttpClient(boost::asio::io_context& io,
+                       Tcp::endpoint server,
+                       MatchOptions match)
+    : io_(io),
+      server_(std::move(server)),
+      match_(std::make_shared<const MatchOptions>(std::move(match))),
+      pool_(std::make_shared<Pool>()) {}
 
 HttpClient::~HttpClient() = default;
 
 // Calls the handler on the thread of the I/O context, never before this
 // function returns. The time-out covers connecting, sending and the complete
-// response.
+// response; it is extended by up to 3 s while a response arrives slowly.
 void HttpClient::Call(HttpRequest request,
                       std::chrono::milliseconds timeout,
                       CallHandler handler,
@@ -157,7 +236,7 @@
     return;
   }
   if (!connection) {
-    connection = std::make_shared<Connection>(io_, pool_);
+    connection = std::make_shared<Connection>(io_, match_, pool_);
   }
   connection->Start(server_, std::move(request), timeout, std::move(handler));
 }
