--- a/tests/entry/stream_follower_test.cc
+++ b/tests/entry/stream_follower_test.cc
@@ -36,13 +36,15 @@
   }
 };
 
-// A store that holds record 5 and returns it after the time that the transfer
-// of a large record takes.
+// A store that holds the records from 5 on and returns them after the time that
+// the transfer of a large record takes.
 struct SlowStore {
   boost::asio::io_context& io;
   milliseconds transfer;
   int reads = 0;
   StoreStatus status = StoreStatus::kOk;
+  // Offset of the last record.
+  core::Offset last = 5;
 
   PlatformHooks Hooks() {
     return {.read_newest =
@@ -53,9 +55,9 @@
                 [this](Stream, core::Offset from, milliseconds,
                        const std::function<void(ReadResult)>& handler) {
                   ++reads;
-                  ReadResult result{.status = status, .end = 6};
-                  if (from <= 5) {
-                    result.records.push_back({.offset = 5, .key = "config"});
+                  ReadResult result{.status = status, .end = last + 1};
+                  for (core::Offset n = from; n <= last; ++n) {
+                    result.records.push_back({.offset = n, .key = "config"});
                   }
                   auto timer =
                       std::make_shared<boost::asio::steady_timer>(io, transfer);
@@ -66,151 +68,127 @@
   }
 };
 
+// A follower of a SlowStore, and what it has passed on.
+struct SlowFollower {
+  explicit SlowFollower(milliseconds transfer)
+      : store{.io = io, .transfer = transfer},
+        platform(store.Hooks()),
+        follower(std::make_shared<StreamFollower>(
+            io,
+            platform,
+            Stream::kConfig,
+            FollowerOptions{},
+            FollowerHooks{.on_newest = [](const ReadResult&) {},
+                          .on_records =
+                              [this](const ReadResult& result) {
+                                for (const StoredRecord& it : result.records) {
+                                  received.push_back(it.offset);
+                                }
+                              },
+                          .on_answer = [] {},
+                          .on_complete = [](core::TimePoint) {},
+                          .on_history_lost = [] {},
+                          .on_failure = [this] { ++failures; }})) {}
+
+  void Run(milliseconds time) {
+    io.restart();
+    io.run_for(time);
+  }
+
+  boost::asio::io_context io;
+  SlowStore store;
+  const PlatformHooks platform;
+  std::vector<core::Offset> received;
+  int failures = 0;
+  const std::shared_ptr<StreamFollower> follower;
+};
+
 }  // namespace
 
 // Guards against a host that drops the store's complete answer because its peer
 // has announced the same large record again in the meantime, and so never uses
 // a large configuration over a slow link (issue 32).
 TEST_CASE("a repeated request for a large record must not drop its answer") {
-  boost::asio::io_context io;
-  SlowStore store{.io = io, .transfer = milliseconds(200)};
-  const PlatformHooks platform = store.Hooks();
-  std::shared_ptr<StreamFollower> follower;
-  std::vector<core::Offset> received;
-  follower = std::make_shared<StreamFollower>(
-      io, platform, Stream::kConfig, FollowerOptions{},
-      FollowerHooks{
-          .on_newest = [&](const ReadResult&) { follower->SetRelayed(true); },
-          .on_records =
-              [&](const ReadResult& result) {
-                for (const StoredRecord& it : result.records) {
-                  received.push_back(it.offset);
-                }
-              },
-          .on_answer = [] {},
-          .on_complete = [](core::TimePoint) {},
-          .on_history_lost = [] {},
-          .on_failure = [] {}});
-  follower->Start(milliseconds(0));
-  io.run_for(milliseconds(20));
-  REQUIRE(follower->has_newest());
+  SlowFollower host(milliseconds(200));
+  host.follower->Start(milliseconds(0));
+  host.Run(milliseconds(300));
+  REQUIRE(host.received == std::vector<core::Offset>{5});
+  host.received.clear();
+  host.follower->SetRelayed(true);
+  host.store.last = 6;
+  const int reads = host.store.reads;
   // The peer announces the record more often than its transfer takes.
-  for (int n = 0; n < 6 && received.empty(); ++n) {
-    follower->ReadOnce();
-    io.restart();
-    io.run_for(milliseconds(100));
+  for (int n = 0; n < 6 && host.received.empty(); ++n) {
+    host.follower->ReadOnce();
+    host.Run(milliseconds(100));
   }
-  CHECK(received == std::vector<core::Offset>{5});
+  CHECK(host.received == std::vector<core::Offset>{6});
   // Reads at the same time would share the link and make each other slower.
-  CHECK(store.reads == 1);
+  CHECK(host.store.reads - reads == 1);
 }
 
 // Guards against the same loss by other events that recur: a source that is
 // lost and found again, a store that is, and a stream that is overdue.
 TEST_CASE("events that recur must not drop the response to a prompt read") {
-  boost::asio::io_context io;
-  SlowStore store{.io = io, .transfer = milliseconds(200)};
-  const PlatformHooks platform = store.Hooks();
-  std::vector<core::Offset> received;
-  auto follower = std::make_shared<StreamFollower>(
-      io, platform, Stream::kConfig, FollowerOptions{},
-      FollowerHooks{.on_newest = [](const ReadResult&) {},
-                    .on_records =
-                        [&](const ReadResult& result) {
-                          received.push_back(result.records.back().offset);
-                        },
-                    .on_answer = [] {},
-                    .on_complete = [](core::TimePoint) {},
-                    .on_history_lost = [] {},
-                    .on_failure = [] {}});
-  follower->Start(milliseconds(0));
-  io.run_for(milliseconds(20));
-  REQUIRE(follower->has_newest());
-  follower->SetRelayed(true);
+  SlowFollower host(milliseconds(200));
+  host.follower->Start(milliseconds(0));
+  host.Run(milliseconds(20));
+  REQUIRE(host.follower->has_newest());
+  host.follower->SetRelayed(true);
   const auto repeat = [&](const std::function<void(int)>& event) {
-    follower->ReadOnce();
-    for (int n = 0; n < 6 && received.empty(); ++n) {
+    host.follower->ReadOnce();
+    for (int n = 0; n < 6 && host.received.empty(); ++n) {
       event(n);
-      io.restart();
-      io.run_for(milliseconds(100));
+      host.Run(milliseconds(100));
     }
-    CHECK(received.size() == 1);
+    CHECK(host.received.size() == 1);
   };
 
   SUBCASE("its source is lost and found again") {
-    repeat([&](int n) { follower->SetRelayed(n % 2 == 1); });
+    repeat([&](int n) { host.follower->SetRelayed(n % 2 == 1); });
   }
   SUBCASE("the store is lost and found again") {
-    follower->SetRelayed(false);
-    repeat([&](int) { follower->Restart(milliseconds(0)); });
+    host.follower->SetRelayed(false);
+    repeat([&](int) { host.follower->Restart(milliseconds(0)); });
   }
   SUBCASE("the stream is overdue while the store is read") {
-    follower->SetRelayed(false);
-    repeat([&](int) { follower->ReadOnce(); });
+    host.follower->SetRelayed(false);
+    repeat([&](int) { host.follower->ReadOnce(); });
   }
 }
 
 // Guards against a response that arrives late and puts older records in the
 // place of newer ones that a peer has delivered meanwhile.
 TEST_CASE("late responses must not bring back records that were replaced") {
-  boost::asio::io_context io;
-  SlowStore store{.io = io, .transfer = milliseconds(100)};
-  const PlatformHooks platform = store.Hooks();
-  std::vector<core::Offset> received;
-  auto follower = std::make_shared<StreamFollower>(
-      io, platform, Stream::kConfig, FollowerOptions{},
-      FollowerHooks{.on_newest = [](const ReadResult&) {},
-                    .on_records =
-                        [&](const ReadResult& result) {
-                          for (const StoredRecord& it : result.records) {
-                            received.push_back(it.offset);
-                          }
-                        },
-                    .on_answer = [] {},
-                    .on_complete = [](core::TimePoint) {},
-                    .on_history_lost = [] {},
-                    .on_failure = [] {}});
-  follower->Start(milliseconds(0));
-  io.run_for(milliseconds(20));
-  REQUIRE(follower->has_newest());
-  follower->SetRelayed(true);
-  follower->Deliver({.status = StoreStatus::kOk,
-                     .records = {{.offset = 5, .key = "config"},
-                                 {.offset = 6, .key = "config"}},
-                     .end = 7});
-  io.restart();
-  io.run_for(milliseconds(200));
-  CHECK(received == std::vector<core::Offset>{5, 6});
-  CHECK(follower->next() == 7);
+  SlowFollower host(milliseconds(100));
+  host.follower->Start(milliseconds(0));
+  host.Run(milliseconds(20));
+  REQUIRE(host.follower->has_newest());
+  host.follower->SetRelayed(true);
+  host.follower->Deliver({.status = StoreStatus::kOk,
+                          .records = {{.offset = 5, .key = "config"},
+                                      {.offset = 6, .key = "config"}},
+                          .end = 7});
+  host.Run(milliseconds(200));
+  CHECK(host.received == std::vector<core::Offset>{5, 6});
+  CHECK(host.follower->next() == 7);
 }
 
 // Guards against a host that waits for seconds after the store is back, because
 // it learned of that while a read hung which then failed.
 TEST_CASE("a restart during a read that fails must not be forgotten") {
-  boost::asio::io_context io;
-  SlowStore store{.io = io, .transfer = milliseconds(100)};
-  const PlatformHooks platform = store.Hooks();
-  int failures = 0;
-  auto follower = std::make_shared<StreamFollower>(
-      io, platform, Stream::kConfig, FollowerOptions{},
-      FollowerHooks{.on_newest = [](const ReadResult&) {},
-                    .on_records = [](const ReadResult&) {},
-                    .on_answer = [] {},
-                    .on_complete = [](core::TimePoint) {},
-                    .on_history_lost = [] {},
-                    .on_failure = [&] { ++failures; }});
-  store.status = StoreStatus::kUnknown;
-  follower->Start(milliseconds(0));
+  SlowFollower host(milliseconds(100));
+  host.store.status = StoreStatus::kUnknown;
+  host.follower->Start(milliseconds(0));
   // The first read fails, and so does the second one when the store is back.
-  io.run_for(milliseconds(150));
-  REQUIRE(follower->has_newest());
-  follower->ReadOnce();
-  store.status = StoreStatus::kOk;
-  follower->Restart(milliseconds(10));
-  io.restart();
-  io.run_for(milliseconds(400));
-  CHECK(failures == 0);
-  CHECK(follower->next() == 6);
+  host.Run(milliseconds(150));
+  REQUIRE(host.follower->has_newest());
+  host.follower->ReadOnce();
+  host.store.status = StoreStatus::kOk;
+  host.follower->Restart(milliseconds(10));
+  host.Run(milliseconds(400));
+  CHECK(host.failures == 0);
+  CHECK(host.follower->next() == 6);
 }
 
 // Guards against a host that no longer gets records because a single read of
