Log late threads, late views and the size of crash records

Change: thread_late and view_late, two histograms, bytes and is_leader in poison_stored. No further timers: the lag is taken from those that exist.

--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -12,6 +12,7 @@
 #include "entry/contained_exception.h"
 #include "entry/event_log.h"
 #include "entry/peer_json.h"
+#include "entry/thread_lag.h"
 
 namespace toucandock::entry {
 namespace {
@@ -423,6 +424,7 @@
   tick_timer_.expires_after(is_leader_ ? kTickInterval : 5 * kTickInterval);
   tick_timer_.async_wait([this](const error_code& ec) {
     if (!ec) {
+      ReportLateTimer("control", tick_timer_.expiry());
       Tick();
     }
   });
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -18,6 +18,10 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.8, 1.2, 1.5, 2.5, 5, 10};
 
+// In seconds. Changes have to be in force after 2 s.
+const prometheus::Histogram::BucketBoundaries kLagBuckets = {
+    0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4};
+
 }  // namespace
 
 EntryMetrics::EntryMetrics()
@@ -77,6 +81,17 @@
                   .Help("Fingerprints of requests that were in flight when "
                         "targets ended, and reports about them")
                   .Register(*registry_)),
+      thread_lag_(prometheus::BuildHistogram()
+                      .Name("toucandock_entry_thread_lag_seconds")
+                      .Help("How late timers of the traffic thread ran")
+                      .Register(*registry_)
+                      .Add({}, kLagBuckets)),
+      view_delay_(prometheus::BuildHistogram()
+                      .Name("toucandock_entry_view_delay_seconds")
+                      .Help("Time until the traffic thread used the data that "
+                            "the control thread had published")
+                      .Register(*registry_)
+                      .Add({}, kLagBuckets)),
       running_(prometheus::BuildGauge()
                    .Name("toucandock_entry_running_requests")
                    .Help("Requests that have no answer yet")
@@ -179,6 +194,14 @@
   connections_.Add({{"service", service}}).Increment();
 }
 
+void EntryMetrics::ObserveThreadLag(core::Duration lag) {
+  thread_lag_.Observe(std::chrono::duration<double>(lag).count());
+}
+
+void EntryMetrics::ObserveViewDelay(core::Duration delay) {
+  view_delay_.Observe(std::chrono::duration<double>(delay).count());
+}
+
 void EntryMetrics::SetRunning(size_t requests) {
   running_.Set(static_cast<double>(requests));
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -54,6 +54,10 @@
   void SetPoison(const PoisonView& poison);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
+  // How late a timer of the traffic thread ran.
+  void ObserveThreadLag(core::Duration lag);
+  // How long a view of the control thread waited for the traffic thread.
+  void ObserveViewDelay(core::Duration delay);
   void SetConfig(const core::routing::RouteConfig& config);
 
   std::string Text() const;
@@ -72,6 +76,8 @@
   prometheus::Counter& ended_pauses_;
   prometheus::Family<prometheus::Counter>& unavailable_target_requests_;
   prometheus::Family<prometheus::Gauge>& poison_;
+  prometheus::Histogram& thread_lag_;
+  prometheus::Histogram& view_delay_;
   prometheus::Gauge& running_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& unknown_words_;
--- a/src/entry/poison_control.cc
+++ b/src/entry/poison_control.cc
@@ -162,29 +162,32 @@
       is_leader ? options_.store_batch : options_.leader_store_timeout;
   if (unsaved_since_ && !storing_ && now >= next_store_at_ &&
       now - *unsaved_since_ >= wait) {
-    Store();
+    Store(is_leader);
   }
 }
 
-void PoisonControl::Store() {
+void PoisonControl::Store(bool is_leader) {
   const std::vector<CrashReport> reports = registry_.Reports(hooks_.now());
   std::set<CrashId> crash_ids;
   for (const CrashReport& it : reports) {
     crash_ids.emplace(it.key.fingerprint, it.target);
   }
   storing_ = true;
-  hooks_.store(EncodePoisonRecord(reports, hooks_.wall_now()),
-               [this, crash_ids = std::move(crash_ids)](bool stored) {
-                 storing_ = false;
-                 next_store_at_ = hooks_.now() + options_.store_retry;
-                 LogEvent("poison_stored",
-                          {{"crashes", crash_ids.size()}, {"stored", stored}});
-                 if (stored) {
-                   stored_crashes_ = crash_ids;
-                   unsaved_since_ = std::nullopt;
-                   UpdateUnsaved();
-                 }
-               });
+  const std::string record = EncodePoisonRecord(reports, hooks_.wall_now());
+  hooks_.store(record, [this, crash_ids = std::move(crash_ids), is_leader,
+                        bytes = record.size()](bool stored) {
+    storing_ = false;
+    next_store_at_ = hooks_.now() + options_.store_retry;
+    LogEvent("poison_stored", {{"crashes", crash_ids.size()},
+                               {"bytes", bytes},
+                               {"is_leader", is_leader},
+                               {"stored", stored}});
+    if (stored) {
+      stored_crashes_ = crash_ids;
+      unsaved_since_ = std::nullopt;
+      UpdateUnsaved();
+    }
+  });
 }
 
 std::uint32_t PoisonControl::Digest() {
--- a/src/entry/poison_control.h
+++ b/src/entry/poison_control.h
@@ -90,7 +90,7 @@
 
   size_t Merge(const PoisonUpdate& update, PoisonUpdate& forward);
   void UpdateUnsaved();
-  void Store();
+  void Store(bool is_leader);
   void UpdateView();
 
   const PoisonControlOptions options_;
--- a/src/entry/routing_view.h
+++ b/src/entry/routing_view.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANDOCK_ENTRY_ROUTING_VIEW_H_
 #define TOUCANDOCK_ENTRY_ROUTING_VIEW_H_
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -38,6 +39,8 @@
   // The configuration, the targets and the owners have each been read from the
   // store at least once.
   bool complete = false;
+  // Shows how long the traffic thread takes to use the view.
+  core::TimePoint created_at = std::chrono::steady_clock::now();
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "entry/contained_exception.h"
 #include "entry/event_log.h"
+#include "entry/thread_lag.h"
 
 namespace toucandock::entry {
 namespace {
@@ -123,6 +124,14 @@
 
 void Traffic::SetView(std::shared_ptr<const RoutingView> view) {
   const bool ready = view->complete;
+  const auto delay = std::chrono::steady_clock::now() - view->created_at;
+  dispatcher_.metrics().ObserveViewDelay(delay);
+  if (delay >= kReportedLag) {
+    LogEvent(
+        "view_late",
+        {{"delay_ms", std::chrono::duration_cast<milliseconds>(delay).count()},
+         {"config", view->routes ? view->routes->config().version : 0}});
+  }
   dispatcher_.SetView(std::move(view));
   if (ready && !ready_) {
     LogEvent("ready", {});
@@ -224,6 +233,8 @@
   limit_timer_.expires_after(kLimitCheckInterval);
   limit_timer_.async_wait([this](error_code ec) {
     if (!ec) {
+      dispatcher_.metrics().ObserveThreadLag(
+          ReportLateTimer("traffic", limit_timer_.expiry()));
       CheckLimits();
     }
   });
