--- a/tests/entry/poison_control_test.cc
+++ b/tests/entry/poison_control_test.cc
@@ -20,6 +20,8 @@
 constexpr int kTicksPerHeartbeat = 3;
 // Time within which all hosts must have the reports.
 constexpr core::Duration kPropagationTime = seconds(3);
+// What each host may receive for control, over all.
+constexpr size_t kControlBytesPerSecond = 20'000;
 
 CrashReport Crash(const std::string& content, const std::string& target) {
   return {.key = {.fingerprint = content},
@@ -87,6 +89,14 @@
     return count;
   }
 
+  size_t record_bytes() const {
+    size_t bytes = 0;
+    for (const std::string& it : records) {
+      bytes += it.size();
+    }
+    return bytes;
+  }
+
   bool peers_unreachable = false;
   bool drops_broadcasts = false;
   // Whether each host is cut off from the store.
@@ -313,6 +323,63 @@
   }
 }
 
+// Guards against hosts that write and read records without end after many
+// targets ended under load, so that changes of the configuration and of targets
+// wait behind the records.
+TEST_CASE("a loss of many targets must not load the store and the hosts") {
+  constexpr size_t kHosts = 16;
+  constexpr int kTargets = 60;
+  constexpr int kRequestsPerTarget = 20;
+  constexpr int kSeconds = 10;
+  Hosts hosts(kHosts);
+  const auto end_targets = [&hosts] {
+    for (int n = 0; n < kTargets * kRequestsPerTarget; ++n) {
+      hosts.Report(n % kHosts, Crash(absl::StrCat("f", n),
+                                     absl::StrCat("t", n % kTargets, "/1")));
+    }
+  };
+  const auto report_from_three_hosts = [&hosts] {
+    for (size_t n = 1; n < 4; ++n) {
+      hosts.Report(n, Crash("crashing", absl::StrCat("i-", n, "/1")));
+    }
+  };
+
+  SUBCASE("while the hosts reach each other") {
+    end_targets();
+    hosts.Advance(seconds(kSeconds));
+    // Each host reads each record.
+    CHECK(hosts.record_bytes() <= kSeconds * kControlBytesPerSecond);
+    CHECK(hosts.message_bytes <= kHosts * kSeconds * kControlBytesPerSecond);
+
+    SUBCASE("and a request that crashes targets is still recognized") {
+      report_from_three_hosts();
+      hosts.Advance(kPropagationTime);
+      CHECK(hosts.CountRefusing("crashing") == kHosts);
+
+      SUBCASE("also after a restart of all hosts") {
+        for (size_t n = 0; n < kHosts; ++n) {
+          hosts.Start(n);
+        }
+        hosts.Advance(kTick);
+        CHECK(hosts.CountRefusing("crashing") == kHosts);
+      }
+    }
+  }
+
+  SUBCASE("while the messages between hosts are lost") {
+    hosts.peers_unreachable = true;
+    end_targets();
+    hosts.Advance(seconds(kSeconds));
+    CHECK(hosts.record_bytes() <= kSeconds * kControlBytesPerSecond);
+
+    SUBCASE("and a request that crashes targets is still recognized") {
+      report_from_three_hosts();
+      hosts.Advance(kPropagationTime);
+      CHECK(hosts.CountRefusing("crashing") == kHosts);
+    }
+  }
+}
+
 TEST_CASE("many or false reports must cost bounded memory and messages") {
   Hosts hosts(3);
   PoisonUpdate update;
