Let a loss of many targets load neither the store nor the hosts

Cause: each target that ends makes all its requests suspects. Beyond the number that a host keeps, hosts keep different ones, so their digests never agree: they exchange all reports with each heartbeat, and each host writes its own to the store because the leader never confirms them. A record holds at most 700 crashes, so its author found the rest unsaved and wrote again. All other hosts read, decode and publish every record. Change: many single crashes are neither compared nor stored for long; the unsaved reports are those that a record can hold; hosts that use a relay do not write; updates in quick succession are applied together.

--- a/src/core/request/poison_registry.cc
+++ b/src/core/request/poison_registry.cc
@@ -17,6 +17,14 @@
   return absl::StrCat(key.service, "/id/", key.request_id);
 }
 
+bool IsRepeated(size_t crashes) {
+  return crashes > 1;
+}
+
+std::uint32_t Fold(std::uint64_t hash) {
+  return static_cast<std::uint32_t>(hash ^ hash >> 32);
+}
+
 bool ReachesLimit(size_t crashes, const CrashReport& report) {
   return crashes >= report.crash_limit;
 }
@@ -78,11 +86,43 @@
                                               : PoisonMatch::kNone;
 }
 
-// Returns all crashes that have not expired, to be sent to other hosts. The
-// crashes of the requests with the most crashes come first, so that these are
-// sent if there is no room for all.
+// Returns all crashes that have not expired, those of the requests with the
+// most crashes first, and then the latest.
 std::vector<CrashReport> PoisonRegistry::Reports(TimePoint now) {
   Expire(now);
+  return ReportsIf(now, [](const Suspect&) { return true; });
+}
+
+std::vector<CrashReport> PoisonRegistry::ReportsToCompare(TimePoint now) {
+  Expire(now);
+  const bool only_repeated = ComparesOnlyRepeated();
+  return ReportsIf(now, [only_repeated](const Suspect& it) {
+    return !only_repeated || IsRepeated(it.crashes.size());
+  });
+}
+
+std::vector<CrashReport> PoisonRegistry::ReportsToStore(TimePoint now) {
+  Expire(now);
+  const bool only_repeated = ComparesOnlyRepeated();
+  size_t singles = 0;
+  return ReportsIf(now, [&](const Suspect& it) {
+    return !only_repeated || IsRepeated(it.crashes.size()) ||
+           (it.last_crash + options_.single_crash_store_time > now &&
+            ++singles <= options_.max_compared_single_crashes);
+  });
+}
+
+bool PoisonRegistry::ComparesOnlyRepeated() const {
+  const auto singles = std::count_if(
+      suspects_.begin(), suspects_.end(),
+      [](const auto& it) { return !IsRepeated(it.second.crashes.size()); });
+  return static_cast<size_t>(singles) > options_.max_compared_single_crashes;
+}
+
+// Asks `is_included` in the order of the reports.
+std::vector<CrashReport> PoisonRegistry::ReportsIf(
+    TimePoint now,
+    const std::function<bool(const Suspect&)>& is_included) const {
   std::vector<const Suspect*> suspects;
   for (const auto& [name, suspect] : suspects_) {
     suspects.push_back(&suspect);
@@ -94,6 +134,9 @@
                    });
   std::vector<CrashReport> reports;
   for (const Suspect* suspect : suspects) {
+    if (!is_included(*suspect)) {
+      continue;
+    }
     for (const Crash& crash : suspect->crashes) {
       CrashReport report = crash.report;
       report.age = now - crash.at;
@@ -117,26 +160,36 @@
   return suspected_requests;
 }
 
-// Returns a hash that is equal on all hosts that block the same requests and
-// know the same crashes of requests that are not blocked; 0 if no request is
-// suspected. The ages of crashes are left out, since hosts learn of a crash at
-// slightly different times.
-std::uint32_t PoisonRegistry::Digest(TimePoint now) {
+// The hashes are equal on all hosts that block the same requests and know the
+// same crashes of requests that are not blocked. The ages of crashes are left
+// out, since hosts learn of a crash at slightly different times.
+PoisonDigest PoisonRegistry::Digest(TimePoint now) {
   Expire(now);
-  std::uint64_t digest = 0;
+  std::uint64_t all = 0;
+  std::uint64_t repeated = 0;
   for (const auto& [name, suspect] : suspects_) {
     const bool at_limit =
         ReachesLimit(suspect.crashes.size(), suspect.crashes.back().report);
+    std::uint64_t hash = 0;
     if (at_limit) {
       const bool expired = suspect.last_crash + options_.block_duration <= now;
-      digest ^= util::Hash64(absl::StrCat(name, expired ? "/lapsed" : "/over"));
-      continue;
-    }
-    for (const Crash& crash : suspect.crashes) {
-      digest ^= util::Hash64(absl::StrCat(name, "/", crash.report.target));
+      hash = util::Hash64(absl::StrCat(name, expired ? "/lapsed" : "/over"));
+    } else {
+      for (const Crash& crash : suspect.crashes) {
+        hash ^= util::Hash64(absl::StrCat(name, "/", crash.report.target));
+      }
     }
+    all ^= hash;
+    repeated ^= IsRepeated(suspect.crashes.size()) ? hash : 0;
   }
-  return static_cast<std::uint32_t>(digest ^ digest >> 32);
+  return {.all = Fold(all),
+          .repeated = Fold(repeated),
+          .only_repeated = ComparesOnlyRepeated()};
+}
+
+bool KnowSameCrashes(const PoisonDigest& a, const PoisonDigest& b) {
+  return a.only_repeated || b.only_repeated ? a.repeated == b.repeated
+                                            : a.all == b.all;
 }
 
 void PoisonRegistry::SetVersionsInUse(VersionsInUse versions_in_use) {
--- a/src/core/request/poison_registry.h
+++ b/src/core/request/poison_registry.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -71,8 +72,31 @@
   // ends.
   Duration same_crash_window = std::chrono::seconds(1);
   SafeContentOptions safe_contents;
+  // A target that ends under load makes all of its requests suspects, hardly
+  // any of which caused it. With more suspects of a single crash than this,
+  // hosts only compare and store the crashes of the others: hosts that each
+  // keep a different part would exchange these parts without end.
+  size_t max_compared_single_crashes = 128;
+  // Single crashes are stored all the same while they are newer than this, the
+  // time in which further crashes of the same request are reported.
+  Duration single_crash_store_time = std::chrono::seconds(3);
 };
 
+// By which two hosts find out whether they know the same crashes.
+struct PoisonDigest {
+  // Of all crashes; 0 if no request is suspected.
+  std::uint32_t all = 0;
+  // Of the crashes of requests that crashed several targets.
+  std::uint32_t repeated = 0;
+  // There are too many single crashes to compare them.
+  bool only_repeated = false;
+
+  bool operator==(const PoisonDigest&) const = default;
+};
+
+// Whether two hosts need not send each other their reports.
+bool KnowSameCrashes(const PoisonDigest& a, const PoisonDigest& b);
+
 // A request content or request id that was in flight when targets ended.
 struct SuspectedRequest {
   PoisonKey key;
@@ -101,8 +125,12 @@
   bool IsSafe(const PoisonKey& key, const std::string& version, TimePoint now);
   PoisonMatch FindMatch(const PoisonKey& key, TimePoint now);
   std::vector<CrashReport> Reports(TimePoint now);
+  // The reports that hosts with different digests send to each other.
+  std::vector<CrashReport> ReportsToCompare(TimePoint now);
+  // The reports that have to outlast a restart of all hosts.
+  std::vector<CrashReport> ReportsToStore(TimePoint now);
   std::vector<SuspectedRequest> SuspectedRequests(TimePoint now);
-  std::uint32_t Digest(TimePoint now);
+  PoisonDigest Digest(TimePoint now);
   // A request is no longer blocked once no target in use runs the software
   // version that it crashed last.
   void SetVersionsInUse(VersionsInUse versions_in_use);
@@ -122,6 +150,11 @@
                   const CrashReport& report,
                   TimePoint now);
   void EvictIfFull();
+  // Returns whether there are too many single crashes to compare them.
+  bool ComparesOnlyRepeated() const;
+  std::vector<CrashReport> ReportsIf(
+      TimePoint now,
+      const std::function<bool(const Suspect&)>& is_included) const;
   bool IsOverLimit(const std::string& name, TimePoint now) const;
   bool IsOverLimit(const Suspect& suspect, TimePoint now) const;
   bool IsReplaced(const TargetVersion& target_version) const;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -419,7 +419,7 @@
   Contain("tick", [this] {
     ApplyExpirations();
     RunCoordinators();
-    poison_.Tick(is_leader_ && IsActive());
+    poison_.Tick(CurrentPoisonWriter());
   });
   tick_timer_.expires_after(is_leader_ ? kTickInterval : 5 * kTickInterval);
   tick_timer_.async_wait([this](const error_code& ec) {
@@ -430,6 +430,15 @@
   });
 }
 
+// The relays of a large fleet write for the hosts that use them: records of all
+// hosts at once would delay the other records of the store for seconds.
+PoisonWriter Control::CurrentPoisonWriter() const {
+  if (is_leader_ && IsActive()) {
+    return PoisonWriter::kLeader;
+  }
+  return is_member_ ? PoisonWriter::kSubstitute : PoisonWriter::kNone;
+}
+
 // Creates the coordinators that are missing. Each keyed service of the
 // configuration has one.
 void Control::SyncCoordinators() {
@@ -722,7 +731,9 @@
             }
           },
       .on_leader_digest =
-          [this](std::uint32_t digest) { poison_.OnLeaderDigest(digest); },
+          [this](const core::request::PoisonDigest& digest) {
+            poison_.OnLeaderDigest(digest);
+          },
   };
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -87,6 +87,7 @@
   core::keyspace::MembershipRenewal NextMembershipRenewal() const;
   void ScheduleMembership(core::Duration delay);
   bool IsActive() const;
+  PoisonWriter CurrentPoisonWriter() const;
 
   boost::asio::io_context& io_;
   const EntrySettings settings_;
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -13,6 +13,7 @@
 using core::keyspace::Assignment;
 using core::keyspace::HostList;
 using core::keyspace::TargetInstance;
+using core::request::PoisonDigest;
 
 // Returns the position of a target instance in the list of a record, and adds
 // the instance if it is missing.
@@ -276,11 +277,31 @@
 
 namespace {
 
+// Names of the members that complete a digest, which earlier versions lack.
+constexpr char kRepeated[] = "pr";
+constexpr char kOnlyRepeated[] = "po";
+constexpr char kLeaderRepeated[] = "lp";
+constexpr char kLeaderOnlyRepeated[] = "lo";
+
+// Leaves out members that are zero, as they mostly are.
+void AddDigest(const PoisonDigest& digest,
+               const char* repeated,
+               const char* only_repeated,
+               Json::Value& value) {
+  if (digest.repeated != 0) {
+    value[repeated] = digest.repeated;
+  }
+  if (digest.only_repeated) {
+    value[only_repeated] = 1;
+  }
+}
+
 // Members of the object at the end of a heartbeat or reply. Hosts of earlier
 // versions send none, so each of them is optional.
 Json::Value RelayMembers(const PeerHeartbeat& heartbeat) {
   Json::Value value(Json::objectValue);
   value["v"] = heartbeat.relays_version;
+  AddDigest(heartbeat.poison_digest, kRepeated, kOnlyRepeated, value);
   if (heartbeat.is_answer) {
     Json::Value& ages = value["a"] = Json::Value(Json::arrayValue);
     for (const StreamState& it :
@@ -310,7 +331,9 @@
   }
   if (heartbeat.is_relay) {
     value["lr"] = heartbeat.leader_reachable ? 1 : 0;
-    value["ld"] = heartbeat.leader_digest;
+    value["ld"] = heartbeat.leader_digest.all;
+    AddDigest(heartbeat.leader_digest, kLeaderRepeated, kLeaderOnlyRepeated,
+              value);
   }
   if (heartbeat.relays) {
     Json::Value& relays = value["r"] = Json::Value(Json::arrayValue);
@@ -324,17 +347,34 @@
   return value;
 }
 
+// Returns the member of the given name, or `missing` if it has another type.
+std::uint32_t ReadUint(const Json::Value& value,
+                       const char* name,
+                       std::uint32_t missing) {
+  const Json::Value& it = value[name];
+  return it.isUInt() ? it.asUInt() : missing;
+}
+
+// Reads what AddDigest() has written.
+void ReadDigest(const Json::Value& value,
+                const char* repeated,
+                const char* only_repeated,
+                PoisonDigest& digest) {
+  digest.repeated = ReadUint(value, repeated, 0);
+  digest.only_repeated = ReadUint(value, only_repeated, 0) != 0;
+}
+
 // Members of another type than expected count as missing.
 void ReadRelayMembers(const Json::Value& value, PeerHeartbeat& heartbeat) {
   const auto read = [&value](const char* name, std::uint32_t missing) {
-    const Json::Value& it = value[name];
-    return it.isUInt() ? it.asUInt() : missing;
+    return ReadUint(value, name, missing);
   };
   const auto read_long = [&value](const char* name) {
     const Json::Value& it = value[name];
     return it.isUInt64() ? std::uint64_t{it.asUInt64()} : 0;
   };
   heartbeat.relays_version = read("v", 0);
+  ReadDigest(value, kRepeated, kOnlyRepeated, heartbeat.poison_digest);
   heartbeat.stamp = read_long("t");
   if (!heartbeat.is_answer) {
     heartbeat.store_up = std::min(
@@ -364,7 +404,9 @@
   }
   heartbeat.is_relay = value.isMember("lr");
   heartbeat.leader_reachable = read("lr", 0) != 0;
-  heartbeat.leader_digest = read("ld", 0);
+  heartbeat.leader_digest.all = read("ld", 0);
+  ReadDigest(value, kLeaderRepeated, kLeaderOnlyRepeated,
+             heartbeat.leader_digest);
   const Json::Value& relays = value["r"];
   if (!relays.isArray() || relays.size() > kMaxRelays) {
     return;
@@ -393,13 +435,13 @@
     value.append(heartbeat.hosts);
     value.append(heartbeat.is_leader ? 1 : 0);
     value.append(Json::UInt64(heartbeat.store_up.count()));
-    value.append(heartbeat.poison_digest);
+    value.append(heartbeat.poison_digest.all);
     for (const std::string& it : heartbeat.substitutes) {
       value.append(it);
     }
   } else {
     value.append(heartbeat.store_lost ? 1 : 0);
-    value.append(heartbeat.poison_digest);
+    value.append(heartbeat.poison_digest.all);
   }
   value.append(RelayMembers(heartbeat));
   return codec::WriteJson(value);
@@ -445,7 +487,7 @@
       size < json->size() ? (*json)[size] : Json::Value(Json::objectValue);
   if (!is_answer) {
     PeerHeartbeat heartbeat{.store_lost = (*json)[0].asUInt64() != 0,
-                            .poison_digest = (*json)[1].asUInt()};
+                            .poison_digest = {.all = (*json)[1].asUInt()}};
     ReadRelayMembers(relay_members, heartbeat);
     return heartbeat;
   }
@@ -460,7 +502,7 @@
     substitutes.push_back((*json)[i].asString());
   }
   PeerHeartbeat answer{.is_answer = true,
-                       .poison_digest = (*json)[9].asUInt(),
+                       .poison_digest = {.all = (*json)[9].asUInt()},
                        .config = state(0),
                        .targets = state(2),
                        .ownership = state(4),
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -11,6 +11,7 @@
 #include "core/keyspace/ownership.h"
 #include "core/keyspace/ownership_delta.h"
 #include "core/relay/relay_tree.h"
+#include "core/request/poison_registry.h"
 #include "entry/platform_hooks.h"
 
 namespace toucandock::entry {
@@ -66,7 +67,7 @@
   // Version of the list of relays that the sender knows.
   std::uint32_t relays_version = 0;
   // Digest of the sender's reports about requests that crash targets.
-  std::uint32_t poison_digest = 0;
+  core::request::PoisonDigest poison_digest;
   StreamState config;
   StreamState targets;
   StreamState ownership;
@@ -95,7 +96,7 @@
   bool is_relay = false;
   // In a reply of a relay: the leader has responded to it until recently.
   bool leader_reachable = false;
-  std::uint32_t leader_digest = 0;
+  core::request::PoisonDigest leader_digest;
   // In a reply: all relays, if the receiver does not know this version of the
   // list.
   std::optional<std::vector<core::relay::Relay>> relays;
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -499,7 +499,8 @@
 // does the same, so that both have the same reports even if an earlier message
 // was lost.
 void PeerRelay::CompareDigests(const PeerHeartbeat& heartbeat) {
-  if (heartbeat.poison_digest == hooks_.poison_digest()) {
+  if (core::request::KnowSameCrashes(heartbeat.poison_digest,
+                                     hooks_.poison_digest())) {
     return;
   }
   for (const std::string& it : hooks_.poison_messages()) {
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -87,13 +87,14 @@
   std::function<void()> on_leader_lost;
   // The reports of this host about requests that crash targets: a digest of
   // them, and the reports themselves as encoded messages.
-  std::function<std::uint32_t()> poison_digest;
+  std::function<core::request::PoisonDigest()> poison_digest;
   std::function<std::vector<std::string>()> poison_messages;
   // Called with the message of another host about such requests, and with the
   // digest of the leader.
   std::function<void(const PoisonUpdate& update, const std::string& from)>
       on_poison_update;
-  std::function<void(std::uint32_t digest)> on_leader_digest;
+  std::function<void(const core::request::PoisonDigest& digest)>
+      on_leader_digest;
 };
 
 // Lets one host read the store on behalf of all. Each host sends heartbeats to
--- a/src/entry/poison_control.cc
+++ b/src/entry/poison_control.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <utility>
 
 #include "entry/event_log.h"
 
@@ -22,6 +23,15 @@
   return {.fingerprint = fingerprint};
 }
 
+// Returns the part of the reports from `first` on that fits into a message.
+template <typename Report>
+std::vector<Report> Part(const std::vector<Report>& reports, size_t first) {
+  const size_t begin = std::min(first, reports.size());
+  const size_t end = std::min(begin + kMaxUpdateReports, reports.size());
+  return {reports.begin() + static_cast<std::ptrdiff_t>(begin),
+          reports.begin() + static_cast<std::ptrdiff_t>(end)};
+}
+
 std::int64_t Milliseconds(core::Duration time) {
   return std::chrono::duration_cast<milliseconds>(time).count();
 }
@@ -36,61 +46,80 @@
       view_(std::make_shared<PoisonView>()) {}
 
 void PoisonControl::OnLocalUpdate(const PoisonUpdate& update) {
-  PoisonUpdate forward;
-  Merge(update, forward);
-  if (forward.empty()) {
+  const size_t crashes = pending_.crashes.size();
+  const size_t safe_reports = pending_.safe_reports.size();
+  Merge(update);
+  const size_t new_crashes = pending_.crashes.size() - crashes;
+  const size_t new_safe_reports = pending_.safe_reports.size() - safe_reports;
+  if (new_crashes + new_safe_reports == 0) {
     return;
   }
-  reports_sent_ += forward.crashes.size();
-  LogEvent("poison_news_sent", {{"crashes", forward.crashes.size()},
-                                {"proofs", forward.safe_reports.size()}});
-  hooks_.broadcast(EncodePoisonUpdate(forward));
-  UpdateView();
+  reports_sent_ += new_crashes;
+  LogEvent("poison_news_sent",
+           {{"crashes", new_crashes}, {"proofs", new_safe_reports}});
+  ApplyIfImmediate();
 }
 
 // Forwards new reports, so that hosts that send heartbeats only to this one
 // receive them. As only new reports are forwarded, messages do not circulate
 // endlessly.
 size_t PoisonControl::OnPeerUpdate(const PoisonUpdate& update) {
-  PoisonUpdate forward;
-  const size_t learned = Merge(update, forward);
+  const size_t learned = Merge(update);
   reports_received_ += learned;
-  if (!forward.empty() && ++forwards_ <= options_.max_forwards) {
-    hooks_.broadcast(EncodePoisonUpdate(forward));
-  }
-  if (learned > 0) {
-    UpdateView();
+  if (!pending_.empty()) {
+    ApplyIfImmediate();
   }
   return learned;
 }
 
-// Returns the number of new reports, and adds to `forward` what the other hosts
-// need: the new reports, and a safe report for each crash of a request that
-// this host knows to be safe.
-size_t PoisonControl::Merge(const PoisonUpdate& update, PoisonUpdate& forward) {
+// Returns the number of new reports, and adds to `pending_` what the other
+// hosts need: the new reports, and a safe report for each crash of a request
+// that this host knows to be safe.
+size_t PoisonControl::Merge(const PoisonUpdate& update) {
   const core::TimePoint now = hooks_.now();
   size_t learned = 0;
   for (const SafeReport& it : update.safe_reports) {
     if (registry_.MarkSafe(KeyOf(it.fingerprint), it.version, now)) {
       ++learned;
-      forward.safe_reports.push_back(it);
+      pending_.safe_reports.push_back(it);
     }
   }
   for (const CrashReport& it : update.crashes) {
     if (registry_.IsSafe(it.key, it.target_version.version, now)) {
-      forward.safe_reports.push_back({.fingerprint = it.key.fingerprint,
-                                      .version = it.target_version.version});
+      pending_.safe_reports.push_back({.fingerprint = it.key.fingerprint,
+                                       .version = it.target_version.version});
     } else if (registry_.Report(it, now)) {
       ++learned;
-      forward.crashes.push_back(it);
+      pending_.crashes.push_back(it);
     }
   }
-  if (learned > 0) {
-    UpdateUnsaved();
-  }
   return learned;
 }
 
+void PoisonControl::ApplyIfImmediate() {
+  if (++immediate_updates_ <= options_.max_immediate_updates) {
+    ApplyUpdates();
+  }
+}
+
+// Sends the pending reports to the other hosts, in as many messages as allowed,
+// and makes them visible. What is not sent is sent when digests are compared.
+void PoisonControl::ApplyUpdates() {
+  const PoisonUpdate pending = std::exchange(pending_, {});
+  const size_t size =
+      std::max(pending.crashes.size(), pending.safe_reports.size());
+  for (size_t first = 0; first < size; first += kMaxUpdateReports) {
+    if (++forwards_ > options_.max_forwards) {
+      break;
+    }
+    hooks_.broadcast(EncodePoisonUpdate(
+        {.crashes = Part(pending.crashes, first),
+         .safe_reports = Part(pending.safe_reports, first)}));
+  }
+  UpdateUnsaved();
+  UpdateView();
+}
+
 void PoisonControl::OnRecord(const std::string& value) {
   const auto crashes = DecodePoisonRecord(value, hooks_.wall_now());
   if (!crashes.ok()) {
@@ -113,19 +142,27 @@
   }
 }
 
+// Returns what a record can hold of the reports that have to be stored.
+std::vector<CrashReport> PoisonControl::ReportsToStore() {
+  std::vector<CrashReport> reports = registry_.ReportsToStore(hooks_.now());
+  reports.resize(std::min(reports.size(), kMaxStoredCrashes));
+  return reports;
+}
+
 // Not all crashes of a refused request need to be on the store: as many as are
 // needed to refuse it suffice.
 void PoisonControl::UpdateUnsaved() {
   std::map<std::string, size_t> stored;
   std::map<std::string, size_t> known;
-  for (const CrashReport& it : registry_.Reports(hooks_.now())) {
+  const std::vector<CrashReport> reports = ReportsToStore();
+  for (const CrashReport& it : reports) {
     ++known[it.key.fingerprint];
   }
   for (const auto& [fingerprint, target] : stored_crashes_) {
     ++stored[fingerprint];
   }
   bool is_unsaved = false;
-  for (const CrashReport& it : registry_.Reports(hooks_.now())) {
+  for (const CrashReport& it : reports) {
     const std::string& fingerprint = it.key.fingerprint;
     const bool match_is_stored =
         known[fingerprint] >= kCrashLimit && stored[fingerprint] >= kCrashLimit;
@@ -140,8 +177,8 @@
   }
 }
 
-void PoisonControl::OnLeaderDigest(std::uint32_t digest) {
-  if (unsaved_since_ && digest == Digest()) {
+void PoisonControl::OnLeaderDigest(const core::request::PoisonDigest& digest) {
+  if (unsaved_since_ && core::request::KnowSameCrashes(digest, Digest())) {
     unsaved_since_ = hooks_.now();
   }
 }
@@ -151,23 +188,33 @@
   registry_.SetVersionsInUse(std::move(versions_in_use));
 }
 
-void PoisonControl::Tick(bool is_leader) {
+void PoisonControl::Tick(PoisonWriter writer) {
   const core::TimePoint now = hooks_.now();
+  if (!pending_.empty()) {
+    ApplyUpdates();
+  }
   if (now - view_updated_at_ >= options_.view_interval) {
     UpdateView();
     forwards_ = 0;
+    immediate_updates_ = 0;
     message_bytes_ = 0;
   }
+  const bool is_leader = writer == PoisonWriter::kLeader;
   const core::Duration wait =
       is_leader ? options_.store_batch : options_.leader_store_timeout;
-  if (unsaved_since_ && !storing_ && now >= next_store_at_ &&
-      now - *unsaved_since_ >= wait) {
+  if (writer == PoisonWriter::kNone || !unsaved_since_ || storing_ ||
+      now < next_store_at_ || now - *unsaved_since_ < wait) {
+    return;
+  }
+  // Single crashes need not be stored any more after some time.
+  UpdateUnsaved();
+  if (unsaved_since_) {
     Store(is_leader);
   }
 }
 
 void PoisonControl::Store(bool is_leader) {
-  const std::vector<CrashReport> reports = registry_.Reports(hooks_.now());
+  const std::vector<CrashReport> reports = ReportsToStore();
   std::set<CrashId> crash_ids;
   for (const CrashReport& it : reports) {
     crash_ids.emplace(it.key.fingerprint, it.target);
@@ -190,7 +237,7 @@
   });
 }
 
-std::uint32_t PoisonControl::Digest() {
+core::request::PoisonDigest PoisonControl::Digest() {
   return registry_.Digest(hooks_.now());
 }
 
@@ -203,7 +250,7 @@
     messages.push_back(EncodePoisonUpdate(update));
     message_bytes_ += messages.back().size();
   };
-  std::vector<CrashReport> reports = registry_.Reports(hooks_.now());
+  std::vector<CrashReport> reports = registry_.ReportsToCompare(hooks_.now());
   if (next_report_ >= reports.size()) {
     next_report_ = 0;
   }
--- a/src/entry/poison_control.h
+++ b/src/entry/poison_control.h
@@ -47,6 +47,10 @@
   core::Duration leader_store_timeout = std::chrono::milliseconds(1'200);
   core::Duration store_retry = std::chrono::milliseconds(1'000);
   core::Duration view_interval = std::chrono::milliseconds(500);
+  // Maximum number of updates that are applied and forwarded as they come,
+  // within one view interval. Further ones are collected until the next tick:
+  // when many targets end at once, each host reports some of their requests.
+  int max_immediate_updates = 10;
   // Maximum number of updates of other hosts that are forwarded within one view
   // interval. The rest is sent when digests are compared.
   int max_forwards = 20;
@@ -56,6 +60,15 @@
   size_t max_message_bytes = 128U << 10;
 };
 
+// Whether a host writes the reports to the store.
+enum class PoisonWriter {
+  // Others write for this host.
+  kNone,
+  // Writes what the leader does not confirm.
+  kSubstitute,
+  kLeader,
+};
+
 // Keeps the reports about requests that crash targets and shares them with the
 // other hosts in two independent ways: by messages, and by a record on the
 // store, which remains even if all hosts restart. All calls must be made on the
@@ -73,11 +86,11 @@
   void OnRecord(const std::string& value);
   // Takes the digest of the leader. If it equals the digest of this host, the
   // leader has the same reports and writes them to the store.
-  void OnLeaderDigest(std::uint32_t digest);
+  void OnLeaderDigest(const core::request::PoisonDigest& digest);
   void SetVersionsInUse(core::request::VersionsInUse versions_in_use);
-  void Tick(bool is_leader);
+  void Tick(PoisonWriter writer);
 
-  std::uint32_t Digest();
+  core::request::PoisonDigest Digest();
   // Encodes the reports as messages. If there are more than can be sent at
   // once, the next call continues with the others, so that a host that asks
   // repeatedly gets all of them.
@@ -88,7 +101,10 @@
   // Fingerprint of the request, and the target that crashed.
   using CrashId = std::pair<std::string, std::string>;
 
-  size_t Merge(const PoisonUpdate& update, PoisonUpdate& forward);
+  size_t Merge(const PoisonUpdate& update);
+  void ApplyIfImmediate();
+  void ApplyUpdates();
+  std::vector<core::request::CrashReport> ReportsToStore();
   void UpdateUnsaved();
   void Store(bool is_leader);
   void UpdateView();
@@ -103,6 +119,10 @@
   core::TimePoint next_store_at_{};
   bool storing_ = false;
   core::TimePoint view_updated_at_{};
+  int immediate_updates_ = 0;
+  // Reports that are in the registry, but not in the view yet, and that other
+  // hosts have not received from this one.
+  PoisonUpdate pending_;
   int forwards_ = 0;
   size_t message_bytes_ = 0;
   // Position in the list of reports at which the next messages begin.
--- a/src/entry/poison_json.cc
+++ b/src/entry/poison_json.cc
@@ -16,8 +16,6 @@
 constexpr char kPoisonUpdateTag = 'P';
 // Longer ids, names and versions of other hosts are not accepted.
 constexpr size_t kMaxTextBytes = 300;
-// Maximum number of crashes in a record of the store, which accepts 256 KB.
-constexpr size_t kMaxStored = 700;
 // Crashes that are older than this are not accepted.
 constexpr milliseconds kMaxAge{std::chrono::hours(24)};
 
@@ -142,7 +140,7 @@
   Json::Value value;
   Json::Value& list = value["crashes"] = Json::Value(Json::arrayValue);
   for (const CrashReport& it : crashes) {
-    if (list.size() >= kMaxStored) {
+    if (list.size() >= kMaxStoredCrashes) {
       break;
     }
     list.append(ToJson(it, (SinceEpoch(now) - AgeOf(it)).count()));
--- a/src/entry/poison_json.h
+++ b/src/entry/poison_json.h
@@ -37,6 +37,9 @@
 // about 16 KB.
 inline constexpr size_t kMaxUpdateReports = 128;
 
+// Maximum number of crashes in a record of the store, which accepts 256 KB.
+inline constexpr size_t kMaxStoredCrashes = 700;
+
 // Whether a datagram holds a PoisonUpdate.
 bool IsPoisonUpdate(const std::string& text);
 
--- a/tests/core/request/poison_registry_test.cc
+++ b/tests/core/request/poison_registry_test.cc
@@ -194,7 +194,7 @@
     return CrashReport{
         .key = {.fingerprint = "f"}, .target = target, .crash_limit = 3};
   };
-  CHECK(one.Digest(kStart) == 0);
+  CHECK(one.Digest(kStart) == PoisonDigest{});
   one.Report(crash("a"), kStart);
   other.Report(crash("b"), kStart);
   CHECK(one.Digest(kStart) != other.Digest(kStart));
--- a/tests/entry/peer_json_test.cc
+++ b/tests/entry/peer_json_test.cc
@@ -65,7 +65,7 @@
 // against datagrams that are accepted with wrong members.
 TEST_CASE("messages between hosts must arrive as they were sent") {
   const PeerHeartbeat answer{.is_answer = true,
-                             .poison_digest = 17,
+                             .poison_digest = {.all = 17, .repeated = 5},
                              .config = {.next = 3, .fresh = true},
                              .targets = {.next = 70},
                              .ownership = {.next = 9, .fresh = true},
@@ -75,13 +75,19 @@
                              .is_leader = true,
                              .substitutes = {"10.0.0.1:7620", "10.0.0.2:7620"}};
   CHECK(*DecodeHeartbeat(EncodeHeartbeat(answer)) == answer);
-  const PeerHeartbeat heartbeat{.store_lost = true,
-                                .poison_digest = 4'000'000'000,
-                                .store_up = std::chrono::milliseconds(40),
-                                .ownership_end = 5'000'000'000,
-                                .follows_receiver = true,
-                                .stamp = (9ULL << 40) + 7};
+  const PeerHeartbeat heartbeat{
+      .store_lost = true,
+      .poison_digest = {.all = 4'000'000'000, .only_repeated = true},
+      .store_up = std::chrono::milliseconds(40),
+      .ownership_end = 5'000'000'000,
+      .follows_receiver = true,
+      .stamp = (9ULL << 40) + 7};
   CHECK(*DecodeHeartbeat(EncodeHeartbeat(heartbeat)) == heartbeat);
+  PeerHeartbeat relay_answer = answer;
+  relay_answer.is_leader = false;
+  relay_answer.is_relay = true;
+  relay_answer.leader_digest = {.all = 9, .repeated = 8, .only_repeated = true};
+  CHECK(*DecodeHeartbeat(EncodeHeartbeat(relay_answer)) == relay_answer);
   CHECK_FALSE(DecodeHeartbeat("[1]").ok());
   CHECK_FALSE(DecodeHeartbeat("[1,2,3]").ok());
   CHECK_FALSE(DecodeHeartbeat("[1,4294967296]").ok());
--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -179,10 +179,11 @@
                 },
             .on_host_count = [&host](int n) { host.known_hosts = n; },
             .on_leader_lost = [] {},
-            .poison_digest = [] { return 1U; },
+            .poison_digest =
+                [] { return core::request::PoisonDigest{.all = 1}; },
             .poison_messages = [] { return std::vector<std::string>(); },
             .on_poison_update = [](const PoisonUpdate&, const std::string&) {},
-            .on_leader_digest = [](std::uint32_t) {}});
+            .on_leader_digest = [](const core::request::PoisonDigest&) {}});
     REQUIRE(host.relay->Start().ok());
     for (const auto& [stream, follower] : host.followers) {
       follower->Start(milliseconds(0));
--- a/tests/entry/poison_control_test.cc
+++ b/tests/entry/poison_control_test.cc
@@ -64,7 +64,8 @@
       now_ += kTick;
       ++ticks_;
       for (size_t n = 0; n < hosts_.size(); ++n) {
-        hosts_[n].control->Tick(n == 0);
+        hosts_[n].control->Tick(n == 0 ? PoisonWriter::kLeader
+                                       : PoisonWriter::kSubstitute);
         Read(n);
         if (ticks_ % kTicksPerHeartbeat == 0) {
           SendHeartbeats(n);
@@ -134,7 +135,8 @@
       return;
     }
     const auto compare = [this](size_t from, size_t to) {
-      if (control(from).Digest() != control(to).Digest()) {
+      if (!core::request::KnowSameCrashes(control(from).Digest(),
+                                          control(to).Digest())) {
         for (const std::string& it : control(from).Messages()) {
           Deliver(to, it);
         }
--- a/tests/platform_adapter/unknown_words_test.cc
+++ b/tests/platform_adapter/unknown_words_test.cc
@@ -191,7 +191,7 @@
     const auto heartbeat = entry::DecodeHeartbeat(R"([1,9,{"later":[7]}])");
     REQUIRE(heartbeat.ok());
     CHECK_FALSE(heartbeat->is_answer);
-    CHECK(heartbeat->poison_digest == 9);
+    CHECK(heartbeat->poison_digest.all == 9);
   }
 }
 
