Send nothing to a target that left while the connection opened

Cause: a connection whose first packet is dropped opens only when the kernel repeats it, after 1 s, 3 s or 7 s. Before the request was written, the host asked whether the target had declared that it leaves, not whether it is still listed. Change: a request is written to a new connection only if its target is listed; otherwise it has not run and goes elsewhere.

--- a/src/entry/dispatcher_availability.cc
+++ b/src/entry/dispatcher_availability.cc
@@ -30,8 +30,9 @@
       TargetConnectionHooks{
           .may_send =
               [this, instance = handle->target.entry.instance] {
-                return !notices_.IsUnavailable(
-                    instance, std::chrono::steady_clock::now());
+                return handles_.contains(instance) &&
+                       !notices_.IsUnavailable(
+                           instance, std::chrono::steady_clock::now());
               },
           .on_notice =
               [this, weak](const TargetNotice& notice) {
--- a/tests/entry/dispatcher_test.cc
+++ b/tests/entry/dispatcher_test.cc
@@ -9,11 +9,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "http/raw_target.h"
+#include "support/slow_listener.h"
 
 namespace toucandock::entry {
 namespace {
@@ -74,20 +76,28 @@
                                      .slots = 4}}};
     view->ownership["s"] = {
         .service = "s", .assignments = {{.owner = instance, .serving = true}}};
+    unlisted_view_ = std::make_shared<RoutingView>(*view);
+    unlisted_view_->targets.clear();
     dispatcher_.SetView(std::move(view));
   }
 
+  // Applies a list without the target.
+  void RemoveTarget() { dispatcher_.SetView(unlisted_view_); }
+
+  // Starts one request, whose result is stored in `result`.
+  void Start(std::optional<CallerAnswer>& result) {
+    dispatcher_.Start(
+        MakeRequest(), "127.0.0.1", steady_clock::now(),
+        [&result](CallerAnswer answer) { result = std::move(answer); });
+  }
+
   // Starts all requests at once and waits until each has a response or an
   // error, for at most 5 s.
   std::vector<CallerAnswer> Send(int requests) {
     std::vector<CallerAnswer> answers;
     for (int n = 0; n < requests; ++n) {
-      net::HttpRequest request{beast_http::verb::get, "/x", 11};
-      request.set(beast_http::field::host, "h");
-      request.set("Id", absl::StrCat("r", ++sent_));
-      request.set("Key", "7");
       dispatcher_.Start(
-          std::move(request), "127.0.0.1", steady_clock::now(),
+          MakeRequest(), "127.0.0.1", steady_clock::now(),
           [&](CallerAnswer answer) { answers.push_back(std::move(answer)); });
     }
     const auto limit = steady_clock::now() + milliseconds(5'000);
@@ -106,8 +116,17 @@
   }
 
  private:
+  net::HttpRequest MakeRequest() {
+    net::HttpRequest request{beast_http::verb::get, "/x", 11};
+    request.set(beast_http::field::host, "h");
+    request.set("Id", absl::StrCat("r", ++sent_));
+    request.set("Key", "7");
+    return request;
+  }
+
   boost::asio::io_context io_;
   Dispatcher dispatcher_;
+  std::shared_ptr<RoutingView> unlisted_view_;
   int sent_ = 0;
 };
 
@@ -232,4 +251,26 @@
   CHECK(target.connections() == 2);
 }
 
+// Guards against requests that reach a target long after it has left, because
+// the connection to it took that long to open (DRAIN).
+TEST_CASE("a target that has left must get no request on a late connection") {
+  support::SlowListener target;
+  SingleTargetFixture host(target.address());
+  std::optional<CallerAnswer> result;
+  host.Start(result);
+  // The first packet of the connection has been dropped by then.
+  host.RunUntil([begin = steady_clock::now()] {
+    return steady_clock::now() - begin > milliseconds(100);
+  });
+  host.RemoveTarget();
+  size_t bytes = 0;
+  std::thread accepting([&] { bytes = target.Accept(milliseconds(2'500)); });
+  host.RunUntil([&result] { return result.has_value(); });
+  accepting.join();
+  CHECK(bytes == 0);
+  REQUIRE(result.has_value());
+  // Nothing was sent, so the caller learns that the request has not run.
+  CHECK(result->error == core::ErrorKind::kOwnerUnavailable);
+}
+
 }  // namespace toucandock::entry
