Give up a connection to a target that does not open in time

Seen by callers: requests to a target that lost power, or whose queue of new connections is full, wait until their deadline and fail. Cause: opening a connection had no time limit of its own. The kernel repeats a lost packet after 1 s, 3 s and 7 s, later than a new attempt elsewhere. Change: after 600 ms the attempt ends as not sent, which costs no attempt and no retry, and pauses the target as any failed connect does. Result: the new test failed (still connecting after 1 s) and passes; the tests of src/entry pass.

--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -33,6 +33,10 @@
 // target in another failure domain arrives. A request that was not sent has
 // certainly not run and can go elsewhere.
 constexpr std::chrono::milliseconds kRejectionWait{5};
+// Targets accept connections within milliseconds. Past this time, the first
+// packet is lost, which the kernel sends again only after 1 s, or the target is
+// gone; a request that was not sent can go elsewhere.
+constexpr std::chrono::milliseconds kConnectLimit{600};
 // A body of up to this length fits into the buffers between host and target, so
 // that the target acknowledges it also while it does not read.
 constexpr size_t kBufferedBodyBytes = 64U << 10;
@@ -124,7 +128,7 @@
                                    std::shared_ptr<AnswerMemory> memory,
                                    TargetConnectionHooks hooks)
     : socket_(io),
-      rejection_timer_(io),
+      opening_timer_(io),
       target_(std::move(target)),
       names_(names),
       memory_(std::move(memory)),
@@ -147,7 +151,17 @@
     Write();
     return;
   }
+  is_connecting_ = true;
+  opening_timer_.expires_after(kConnectLimit);
+  opening_timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (!ec && self->is_connecting_) {
+      error_code ignored;
+      self->socket_.close(ignored);
+    }
+  });
   socket_.async_connect(target_, [self = shared_from_this()](error_code ec) {
+    self->is_connecting_ = false;
+    self->opening_timer_.cancel();
     if (!self->handler_) {
       return;
     }
@@ -163,15 +177,15 @@
 }
 
 void TargetConnection::AwaitRejection() {
-  rejection_timer_.expires_after(kRejectionWait);
-  rejection_timer_.async_wait([self = shared_from_this()](error_code ec) {
+  opening_timer_.expires_after(kRejectionWait);
+  opening_timer_.async_wait([self = shared_from_this()](error_code ec) {
     if (!ec && self->socket_.is_open()) {
       self->socket_.cancel();
     }
   });
   socket_.async_wait(
       net::Tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
-        self->rejection_timer_.cancel();
+        self->opening_timer_.cancel();
         if (!self->handler_) {
           return;
         }
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -135,7 +135,9 @@
   TargetAnswer ClassifyResponse(net::HttpResponse response) const;
 
   net::Tcp::socket socket_;
-  boost::asio::steady_timer rejection_timer_;
+  // Limits the time to connect, and then the wait for a rejection.
+  boost::asio::steady_timer opening_timer_;
+  bool is_connecting_ = false;
   const net::Tcp::endpoint target_;
   const net::HeaderNames& names_;
   const std::shared_ptr<AnswerMemory> memory_;
--- a/tests/entry/target_connection_test.cc
+++ b/tests/entry/target_connection_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "http/raw_target.h"
+#include "support/slow_listener.h"
 
 namespace toucandock::entry {
 namespace {
@@ -183,6 +184,27 @@
   }
 }
 
+// Guards against requests that wait until their deadline for a target which no
+// longer runs or whose queue of new connections is full.
+TEST_CASE("a request must not wait for a connection that does not open") {
+  support::SlowListener target;
+  boost::asio::io_context io;
+  const net::HeaderNames names = Names();
+  const auto connection = std::make_shared<TargetConnection>(
+      io, *net::ParseEndpoint(target.address()), names,
+      std::make_shared<AnswerMemory>());
+  net::HttpRequest request{beast_http::verb::get, "/x", 11};
+  request.set("Id", "mine");
+  TargetAnswer result;
+  connection->Send(std::move(request),
+                   [&](TargetAnswer answer) { result = std::move(answer); });
+  // The latency goals of the users' requests begin at 300 ms, those of their
+  // large fleets at 500 ms; requests wait for at least 1.2 s.
+  io.run_for(milliseconds(1'000));
+  CHECK(result.end == AttemptEnd::kNotSent);
+  CHECK(result.cause == AttemptCause::kConnectFailed);
+}
+
 TEST_CASE("an attempt must report why its connection ended without an answer") {
   const auto serve = [](bool answers, milliseconds delay,
                         const std::string& part) {
