Leave the record of crashes to a leader that answers

Cause: members wrote their reports after 1.2 s although the leader answered; it needs longer to collect the reports of all hosts. 160 records of 12 KB in 5 s, each read by all hosts. Change: a member that hears from the leader waits 5 s for its confirmation, as long as before only without a leader; of many single crashes, 32 are stored.

--- a/src/core/request/poison_registry.cc
+++ b/src/core/request/poison_registry.cc
@@ -108,7 +108,7 @@
   return ReportsIf(now, [&](const Suspect& it) {
     return !only_repeated || IsRepeated(it.crashes.size()) ||
            (it.last_crash + options_.single_crash_store_time > now &&
-            ++singles <= options_.max_compared_single_crashes);
+            ++singles <= options_.max_stored_single_crashes);
   });
 }
 
--- a/src/core/request/poison_registry.h
+++ b/src/core/request/poison_registry.h
@@ -77,8 +77,10 @@
   // hosts only compare and store the crashes of the others: hosts that each
   // keep a different part would exchange these parts without end.
   size_t max_compared_single_crashes = 128;
-  // Single crashes are stored all the same while they are newer than this, the
-  // time in which further crashes of the same request are reported.
+  // Of more single crashes than that, the latest are stored, while they are
+  // newer than this: the time in which further crashes of the same request are
+  // reported.
+  size_t max_stored_single_crashes = 32;
   Duration single_crash_store_time = std::chrono::seconds(3);
 };
 
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -784,7 +784,9 @@
   if (answer.is_leader) {
     last_answer_.leader_digest = answer.poison_digest;
   }
-  hooks_.on_leader_digest(last_answer_.leader_digest);
+  if (answer.is_leader || answer.leader_reachable) {
+    hooks_.on_leader_digest(last_answer_.leader_digest);
+  }
   substitutes_ = answer.substitutes;
   tracker_.SetSubstitute(std::find(substitutes_.begin(), substitutes_.end(),
                                    address()) != substitutes_.end());
--- a/src/entry/poison_control.cc
+++ b/src/entry/poison_control.cc
@@ -178,6 +178,7 @@
 }
 
 void PoisonControl::OnLeaderDigest(const core::request::PoisonDigest& digest) {
+  leader_heard_at_ = hooks_.now();
   if (unsaved_since_ && core::request::KnowSameCrashes(digest, Digest())) {
     unsaved_since_ = hooks_.now();
   }
@@ -199,20 +200,27 @@
     immediate_updates_ = 0;
     message_bytes_ = 0;
   }
-  const bool is_leader = writer == PoisonWriter::kLeader;
-  const core::Duration wait =
-      is_leader ? options_.store_batch : options_.leader_store_timeout;
   if (writer == PoisonWriter::kNone || !unsaved_since_ || storing_ ||
-      now < next_store_at_ || now - *unsaved_since_ < wait) {
+      now < next_store_at_ || now - *unsaved_since_ < StoreDelay(writer)) {
     return;
   }
   // Single crashes need not be stored any more after some time.
   UpdateUnsaved();
   if (unsaved_since_) {
-    Store(is_leader);
+    Store(writer == PoisonWriter::kLeader);
   }
 }
 
+// Returns how long reports may remain unsaved before this host writes them.
+core::Duration PoisonControl::StoreDelay(PoisonWriter writer) const {
+  if (writer == PoisonWriter::kLeader) {
+    return options_.store_batch;
+  }
+  const bool hears_leader =
+      hooks_.now() - leader_heard_at_ < options_.leader_timeout;
+  return hears_leader ? options_.confirmation_timeout : options_.leader_timeout;
+}
+
 void PoisonControl::Store(bool is_leader) {
   const std::vector<CrashReport> reports = ReportsToStore();
   std::set<CrashId> crash_ids;
--- a/src/entry/poison_control.h
+++ b/src/entry/poison_control.h
@@ -41,10 +41,14 @@
       .safe_contents = {.max_entries = 1'024}};
   // Crashes that are reported within this time are written by one call.
   core::Duration store_batch = std::chrono::milliseconds(150);
-  // A host writes the reports itself if the leader has not confirmed within
-  // this time that it has them. Including the time in which the others read the
-  // record, all hosts have them within 3 s.
-  core::Duration leader_store_timeout = std::chrono::milliseconds(1'200);
+  // A host writes the reports itself if it has not heard from the leader for
+  // this long. Including the time in which the others read the record, all
+  // hosts have them within 3 s.
+  core::Duration leader_timeout = std::chrono::milliseconds(1'200);
+  // The same if it hears from the leader, but the leader has not confirmed that
+  // it has these reports. After a loss of many targets, the leader needs some
+  // time to collect the reports of all hosts.
+  core::Duration confirmation_timeout = std::chrono::milliseconds(5'000);
   core::Duration store_retry = std::chrono::milliseconds(1'000);
   core::Duration view_interval = std::chrono::milliseconds(500);
   // Maximum number of updates that are applied and forwarded as they come,
@@ -84,8 +88,8 @@
   size_t OnPeerUpdate(const PoisonUpdate& update);
   // Takes the newest record on the store.
   void OnRecord(const std::string& value);
-  // Takes the digest of the leader. If it equals the digest of this host, the
-  // leader has the same reports and writes them to the store.
+  // Takes the digest that the leader has just sent. If it shows that the leader
+  // has the same reports as this host, the leader writes them to the store.
   void OnLeaderDigest(const core::request::PoisonDigest& digest);
   void SetVersionsInUse(core::request::VersionsInUse versions_in_use);
   void Tick(PoisonWriter writer);
@@ -106,6 +110,7 @@
   void ApplyUpdates();
   std::vector<core::request::CrashReport> ReportsToStore();
   void UpdateUnsaved();
+  core::Duration StoreDelay(PoisonWriter writer) const;
   void Store(bool is_leader);
   void UpdateView();
 
@@ -116,6 +121,7 @@
   // The crashes in the newest record on the store.
   std::set<CrashId> stored_crashes_;
   std::optional<core::TimePoint> unsaved_since_;
+  core::TimePoint leader_heard_at_{core::Duration::min() / 2};
   core::TimePoint next_store_at_{};
   bool storing_ = false;
   core::TimePoint view_updated_at_{};
--- a/tests/entry/poison_control_test.cc
+++ b/tests/entry/poison_control_test.cc
@@ -368,6 +368,14 @@
     }
   }
 
+  SUBCASE("while hosts learn of each other's reports only bit by bit") {
+    hosts.drops_broadcasts = true;
+    end_targets();
+    hosts.Advance(seconds(kSeconds));
+    CHECK(hosts.record_bytes() <= kSeconds * kControlBytesPerSecond);
+    CHECK(hosts.message_bytes <= kHosts * kSeconds * kControlBytesPerSecond);
+  }
+
   SUBCASE("while the messages between hosts are lost") {
     hosts.peers_unreachable = true;
     end_targets();
