Keep a crash report cheap when there are many suspects

Cause: each report searched all suspects for expired ones, and with a full registry all of them again for the one to remove; each of the first 10 updates in 0.5 s made a new view. Change: nothing is searched before the first suspect can expire, a sixteenth of a full registry is removed at a time, and 4 updates in 0.5 s are applied singly.

--- a/src/core/request/poison_registry.cc
+++ b/src/core/request/poison_registry.cc
@@ -225,21 +225,34 @@
                    [at](const Crash& crash) { return crash.at > at; });
   suspect.crashes.insert(later, {report, at});
   suspect.last_crash = suspect.crashes.back().at;
+  first_expiry_ = std::min(first_expiry_, ExpiryOf(suspect));
   return true;
 }
 
-// Removes the suspect with the fewest crashes, the oldest one among these; at
-// worst, its request crashes more targets. Each request is kept under up to two
-// names: its content and its id.
+// Removes the suspects with the fewest crashes, the oldest ones among these; at
+// worst, their requests crash more targets. Each request is kept under up to
+// two names: its content and its id.
 void PoisonRegistry::EvictIfFull() {
   if (suspects_.size() < 2 * options_.max_requests) {
     return;
   }
-  suspects_.erase(std::min_element(
-      suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
-        return std::pair(a.second.crashes.size(), a.second.last_crash) <
-               std::pair(b.second.crashes.size(), b.second.last_crash);
-      }));
+  // Several at a time, since the search takes as long for one of them.
+  constexpr size_t kPartEvicted = 16;
+  std::vector<decltype(suspects_)::iterator> candidates;
+  for (auto it = suspects_.begin(); it != suspects_.end(); ++it) {
+    candidates.push_back(it);
+  }
+  const auto end =
+      candidates.begin() + static_cast<std::ptrdiff_t>(std::max<size_t>(
+                               1, candidates.size() / kPartEvicted));
+  std::partial_sort(
+      candidates.begin(), end, candidates.end(), [](auto a, auto b) {
+        return std::pair(a->second.crashes.size(), a->second.last_crash) <
+               std::pair(b->second.crashes.size(), b->second.last_crash);
+      });
+  for (auto it = candidates.begin(); it != end; ++it) {
+    suspects_.erase(*it);
+  }
 }
 
 bool PoisonRegistry::IsOverLimit(const std::string& name, TimePoint now) const {
@@ -263,15 +276,27 @@
          !it->second.empty() && !it->second.contains(target_version.version);
 }
 
+// Does nothing before the first suspect can expire, as this is called with each
+// report.
 void PoisonRegistry::Expire(TimePoint now) {
+  if (now < first_expiry_) {
+    return;
+  }
+  first_expiry_ = TimePoint::max();
   std::erase_if(suspects_, [&](const auto& it) {
-    const Suspect& suspect = it.second;
-    const bool was_blocked =
-        ReachesLimit(suspect.crashes.size(), suspect.crashes.back().report);
-    return suspect.last_crash +
-               (was_blocked ? options_.retention : options_.block_duration) <=
-           now;
+    const TimePoint expiry = ExpiryOf(it.second);
+    if (expiry > now) {
+      first_expiry_ = std::min(first_expiry_, expiry);
+    }
+    return expiry <= now;
   });
 }
 
+TimePoint PoisonRegistry::ExpiryOf(const Suspect& suspect) const {
+  const bool was_blocked =
+      ReachesLimit(suspect.crashes.size(), suspect.crashes.back().report);
+  return suspect.last_crash +
+         (was_blocked ? options_.retention : options_.block_duration);
+}
+
 }  // namespace toucandock::core::request
--- a/src/core/request/poison_registry.h
+++ b/src/core/request/poison_registry.h
@@ -161,9 +161,12 @@
   bool IsOverLimit(const Suspect& suspect, TimePoint now) const;
   bool IsReplaced(const TargetVersion& target_version) const;
   void Expire(TimePoint now);
+  TimePoint ExpiryOf(const Suspect& suspect) const;
 
   const PoisonOptions options_;
   std::map<std::string, Suspect> suspects_;
+  // No suspect expires before.
+  TimePoint first_expiry_ = TimePoint::max();
   SafeContents safe_contents_;
   VersionsInUse versions_in_use_;
 };
--- a/src/entry/poison_control.h
+++ b/src/entry/poison_control.h
@@ -54,7 +54,7 @@
   // Maximum number of updates that are applied and forwarded as they come,
   // within one view interval. Further ones are collected until the next tick:
   // when many targets end at once, each host reports some of their requests.
-  int max_immediate_updates = 10;
+  int max_immediate_updates = 4;
   // Maximum number of updates of other hosts that are forwarded within one view
   // interval. The rest is sent when digests are compared.
   int max_forwards = 20;
