Keep the relays of a leader that is too busy to hear its fleet

Cause: a leader that reads its messages late counts the hosts that it has not heard for 2 s as lost. It then dismisses the relays, so that all hosts ask it directly, and tells all hosts that they are few, which makes each host's share of connections and retries too large. Change: time in which a host did not run does not count as the silence of others; after a drop to less than half, the leader keeps its relays and reports the larger number for 10 s. Result: two new tests; the tests of src/core/relay and src/entry pass.

--- a/src/core/relay/relay_tree.cc
+++ b/src/core/relay/relay_tree.cc
@@ -16,6 +16,22 @@
                      [&](const Relay& it) { return it.address == address; });
 }
 
+// Adds a count and removes those that are older than the window.
+void AddCount(int count,
+              TimePoint now,
+              Duration window,
+              std::deque<std::pair<TimePoint, int>>& counts) {
+  counts.emplace_back(now, count);
+  while (counts.front().first + window < now) {
+    counts.pop_front();
+  }
+}
+
+bool HasSmallerCount(const std::pair<TimePoint, int>& a,
+                     const std::pair<TimePoint, int>& b) {
+  return a.second < b.second;
+}
+
 size_t WantedRelays(size_t present, int hosts, const TreeOptions& options) {
   const double limit = options.max_direct_hosts *
                        (present > 0 ? options.dismissal_fraction : 1.0);
@@ -77,15 +93,25 @@
 
 int FleetSize::Add(int count, TimePoint now) {
   // Longer than the lifetime of a heartbeat, 2 s.
-  constexpr Duration kWindow = std::chrono::milliseconds(2'500);
-  counts_.emplace_back(now, count);
-  while (counts_.front().first + kWindow < now) {
-    counts_.pop_front();
-  }
-  return std::min_element(
-             counts_.begin(), counts_.end(),
-             [](const auto& a, const auto& b) { return a.second < b.second; })
-      ->second;
+  constexpr Duration kCountWindow = std::chrono::milliseconds(2'500);
+  // Several times the time after which a host that is not heard is not counted.
+  constexpr Duration kSizeWindow = std::chrono::seconds(10);
+  AddCount(count, now, kCountWindow, counts_);
+  const int size =
+      std::min_element(counts_.begin(), counts_.end(), HasSmallerCount)->second;
+  AddCount(size, now, kSizeWindow, sizes_);
+  return size;
+}
+
+int FleetSize::largest() const {
+  return sizes_.empty()
+             ? 0
+             : std::max_element(sizes_.begin(), sizes_.end(), HasSmallerCount)
+                   ->second;
+}
+
+bool FleetSize::HasDropped() const {
+  return !sizes_.empty() && 2 * sizes_.back().second < largest();
 }
 
 void RelayChoice::SetRelays(std::vector<Relay> relays) {
--- a/src/core/relay/relay_tree.h
+++ b/src/core/relay/relay_tree.h
@@ -34,9 +34,18 @@
  public:
   // Returns the size with the new count.
   int Add(int count, TimePoint now);
+  // The largest size of the last seconds.
+  int largest() const;
+  // Whether the fleet has just shrunk to less than half. A leader that is too
+  // busy to hear its hosts counts as few as one that has lost them, so it keeps
+  // its relays at first: without them, it would have more to do.
+  bool HasDropped() const;
 
  private:
-  std::deque<std::pair<TimePoint, int>> counts_;
+  using Counts = std::deque<std::pair<TimePoint, int>>;
+
+  Counts counts_;
+  Counts sizes_;
 };
 
 struct Relay {
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -140,6 +140,7 @@
       start_number_(std::random_device{}() & kStampNumberMask),
       tracker_(options, started_),
       profile_(std::move(profile)),
+      running_time_(kMaxTickDelay, started_),
       load_timer_(io),
       push_timer_(io) {
   for (const Stream stream : kStreams) {
@@ -352,9 +353,19 @@
   return hosts;
 }
 
+// The number of hosts on which the leader bases their shares of what all of
+// them have in common. Too small a number would make the shares too large.
+int PeerRelay::FleetHosts() const {
+  const int hosts = CountHosts();
+  return hooks_.is_source() && fleet_size_.HasDropped()
+             ? std::max(hosts, fleet_size_.largest())
+             : hosts;
+}
+
 void PeerRelay::ExpireSenders(core::TimePoint now) {
-  std::erase_if(heartbeat_senders_, [now](const auto& it) {
-    return now - it.second.last_received > kHeartbeatLifetime;
+  const core::TimePoint running_time = running_time_.At(now);
+  std::erase_if(heartbeat_senders_, [running_time](const auto& it) {
+    return running_time - it.second.last_received > kHeartbeatLifetime;
   });
 }
 
@@ -377,11 +388,12 @@
                    .failure_domain = it.profile.failure_domain},
          .capacity = it.profile.capacity});
   }
-  const int hosts = CountHosts();
-  hooks_.on_host_count(hosts);
-  SetRelays(core::relay::AppointRelays(relay_choice_->relays(), candidates,
-                                       fleet_size_.Add(hosts, now),
-                                       kTreeOptions));
+  const int size = fleet_size_.Add(CountHosts(), now);
+  hooks_.on_host_count(FleetHosts());
+  if (!fleet_size_.HasDropped()) {
+    SetRelays(core::relay::AppointRelays(relay_choice_->relays(), candidates,
+                                         size, kTreeOptions));
+  }
   for (auto& [endpoint, it] : heartbeat_senders_) {
     it.is_relay = relay_choice_->IsAmongRelays(ToString(endpoint));
   }
@@ -412,6 +424,7 @@
     stall_ended_at_ = now;
   }
   heartbeat_at_ = now;
+  running_time_.OnTick(now);
   ExpireSenders(now);
   UpdateFollowers();
   ReadOverdueStreams(now);
@@ -587,7 +600,7 @@
   const core::TimePoint now = LeaseClockNow();
   ExpireSenders(now);
   heartbeat_senders_[sender_] = {
-      .last_received = now,
+      .last_received = running_time_.At(now),
       .store_lost = heartbeat.store_lost,
       .is_member = heartbeat.is_member,
       .is_relay = relay_choice_->IsAmongRelays(ToString(sender_)),
@@ -646,7 +659,7 @@
                        .config = StateOf(Stream::kConfig),
                        .targets = StateOf(Stream::kTargets),
                        .ownership = StateOf(Stream::kOwnership),
-                       .hosts = CountHosts(),
+                       .hosts = FleetHosts(),
                        .is_leader = hooks_.is_source()};
   if (answer.is_leader) {
     answer.substitutes = ChooseSubstitutes();
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -20,6 +20,7 @@
 #include "core/keyspace/key_samples.h"
 #include "core/keyspace/outage_evidence.h"
 #include "core/relay/relay_tree.h"
+#include "core/relay/running_time.h"
 #include "core/relay/source_tracker.h"
 #include "core/relay/stream_freshness.h"
 #include "core/time.h"
@@ -171,6 +172,7 @@
   void AppointRelays();
   void SetRelays(std::vector<core::relay::Relay> relays);
   int CountHosts() const;
+  int FleetHosts() const;
   bool IsRelay() const;
   std::optional<std::string> OwnRelay(core::TimePoint now) const;
   bool ServesOthers() const;
@@ -246,6 +248,7 @@
   std::optional<core::relay::RelayChoice> relay_choice_;
   std::uint32_t relays_version_ = 0;
   core::relay::FleetSize fleet_size_;
+  core::relay::RunningTime running_time_;
   // Since when this host has been the source of all others.
   std::optional<core::TimePoint> source_since_;
   // Last answer of the leader or relay, and the time of the last fresh one.
--- a/tests/core/relay/relay_tree_test.cc
+++ b/tests/core/relay/relay_tree_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "absl/strings/str_cat.h"
+#include "core/relay/running_time.h"
 
 namespace toucandock::core::relay {
 namespace {
@@ -181,4 +182,71 @@
   CHECK(AppointRelays(relays, Hosts(18), 18, {}).empty());
 }
 
+// Seen on wds-gateway-large with slow hosts: a leader that was too busy to read
+// its messages counted 7 of 195 hosts, dismissed all relays and then had to
+// serve every host by itself.
+TEST_CASE("a leader that hears few hosts must not dismiss its relays at once") {
+  FleetSize size;
+  TimePoint now = kStart;
+  const auto count = [&](int hosts, Duration time) {
+    for (const TimePoint end = now + time; now < end;
+         now += milliseconds(300)) {
+      size.Add(hosts, now);
+    }
+  };
+  count(195, seconds(5));
+  CHECK_FALSE(size.HasDropped());
+
+  SUBCASE("it does not hear most of them for some seconds") {
+    count(7, seconds(6));
+    CHECK(size.HasDropped());
+    CHECK(size.largest() == 195);
+
+    SUBCASE("and hears them again") {
+      count(195, seconds(6));
+      CHECK_FALSE(size.HasDropped());
+    }
+
+    SUBCASE("and never hears them again, so the fleet is small") {
+      count(7, seconds(10));
+      CHECK_FALSE(size.HasDropped());
+      CHECK(size.largest() == 7);
+    }
+  }
+
+  SUBCASE("some hosts leave") {
+    count(120, seconds(6));
+    CHECK_FALSE(size.HasDropped());
+  }
+}
+
+// Guards against a host that takes all others for lost because it did not run
+// itself.
+TEST_CASE("the silence of others must not count while this host did not run") {
+  RunningTime time(milliseconds(600), kStart);
+  for (int n = 0; n < 10; ++n) {
+    time.OnTick(kStart + n * milliseconds(300));
+  }
+  const TimePoint heard = kStart + milliseconds(2'700);
+  const auto silence = [&](TimePoint now) {
+    return time.At(now) - time.At(heard);
+  };
+  CHECK(silence(heard + milliseconds(300)) == milliseconds(300));
+
+  SUBCASE("it stalls for 5 s") {
+    const TimePoint resumed = heard + seconds(5);
+    const Duration heard_before = time.At(heard) - kStart;
+    // A message that is read before the next tick.
+    CHECK(time.At(resumed) - kStart - heard_before == milliseconds(600));
+    time.OnTick(resumed);
+    CHECK(time.At(resumed) - kStart - heard_before == milliseconds(600));
+
+    SUBCASE("and runs again") {
+      const TimePoint later = resumed + milliseconds(300);
+      time.OnTick(later);
+      CHECK(time.At(later) - kStart - heard_before == milliseconds(900));
+    }
+  }
+}
+
 }  // namespace toucandock::core::relay
