Count a host once while it changes its relay

Cause: a host that changes from the leader or a relay to another relay was counted by both for 2 s. With many changes the leader counted up to 988 of 195 hosts, appointed up to 27 relays instead of 14, and so caused more changes. Change: a host tells the one that has counted it until now that another does.

--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -431,6 +431,7 @@
   AppointRelays();
   relay_choice_->OnAsked(now);
   const auto relay = OwnRelay(now);
+  LeaveEarlierRelay(relay);
   const bool leader_lost = tracker_.IsLeaderLost(now);
   if (relay) {
     SendHeartbeat(*relay, 1);
@@ -453,6 +454,23 @@
   });
 }
 
+// Tells the host that has counted this one until now that another one does, so
+// that the fleet does not seem larger than it is while hosts change relays.
+void PeerRelay::LeaveEarlierRelay(const std::optional<std::string>& relay) {
+  const std::optional<std::string> earlier =
+      std::exchange(counted_by_relay_, relay);
+  if (relay == earlier) {
+    return;
+  }
+  if (earlier) {
+    SendHeartbeat(*earlier, 0);
+    return;
+  }
+  for (const std::string& address : hooks_.sources()) {
+    SendHeartbeat(address, 0);
+  }
+}
+
 void PeerRelay::AskLeader() {
   if (hooks_.is_source() || IsLeaderReachable()) {
     return;
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -172,6 +172,7 @@
   void AppointRelays();
   void SetRelays(std::vector<core::relay::Relay> relays);
   int CountHosts() const;
+  void LeaveEarlierRelay(const std::optional<std::string>& relay);
   int FleetHosts() const;
   bool IsRelay() const;
   std::optional<std::string> OwnRelay(core::TimePoint now) const;
@@ -247,6 +248,8 @@
   // Set once the address of this host is known.
   std::optional<core::relay::RelayChoice> relay_choice_;
   std::uint32_t relays_version_ = 0;
+  // The relay that counts this host; nothing if the leader does.
+  std::optional<std::string> counted_by_relay_;
   core::relay::FleetSize fleet_size_;
   core::relay::RunningTime running_time_;
   // Since when this host has been the source of all others.
--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -409,6 +409,20 @@
     }
   }
 
+  SUBCASE("a host that changes its relay is not counted twice") {
+    fleet.MakeRelayLeave();
+    // Hosts learn of the other relays with one heartbeat, and the leader of the
+    // hosts of each relay with up to two more.
+    fleet.Run(milliseconds(1'300));
+    // Until the next heartbeat of its earlier relay, a host may count twice.
+    int fewest = 2 * kHosts;
+    for (int n = 0; n < 7; ++n) {
+      fleet.Run(milliseconds(100));
+      fewest = std::min(fewest, fleet.known_hosts(kHosts - 1));
+    }
+    CHECK(fewest <= kHosts);
+  }
+
   SUBCASE("load reports arrive summed up, and none is lost or counted twice") {
     const int before = fleet.load_reports();
     const size_t keys = fleet.keys();
