Let a new leader keep the relays of its predecessor

Cause: a new leader appoints relays for the hosts that it has heard. It hears them one by one, on a slow host later than the 1 s after which it appoints, so it dismissed all relays of a fleet of 195 hosts. Change: for its first 10 s, a leader assumes as many hosts as the present relays are made for; relays that are lost are replaced as before. Result: a new section; the tests of src/core/relay and src/entry pass.

--- a/src/core/relay/relay_tree.cc
+++ b/src/core/relay/relay_tree.cc
@@ -11,6 +11,9 @@
 namespace toucandock::core::relay {
 namespace {
 
+// Several times the time after which a host that is not heard is not counted.
+constexpr Duration kSizeWindow = std::chrono::seconds(10);
+
 bool Contains(const std::vector<Relay>& relays, const std::string& address) {
   return std::any_of(relays.begin(), relays.end(),
                      [&](const Relay& it) { return it.address == address; });
@@ -94,8 +97,9 @@
 int FleetSize::Add(int count, TimePoint now) {
   // Longer than the lifetime of a heartbeat, 2 s.
   constexpr Duration kCountWindow = std::chrono::milliseconds(2'500);
-  // Several times the time after which a host that is not heard is not counted.
-  constexpr Duration kSizeWindow = std::chrono::seconds(10);
+  if (counts_.empty() || counts_.back().first + kCountWindow < now) {
+    counted_since_ = now;
+  }
   AddCount(count, now, kCountWindow, counts_);
   const int size =
       std::min_element(counts_.begin(), counts_.end(), HasSmallerCount)->second;
@@ -110,6 +114,11 @@
                    ->second;
 }
 
+bool FleetSize::HasSettled() const {
+  return !counts_.empty() &&
+         counts_.back().first - counted_since_ >= kSizeWindow;
+}
+
 bool FleetSize::HasDropped() const {
   return !sizes_.empty() && 2 * sizes_.back().second < largest();
 }
--- a/src/core/relay/relay_tree.h
+++ b/src/core/relay/relay_tree.h
@@ -40,10 +40,16 @@
   // busy to hear its hosts counts as few as one that has lost them, so it keeps
   // its relays at first: without them, it would have more to do.
   bool HasDropped() const;
+  // Whether hosts have been counted long enough to say that they are few. A new
+  // leader hears them one by one, and at first the relays of its predecessor.
+  bool HasSettled() const;
 
  private:
   using Counts = std::deque<std::pair<TimePoint, int>>;
 
+  // Since when counts have been added without a gap.
+  TimePoint counted_since_{};
+
   Counts counts_;
   Counts sizes_;
 };
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -388,11 +388,16 @@
                    .failure_domain = it.profile.failure_domain},
          .capacity = it.profile.capacity});
   }
-  const int size = fleet_size_.Add(CountHosts(), now);
+  int size = fleet_size_.Add(CountHosts(), now);
   hooks_.on_host_count(FleetHosts());
+  const std::vector<core::relay::Relay>& relays = relay_choice_->relays();
+  if (!fleet_size_.HasSettled()) {
+    // As many hosts as the present relays are made for.
+    size = std::max(size, static_cast<int>(relays.size() * relays.size()));
+  }
   if (!fleet_size_.HasDropped()) {
-    SetRelays(core::relay::AppointRelays(relay_choice_->relays(), candidates,
-                                         size, kTreeOptions));
+    SetRelays(
+        core::relay::AppointRelays(relays, candidates, size, kTreeOptions));
   }
   for (auto& [endpoint, it] : heartbeat_senders_) {
     it.is_relay = relay_choice_->IsAmongRelays(ToString(endpoint));
--- a/tests/core/relay/relay_tree_test.cc
+++ b/tests/core/relay/relay_tree_test.cc
@@ -214,6 +214,21 @@
     }
   }
 
+  SUBCASE("it has just become the leader, and hears them one by one") {
+    FleetSize size_of_new_leader;
+    size_of_new_leader.Add(5, now);
+    CHECK_FALSE(size_of_new_leader.HasSettled());
+    CHECK_FALSE(size.HasSettled());
+    count(195, seconds(6));
+    CHECK(size.HasSettled());
+
+    SUBCASE("as after some time in which another host was the leader") {
+      now += seconds(20);
+      size.Add(5, now);
+      CHECK_FALSE(size.HasSettled());
+    }
+  }
+
   SUBCASE("some hosts leave") {
     count(120, seconds(6));
     CHECK_FALSE(size.HasDropped());
