Do not count hosts that only ask a substitute

Cause: while the leader is lost, each host sends heartbeats to all four substitutes, which counted it as theirs. 14 relays with 13 hosts each, and four of them with 190 more, give the 944 hosts that the leader counted. Change: these heartbeats ask not to be counted.

--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -447,8 +447,9 @@
     }
   }
   if (!relay && leader_lost && !tracker_.is_substitute()) {
+    // Each host asks all substitutes, so none of them counts it.
     for (const std::string& address : substitutes_) {
-      SendHeartbeat(address, 1);
+      SendHeartbeat(address, 0);
     }
   }
   timer_.expires_after(kHeartbeatInterval);
