--- a/tests/entry/peer_relay_test.cc
+++ b/tests/entry/peer_relay_test.cc
@@ -155,7 +155,8 @@
                 [this](const std::string&) {
                   return hosts_.front()->relay->address();
                 },
-            .is_source = [is_leader] { return is_leader; },
+            .is_source = [this,
+                          is_leader] { return is_leader && !is_leader_lost_; },
             .is_leader = [is_leader] { return is_leader; },
             .sources =
                 [this, is_leader] {
@@ -172,7 +173,8 @@
                   return NewestTable{
                       .address = hosts_.front()->relay->address(), .end = 5};
                 },
-            .is_active = [is_leader] { return is_leader; },
+            .is_active = [this,
+                          is_leader] { return is_leader && !is_leader_lost_; },
             .on_host_report =
                 [&host](const core::keyspace::HostReport& it) {
                   host.reports[it.host] = it;
@@ -236,6 +238,35 @@
 
   bool IsMember(size_t n) const { return hosts_[n]->relay->NeedsMembership(); }
 
+  // The leader no longer answers.
+  void LoseLeader() { is_leader_lost_ = true; }
+
+  // Asks a host how many hosts it counts. Returns nothing if it does not answer
+  // in time.
+  std::optional<int> HostsCountedBy(size_t n) {
+    using boost::asio::ip::udp;
+    constexpr milliseconds kAnswerTime{100};
+    udp::socket socket(io_, udp::endpoint(udp::v4(), 0));
+    const auto to = *net::ParseEndpoint(address(n));
+    socket.send_to(
+        boost::asio::buffer(EncodeHeartbeat(PeerHeartbeat{.hosts = 0})),
+        {to.address(), to.port()});
+    std::string text(4'096, ' ');
+    udp::endpoint from;
+    std::optional<int> hosts;
+    socket.async_receive_from(
+        boost::asio::buffer(text), from, [&](const auto& ec, size_t size) {
+          const auto answer = DecodeHeartbeat(text.substr(0, size));
+          if (!ec && answer.ok()) {
+            hosts = answer->hosts;
+          }
+        });
+    Run(kAnswerTime);
+    socket.close();
+    Run(milliseconds(1));
+    return hosts;
+  }
+
   // The store no longer answers the leader and the relays. Their calls time
   // out.
   void CutMembersFromStore() {
@@ -364,6 +395,7 @@
     return n;
   }
 
+  bool is_leader_lost_ = false;
   boost::asio::io_context io_;
 
  public:
@@ -489,6 +521,27 @@
   }
 }
 
+// Guards against a fleet that seems several times as large as it is, because
+// each host asks several substitutes of the leader. Each host would take too
+// small a share of what all have in common.
+TEST_CASE(
+    "hosts that ask a substitute of the leader must not be counted by it") {
+  RelayedFleet fleet(12);
+  fleet.Run(milliseconds(1'200));
+  fleet.LoseLeader();
+  // The others notice it after 450 ms and ask the substitutes each 300 ms.
+  fleet.Run(milliseconds(1'100));
+  int substitutes = 0;
+  for (size_t n = 1; n < fleet.size(); ++n) {
+    CAPTURE(n);
+    if (const auto hosts = fleet.HostsCountedBy(n)) {
+      ++substitutes;
+      CHECK(*hosts == 1);
+    }
+  }
+  CHECK(substitutes == 4);
+}
+
 // Guards against a leader that is busy with sending all its records to hosts
 // that start at the same time.
 // A leader that took a report for newer than it is would act without the store
