--- a/src/core/relay/relay_tree.h
+++ b/src/core/relay/relay_tree.h
@@ -34,7 +34,7 @@
  public:
   // Returns the size with the new count.
   int Add(int count, TimePoint now);
-  // The largest size of the last seconds.
+  // The largest size of the last 10 s.
   int largest() const;
   // Whether the fleet has just shrunk to less than half. A leader that is too
   // busy to hear its hosts counts as few as one that has lost them, so it keeps
--- a/src/core/request/poison_registry.h
+++ b/src/core/request/poison_registry.h
@@ -73,9 +73,10 @@
   Duration same_crash_window = std::chrono::seconds(1);
   SafeContentOptions safe_contents;
   // A target that ends under load makes all of its requests suspects, hardly
-  // any of which caused it. With more suspects of a single crash than this,
-  // hosts only compare and store the crashes of the others: hosts that each
-  // keep a different part would exchange these parts without end.
+  // any of which caused it. With more requests than this that were suspected
+  // only once, hosts compare and store only those that were suspected again:
+  // hosts that each keep a different part would exchange their parts without
+  // end.
   size_t max_compared_single_crashes = 128;
   // Of more single crashes than that, the latest are stored, while they are
   // newer than this: the time in which further crashes of the same request are
--- a/src/entry/poison_control.cc
+++ b/src/entry/poison_control.cc
@@ -103,7 +103,8 @@
 }
 
 // Sends the pending reports to the other hosts, in as many messages as allowed,
-// and makes them visible. What is not sent is sent when digests are compared.
+// and makes them visible. The rest is sent when digests are compared, except
+// single crashes if there are too many of them to compare.
 void PoisonControl::ApplyUpdates() {
   const PoisonUpdate pending = std::exchange(pending_, {});
   const size_t size =
--- a/src/entry/poison_control.h
+++ b/src/entry/poison_control.h
@@ -66,7 +66,7 @@
 
 // Whether a host writes the reports to the store.
 enum class PoisonWriter {
-  // Others write for this host.
+  // A relay or the leader writes for this host.
   kNone,
   // Writes what the leader does not confirm.
   kSubstitute,
