Read download routes, limits of cold targets and the evacuation limit

Cause: routes of the kind 'download' counted as unknown and were never repeated, although they are safe. What cold targets bear, the health path and the time to evacuate a failure domain were not read at all. Change: a route kind, the limit of a service's cold targets and two optional settings are decoded into types of the project. An odd figure affects its own service only: its cold targets get no requests. Nothing acts on the limits yet. Result: builds; tests of the decoder and the settings added.

--- a/src/core/routing/route_table.h
+++ b/src/core/routing/route_table.h
@@ -2,6 +2,7 @@
 #define TOUCANDOCK_CORE_ROUTING_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
   kUnsafe,
   // As kUnsafe, with large bodies.
   kUpload,
+  // As kSafe, with large responses.
+  kDownload,
   // A kind that this version does not know. Treated as kUnsafe, which is the
   // most restrictive kind.
   kUnknown,
@@ -46,15 +49,32 @@
   // 0 is the most urgent.
   int priority = 0;
 
-  bool IsIdempotent() const { return kind == RouteKind::kSafe; }
+  bool IsIdempotent() const {
+    return kind == RouteKind::kSafe || kind == RouteKind::kDownload;
+  }
   bool operator==(const Route&) const = default;
 };
 
+// What the targets of a service bear while they are cold.
+struct ColdLimit {
+  // Time for which a target stays cold after its start.
+  Duration warm_up{};
+  // Requests a second that one cold target may receive from all hosts together.
+  // Zero: none.
+  double requests_per_second = 0;
+
+  bool operator==(const ColdLimit&) const = default;
+};
+
 struct RoutedService {
   std::string name;
   // Maximum number of connections to a target, for all its callers together.
   std::uint32_t max_connections = 100;
   bool keyed = false;
+  // Path at which targets report their health; empty if not known.
+  std::string health_path;
+  // Cold targets of services without it receive any number of requests.
+  std::optional<ColdLimit> cold_limit;
 
   bool operator==(const RoutedService&) const = default;
 };
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -18,6 +18,11 @@
   map.Read("window", options.window);
 }
 
+void ReadWarmUp(codec::YamlMap& map, core::warmup::ColdBound& bound) {
+  map.Read("overage", bound.overage);
+  map.Read("tolerance", bound.tolerance);
+}
+
 }  // namespace
 
 // Parses the settings of one host. All errors are reported at once, each with
@@ -61,6 +66,10 @@
     map.ReadMap("retries", [&settings](codec::YamlMap& retries) {
       ReadRetries(retries, settings.retries);
     });
+    map.ReadMap("warm_up", [&settings](codec::YamlMap& warm_up) {
+      ReadWarmUp(warm_up, settings.warm_up);
+    });
+    map.Read("evacuation_limit", settings.evacuation_limit);
   }
   const auto check_address = [&errors](const char* name,
                                        const std::string& address,
@@ -96,6 +105,16 @@
       settings.change_limit <= core::Duration::zero()) {
     errors.Add(errors.LineOf("change_limit"), "change_limit", "is not above 0");
   }
+  if (!errors.HasErrorAt("evacuation_limit") &&
+      settings.evacuation_limit <= core::Duration::zero()) {
+    errors.Add(errors.LineOf("evacuation_limit"), "evacuation_limit",
+               "is not above 0");
+  }
+  if (!errors.HasErrorAt("warm_up") &&
+      !(settings.warm_up.overage >= 1 && settings.warm_up.tolerance >= 0)) {
+    errors.Add(errors.LineOf("warm_up"), "warm_up",
+               "needs an overage of at least 1 and a tolerance of at least 0");
+  }
   if (settings.caller_read_limit < kMinReadLimit ||
       settings.caller_read_limit > kMaxReadLimit) {
     errors.Add(errors.LineOf("caller_read_limit"), "caller_read_limit",
@@ -126,6 +145,8 @@
   apply("stop_limit", &EntrySettings::stop_limit);
   apply("caller_read_limit", &EntrySettings::caller_read_limit);
   apply("retries", &EntrySettings::retries);
+  compare("warm_up", &EntrySettings::warm_up);
+  compare("evacuation_limit", &EntrySettings::evacuation_limit);
   compare("host_name", &EntrySettings::host_name);
   compare("failure_domain", &EntrySettings::failure_domain);
   compare("ip", &EntrySettings::ip);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -8,6 +8,7 @@
 #include "absl/status/statusor.h"
 #include "core/balance/retry_window.h"
 #include "core/time.h"
+#include "core/warmup/cold_bound.h"
 
 namespace toucandock::entry {
 
@@ -47,6 +48,12 @@
   // The whole fleet starts for the first time.
   bool fleet_starts = false;
   core::balance::RetryWindowOptions retries;
+  // Bound on the requests that a cold target may receive in any one second, if
+  // the configuration limits them.
+  core::warmup::ColdBound warm_up;
+  // Time after which no request may reach the targets of an evacuated failure
+  // domain.
+  core::Duration evacuation_limit = std::chrono::seconds(5);
 };
 
 // Names of the settings that differ.
--- a/tests/entry/settings_test.cc
+++ b/tests/entry/settings_test.cc
@@ -49,6 +49,12 @@
        "caller_read_limit: 900ms\nfleet_starts", "f:11: caller_read_limit"},
       {"a read limit beyond the kernel's", "fleet_starts",
        "caller_read_limit: 2h\nfleet_starts", "f:11: caller_read_limit"},
+      {"a bound below the rate of cold targets", "fleet_starts",
+       "warm_up: {overage: 0.5, tolerance: 8}\nfleet_starts", "f:11: warm_up"},
+      {"a negative tolerance", "fleet_starts",
+       "warm_up: {overage: 1.5, tolerance: -1}\nfleet_starts", "f:11: warm_up"},
+      {"no time to evacuate", "fleet_starts",
+       "evacuation_limit: 0s\nfleet_starts", "f:11: evacuation_limit"},
       {"an unknown setting", "ip:", "ipv6: x\nip:", "ipv6"},
   };
   for (const Row& row : rows) {
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -1,8 +1,11 @@
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "platform/config_decoder.h"
 #include "platform/target_entry_decoder.h"
@@ -10,6 +13,7 @@
 namespace toucandock::platform {
 namespace {
 
+using core::routing::ColdLimit;
 using std::chrono::milliseconds;
 
 // A part of a text and its replacement.
@@ -109,4 +113,41 @@
   }
 }
 
+// Guards against cold targets that end because the figure by which requests to
+// them are limited was read as no limit, and against one odd figure that makes
+// the whole configuration unreadable.
+TEST_CASE("what cold targets bear must be read carefully") {
+  const auto cold_limit_of = [](const std::string& members) {
+    const auto config = DecodeConfig(absl::StrReplaceAll(
+        kConfig,
+        {{R"("sharded":true)", absl::StrCat(R"("sharded":true)", members)}}));
+    REQUIRE(config.ok());
+    CHECK_FALSE(config->services[1].cold_limit);
+    return std::pair(config->services[0].cold_limit,
+                     config->unknown_words.size());
+  };
+
+  SUBCASE("a service without the figure has no limit") {
+    CHECK(cold_limit_of("") == std::pair(std::optional<ColdLimit>(), size_t{}));
+  }
+  SUBCASE("a fraction is a valid rate") {
+    const auto [limit, odd] =
+        cold_limit_of(R"(,"warmup":"3s","warmupPerS":7.2)");
+    REQUIRE(limit);
+    CHECK(limit->warm_up == milliseconds(3'000));
+    CHECK(limit->requests_per_second == doctest::Approx(7.2));
+    CHECK(odd == 0);
+  }
+  for (const char* odd_rate :
+       {"-1", "1e9", "\"7\"", "null", "[]", "1e400", "true"}) {
+    SUBCASE(absl::StrCat("no request for a rate of ", odd_rate).c_str()) {
+      const auto [limit, odd] = cold_limit_of(
+          absl::StrCat(R"(,"warmup":"3s","warmupPerS":)", odd_rate));
+      REQUIRE(limit);
+      CHECK(limit->requests_per_second == 0);
+      CHECK(odd == 1);
+    }
+  }
+}
+
 }  // namespace toucandock::platform
--- a/tests/platform_adapter/unknown_words_test.cc
+++ b/tests/platform_adapter/unknown_words_test.cc
@@ -95,6 +95,7 @@
       {"safe", RouteKind::kSafe},
       {"unsafe", RouteKind::kUnsafe},
       {"upload", RouteKind::kUpload},
+      {"download", RouteKind::kDownload},
   };
   for (const auto& it : words) {
     CAPTURE(std::string(it.first));
@@ -102,7 +103,7 @@
     REQUIRE(config.ok());
     CHECK(config->routes.front().kind == it.second);
     CHECK(config->routes.front().IsIdempotent() ==
-          (it.second == RouteKind::kSafe));
+          (it.second == RouteKind::kSafe || it.second == RouteKind::kDownload));
     CHECK(config->unknown_words.empty());
   }
   for (const char* state : {"ready", "draining"}) {
