Evacuate a failure domain when the operator asks for it

Cause: the record evacuate/DOMAIN was not read. Change: hosts keep the evacuated domains and stop using their targets: at once without keys, and with keys after the time that a handover may take. The leader moves the keys away as from draining targets.

--- a/src/core/balance/target_availability.cc
+++ b/src/core/balance/target_availability.cc
@@ -5,12 +5,12 @@
 
 namespace toucandock::core::balance {
 
-absl::string_view ToString(Availability availability) {
-  switch (availability) {
+absl::string_view ToString(const AvailabilityState& state) {
+  switch (state.availability) {
     case Availability::kOpen:
       return "open";
     case Availability::kLeaving:
-      return "leaving";
+      return state.evacuated ? "evacuated" : "leaving";
     case Availability::kPaused:
       return "paused";
     case Availability::kResuming:
--- a/src/core/balance/target_availability.h
+++ b/src/core/balance/target_availability.h
@@ -25,8 +25,6 @@
   kResuming,
 };
 
-absl::string_view ToString(Availability availability);
-
 struct AvailabilityState {
   Availability availability = Availability::kOpen;
   // When the target declared that it leaves.
@@ -34,8 +32,14 @@
   // With kPaused and kResuming: the time from which this host may send the next
   // request.
   TimePoint until{};
+  // With kLeaving: the operator has evacuated the target's failure domain; the
+  // target has declared nothing.
+  bool evacuated = false;
 };
 
+// Returns "evacuated" for a target that the operator has closed.
+absl::string_view ToString(const AvailabilityState& state);
+
 struct AvailabilityOptions {
   // Longer pauses are reduced to this limit. A target that asks for more is
   // more likely faulty than overloaded, and may ask again.
--- /dev/null
+++ b/src/core/discovery/evacuations.cc
@@ -0,0 +1,41 @@
+#include "core/discovery/evacuations.h"
+
+#include <algorithm>
+
+namespace toucandock::core::discovery {
+
+bool Evacuations::Begin(const std::string& failure_domain, TimePoint now) {
+  return domains_.try_emplace(failure_domain, now).second;
+}
+
+bool Evacuations::End(const std::string& failure_domain) {
+  return domains_.erase(failure_domain) > 0;
+}
+
+std::vector<std::string> Evacuations::RetainOnly(
+    const std::vector<std::string>& failure_domains) {
+  std::vector<std::string> ended;
+  std::erase_if(domains_, [&](const auto& it) {
+    const bool is_listed =
+        std::find(failure_domains.begin(), failure_domains.end(), it.first) !=
+        failure_domains.end();
+    if (!is_listed) {
+      ended.push_back(it.first);
+    }
+    return !is_listed;
+  });
+  return ended;
+}
+
+TimePoint ClosedFrom(TimePoint learned_at,
+                     bool keyed,
+                     const EvacuationLimits& limits) {
+  if (!keyed) {
+    return learned_at;
+  }
+  return learned_at +
+         std::max(Duration::zero(),
+                  limits.limit - limits.notice_delay - limits.transit_margin);
+}
+
+}  // namespace toucandock::core::discovery
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -171,6 +171,9 @@
       for (const StoredRecord& it : result.records) {
         Contain("config_record", [&] { OnConfigRecord(it); });
       }
+      if (complete) {
+        RetainEvacuations(result.records);
+      }
       break;
     case Stream::kTargets: {
       std::vector<std::string> ids;
@@ -208,6 +211,10 @@
 }
 
 void Control::OnConfigRecord(const StoredRecord& record) {
+  if (const auto domain = platform_.evacuated_domain(record.key)) {
+    OnEvacuationRecord(*domain, record.removed);
+    return;
+  }
   if (record.key != platform_.config_key || record.removed) {
     return;
   }
@@ -241,6 +248,71 @@
   SyncCoordinators();
 }
 
+// A domain without listed targets counts as well, since its targets may be
+// listed later.
+void Control::OnEvacuationRecord(const std::string& failure_domain,
+                                 bool removed) {
+  if (removed) {
+    if (evacuations_.End(failure_domain)) {
+      EndEvacuation(failure_domain);
+    }
+    return;
+  }
+  if (evacuations_.Begin(failure_domain, LeaseClockNow())) {
+    LogEvent("evacuation_began", {{"failure_domain", failure_domain},
+                                  {"targets", CountTargetsIn(failure_domain)},
+                                  {"owners", CountEvacuatedOwners()}});
+    OnTargetsChanged();
+  }
+}
+
+// Ends the evacuations that a complete listing does not contain.
+void Control::RetainEvacuations(const std::vector<StoredRecord>& listed) {
+  std::vector<std::string> domains;
+  for (const StoredRecord& it : listed) {
+    if (auto domain = platform_.evacuated_domain(it.key);
+        domain && !it.removed) {
+      domains.push_back(*std::move(domain));
+    }
+  }
+  for (const std::string& it : evacuations_.RetainOnly(domains)) {
+    EndEvacuation(it);
+  }
+}
+
+void Control::EndEvacuation(const std::string& failure_domain) {
+  LogEvent("evacuation_ended", {{"failure_domain", failure_domain},
+                                {"targets", CountTargetsIn(failure_domain)}});
+  OnTargetsChanged();
+}
+
+size_t Control::CountTargetsIn(const std::string& failure_domain) const {
+  return static_cast<size_t>(
+      std::count_if(directory_.targets().begin(), directory_.targets().end(),
+                    [&](const auto& it) {
+                      return it.second.entry.failure_domain == failure_domain;
+                    }));
+}
+
+// Returns the number of targets in evacuated domains that own keys.
+size_t Control::CountEvacuatedOwners() const {
+  if (evacuations_.domains().empty()) {
+    return 0;
+  }
+  std::set<core::discovery::TargetInstance> owners;
+  for (const auto& [service, table] : tables_) {
+    for (const core::keyspace::Assignment& it : table.assignments) {
+      const auto listed = directory_.targets().find(it.owner.id);
+      if (listed != directory_.targets().end() &&
+          listed->second.entry.instance == it.owner &&
+          evacuations_.Contains(listed->second.entry.failure_domain)) {
+        owners.insert(it.owner);
+      }
+    }
+  }
+  return owners.size();
+}
+
 // Returns whether the record changed the targets. A complete listing is logged
 // as a whole, since a large fleet would otherwise write a line for each host
 // and target.
@@ -472,11 +544,15 @@
     std::vector<core::keyspace::OwnerTarget> targets;
     for (const auto& [id, listed] : directory_.targets()) {
       if (listed.entry.service == service) {
-        targets.push_back({.instance = listed.entry.instance,
-                           .address = listed.entry.address,
-                           .slots = listed.entry.slots,
-                           .draining = listed.entry.draining,
-                           .cold = now < listed.warm_at});
+        targets.push_back(
+            {.instance = listed.entry.instance,
+             .address = listed.entry.address,
+             .slots = listed.entry.slots,
+             // Keys leave an evacuated domain as they leave
+             // targets that drain.
+             .draining = listed.entry.draining ||
+                         evacuations_.Contains(listed.entry.failure_domain),
+             .cold = now < listed.warm_at});
       }
     }
     coordinator->OnTargets(std::move(targets), now);
@@ -607,6 +683,13 @@
     }
   }
   view->ownership = tables_;
+  view->evacuated = evacuations_.domains();
+  view->evacuated_owners = CountEvacuatedOwners();
+  if (evacuated_owners_ > 0 && view->evacuated_owners == 0 &&
+      !view->evacuated.empty()) {
+    LogEvent("evacuation_complete", {{"domains", view->evacuated.size()}});
+  }
+  evacuated_owners_ = view->evacuated_owners;
   view->live_hosts = live_hosts_;
   view->poison = poison_.view();
   view->complete = routes_ != nullptr && was_read_[Stream::kTargets] &&
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "core/discovery/evacuations.h"
 #include "core/discovery/target_directory.h"
 #include "core/keyspace/grant_coordinator.h"
 #include "core/keyspace/leader_membership.h"
@@ -59,6 +60,11 @@
 
   FollowerHooks FollowerHooksFor(Stream stream);
   void OnConfigRecord(const StoredRecord& record);
+  void OnEvacuationRecord(const std::string& failure_domain, bool removed);
+  void RetainEvacuations(const std::vector<StoredRecord>& listed);
+  void EndEvacuation(const std::string& failure_domain);
+  size_t CountEvacuatedOwners() const;
+  size_t CountTargetsIn(const std::string& failure_domain) const;
   bool OnTargetRecord(const StoredRecord& record, bool complete);
   void OnOwnershipRecord(const StoredRecord& record);
   void OnRecords(Stream stream, const ReadResult& result, bool complete);
@@ -104,6 +110,9 @@
   std::map<Stream, bool> was_read_;
   std::shared_ptr<const core::routing::RouteTable> routes_;
   core::discovery::TargetDirectory directory_;
+  core::discovery::Evacuations evacuations_;
+  // At the last published view.
+  size_t evacuated_owners_ = 0;
   std::map<core::discovery::TargetInstance, std::string> addresses_;
   std::map<std::string, std::unique_ptr<Coordinator>> coordinators_;
   // Newest ownership table of each service, also of services that no
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -306,8 +306,7 @@
   }
   const core::balance::PickCandidate candidate{
       .load = &handle->load, .slots = handle->target.entry.slots};
-  if (!notices_.IsOpen(handle->target.entry.instance, now) ||
-      handle->load.IsPaused(now) ||
+  if (!IsOpen(handle->target.entry, now) || handle->load.IsPaused(now) ||
       !core::balance::HasCapacity(candidate, pick_options_, now) ||
       !HasConnectionRoom(*handle)) {
     return nullptr;
@@ -328,7 +327,7 @@
   std::vector<HandlePtr> handles;
   for (const HandlePtr& it : found->second) {
     const core::discovery::TargetEntry& entry = it->target.entry;
-    if (!notices_.IsOpen(entry.instance, now) || !HasConnectionRoom(*it)) {
+    if (!IsOpen(entry, now) || !HasConnectionRoom(*it)) {
       continue;
     }
     candidates.push_back(
@@ -498,9 +497,9 @@
   UpdateLoad(*exchange, answer, now);
   const std::string service = exchange->service;
   const HandlePtr handle = exchange->current_target;
-  const Availability availability =
-      notices_.StateOf(handle->target.entry.instance, now).availability;
-  if (availability != Availability::kLeaving &&
+  const core::balance::AvailabilityState state =
+      StateOf(handle->target.entry, now);
+  if (state.availability != Availability::kLeaving &&
       exchange->connection->IsUsable(options_.max_idle_idempotent)) {
     handle->idle.push_back(std::move(exchange->connection));
   }
@@ -561,10 +560,10 @@
       if (answer.end == AttemptEnd::kNotSent) {
         exchange->attempts--;
       }
-      if (!exchange->key && (availability == Availability::kLeaving ||
-                             availability == Availability::kPaused)) {
-        NoteRedirected(*exchange, handle->target.entry.instance.id,
-                       availability, "other-target");
+      if (!exchange->key && (state.availability == Availability::kLeaving ||
+                             state.availability == Availability::kPaused)) {
+        NoteRedirected(*exchange, handle->target.entry.instance.id, state,
+                       "other-target");
       }
       if (!TryDispatch(exchange, now)) {
         Enqueue(exchange, now);
@@ -787,13 +786,13 @@
     OnTimer(exchange);
     return;
   }
-  const Availability availability =
-      AvailabilityFor(*exchange, now).availability;
-  if (availability == Availability::kLeaving ||
-      availability == Availability::kPaused) {
+  const core::balance::AvailabilityState state =
+      AvailabilityFor(*exchange, now);
+  if (state.availability == Availability::kLeaving ||
+      state.availability == Availability::kPaused) {
     const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
     NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
-                   availability, "wait");
+                   state, "wait");
   }
   exchange->waiting = true;
   // The queue is ordered by the priority of the route, the most urgent first,
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -15,6 +15,7 @@
 
 #include "core/balance/retry_window.h"
 #include "core/balance/target_picker.h"
+#include "core/discovery/evacuations.h"
 #include "core/error_kind.h"
 #include "core/keyspace/key_samples.h"
 #include "core/request/crash_detector.h"
@@ -77,6 +78,7 @@
   // different times, up to this fraction of the remaining pause after its end.
   double return_spread_ratio = 0.25;
   core::Duration max_return_spread = std::chrono::milliseconds(500);
+  core::discovery::EvacuationLimits evacuation;
   // Holds two fingerprints of 16 bytes for each request that completed without
   // a crash in the last minutes.
   core::request::SafeContentOptions safe_contents{.max_entries = 4'096};
@@ -161,7 +163,7 @@
                               core::TimePoint now) const;
   // Why no target can take a request in time, from what the targets declared.
   struct Unavailability {
-    core::balance::Availability cause = core::balance::Availability::kOpen;
+    core::balance::AvailabilityState state;
     core::Duration retry_after{};
   };
 
@@ -172,13 +174,18 @@
   HandlePtr ListedOwnerOf(const Exchange& exchange) const;
   core::balance::AvailabilityState AvailabilityFor(const Exchange& exchange,
                                                    core::TimePoint now) const;
+  core::balance::AvailabilityState StateOf(
+      const core::discovery::TargetEntry& target,
+      core::TimePoint now) const;
+  bool IsOpen(const core::discovery::TargetEntry& target,
+              core::TimePoint now) const;
   std::optional<Unavailability> FindUnavailability(const Exchange& exchange,
                                                    core::TimePoint now);
   void RefuseAsUnavailable(const ExchangePtr& exchange,
                            const Unavailability& reason);
   void NoteRedirected(Exchange& exchange,
                       const std::string& target,
-                      core::balance::Availability cause,
+                      const core::balance::AvailabilityState& cause,
                       const char* action);
   std::shared_ptr<TargetConnection> Connect(const HandlePtr& handle);
   void OnNotice(const HandlePtr& handle, const TargetNotice& notice);
--- a/src/entry/dispatcher_availability.cc
+++ b/src/entry/dispatcher_availability.cc
@@ -30,9 +30,12 @@
       TargetConnectionHooks{
           .may_send =
               [this, instance = handle->target.entry.instance] {
-                return handles_.contains(instance) &&
-                       !notices_.IsUnavailable(
-                           instance, std::chrono::steady_clock::now());
+                const auto listed = handles_.find(instance);
+                const TimePoint now = std::chrono::steady_clock::now();
+                return listed != handles_.end() &&
+                       !notices_.IsUnavailable(instance, now) &&
+                       StateOf(listed->second->target.entry, now)
+                               .availability != Availability::kLeaving;
               },
           .on_notice =
               [this, weak](const TargetNotice& notice) {
@@ -83,14 +86,42 @@
       now);
 }
 
+// Returns the target's state by its own word and by the operator's: a target in
+// an evacuated failure domain is used as if it were leaving, for as long as the
+// evacuation lasts.
+AvailabilityState Dispatcher::StateOf(
+    const core::discovery::TargetEntry& target,
+    TimePoint now) const {
+  const AvailabilityState own = notices_.StateOf(target.instance, now);
+  const auto evacuated = view_->evacuated.find(target.failure_domain);
+  if (evacuated == view_->evacuated.end() ||
+      own.availability == Availability::kLeaving) {
+    return own;
+  }
+  const core::routing::RoutedService* service =
+      view_->routes ? view_->routes->FindService(target.service) : nullptr;
+  const TimePoint closed_from = core::discovery::ClosedFrom(
+      evacuated->second, service != nullptr && service->keyed,
+      options_.evacuation);
+  return now < closed_from
+             ? own
+             : AvailabilityState{.availability = Availability::kLeaving,
+                                 .since = closed_from,
+                                 .evacuated = true};
+}
+
+bool Dispatcher::IsOpen(const core::discovery::TargetEntry& target,
+                        TimePoint now) const {
+  return StateOf(target, now).availability == Availability::kOpen;
+}
+
 // Returns the state of the target that may receive the request first. A request
 // without listed targets is not held up by any declaration.
 AvailabilityState Dispatcher::AvailabilityFor(const Exchange& exchange,
                                               TimePoint now) const {
   if (exchange.key) {
     const HandlePtr owner = ListedOwnerOf(exchange);
-    return owner ? notices_.StateOf(owner->target.entry.instance, now)
-                 : AvailabilityState{};
+    return owner ? StateOf(owner->target.entry, now) : AvailabilityState{};
   }
   const auto handles = handles_by_service_.find(exchange.service);
   if (handles == handles_by_service_.end() || handles->second.empty()) {
@@ -98,8 +129,8 @@
   }
   AvailabilityState first{.availability = Availability::kLeaving};
   for (const HandlePtr& it : handles->second) {
-    const AvailabilityState state =
-        notices_.StateOf(it->target.entry.instance, now);
+    const AvailabilityState state = StateOf(it->target.entry, now);
+    first.evacuated = first.evacuated || state.evacuated;
     if (state.availability != Availability::kLeaving &&
         state.availability != Availability::kPaused) {
       return state;
@@ -124,7 +155,7 @@
     if (exchange.key && now < state.since + options_.max_move_time) {
       return std::nullopt;
     }
-    return Unavailability{.cause = Availability::kLeaving,
+    return Unavailability{.state = state,
                           .retry_after = options_.retry_after_leaving};
   }
   if (state.availability != Availability::kPaused ||
@@ -136,7 +167,7 @@
                                    std::chrono::duration_cast<Duration>(
                                        left * options_.return_spread_ratio));
   return Unavailability{
-      .cause = Availability::kPaused,
+      .state = state,
       .retry_after = left + std::chrono::duration_cast<Duration>(
                                 spread * std::uniform_real_distribution<double>(
                                              0, 1)(random_))};
@@ -144,21 +175,26 @@
 
 void Dispatcher::RefuseAsUnavailable(const ExchangePtr& exchange,
                                      const Unavailability& reason) {
-  const bool is_leaving = reason.cause == Availability::kLeaving;
+  const bool is_leaving = reason.state.availability == Availability::kLeaving;
   const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
   NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
-                 reason.cause, "refused");
+                 reason.state, "refused");
   if (exchange->may_have_run) {
     Fail(exchange, ErrorKind::kOutcomeUnknown, "no target for a retry");
     return;
   }
   if (exchange->key) {
     Refuse(exchange, ErrorKind::kOwnerUnavailable,
-           is_leaving ? "owner leaves" : "owner pauses", reason.retry_after);
+           reason.state.evacuated ? "owner is evacuated"
+           : is_leaving           ? "owner leaves"
+                                  : "owner pauses",
+           reason.retry_after);
     return;
   }
   Refuse(exchange, ErrorKind::kOverloaded,
-         is_leaving ? "all targets leave" : "all targets pause or leave",
+         reason.state.evacuated ? "all targets are evacuated or leave"
+         : is_leaving           ? "all targets leave"
+                                : "all targets pause or leave",
          reason.retry_after);
 }
 
@@ -166,7 +202,7 @@
 // because of what it declared.
 void Dispatcher::NoteRedirected(Exchange& exchange,
                                 const std::string& target,
-                                Availability cause,
+                                const AvailabilityState& cause,
                                 const char* action) {
   metrics_.CountUnavailableTarget(exchange.service,
                                   core::balance::ToString(cause), action);
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -81,6 +81,17 @@
                   .Help("Fingerprints of requests that were in flight when "
                         "targets ended, and reports about them")
                   .Register(*registry_)),
+      evacuated_domains_(prometheus::BuildGauge()
+                             .Name("toucandock_entry_evacuated_domains")
+                             .Help("Failure domains that are evacuated")
+                             .Register(*registry_)
+                             .Add({})),
+      evacuated_owners_(
+          prometheus::BuildGauge()
+              .Name("toucandock_entry_evacuated_owners")
+              .Help("Targets in evacuated failure domains that own keys")
+              .Register(*registry_)
+              .Add({})),
       thread_lag_(prometheus::BuildHistogram()
                       .Name("toucandock_entry_thread_lag_seconds")
                       .Help("How late timers of the traffic thread ran")
@@ -190,6 +201,11 @@
   }
 }
 
+void EntryMetrics::SetEvacuations(size_t domains, size_t owners) {
+  evacuated_domains_.Set(static_cast<double>(domains));
+  evacuated_owners_.Set(static_cast<double>(owners));
+}
+
 void EntryMetrics::CountConnection(const std::string& service) {
   connections_.Add({{"service", service}}).Increment();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -52,6 +52,9 @@
   // those that are refused, and of the reports about them that were sent to and
   // received from other hosts since the start.
   void SetPoison(const PoisonView& poison);
+  // Sets the number of evacuated failure domains and of the targets in them
+  // that still own keys.
+  void SetEvacuations(size_t domains, size_t owners);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
   // How late a timer of the traffic thread ran.
@@ -76,6 +79,8 @@
   prometheus::Counter& ended_pauses_;
   prometheus::Family<prometheus::Counter>& unavailable_target_requests_;
   prometheus::Family<prometheus::Gauge>& poison_;
+  prometheus::Gauge& evacuated_domains_;
+  prometheus::Gauge& evacuated_owners_;
   prometheus::Histogram& thread_lag_;
   prometheus::Histogram& view_delay_;
   prometheus::Gauge& running_;
--- a/src/entry/platform_hooks.h
+++ b/src/entry/platform_hooks.h
@@ -103,6 +103,10 @@
       decode_target;
   // Key of the record that holds the configuration.
   std::string config_key;
+  // Returns the failure domain that a record with this key evacuates; nothing
+  // for other keys.
+  std::function<std::optional<std::string>(const std::string& key)>
+      evacuated_domain;
 
   std::function<void(const std::string& address,
                      const core::keyspace::GrantCommand&,
--- a/src/entry/routing_view.h
+++ b/src/entry/routing_view.h
@@ -32,6 +32,11 @@
   std::shared_ptr<const core::routing::RouteTable> routes;
   // Targets by service, without those that are draining.
   std::map<std::string, std::vector<core::discovery::ListedTarget>> targets;
+  // Failure domains that the operator has evacuated, and when this host learned
+  // of it.
+  std::map<std::string, core::TimePoint> evacuated;
+  // Number of targets in these domains that own keys.
+  size_t evacuated_owners = 0;
   // Owners of the keys of keyed services.
   std::map<std::string, core::keyspace::OwnershipTable> ownership;
   int live_hosts = 1;
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -39,6 +39,13 @@
   return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
 }
 
+DispatchOptions DispatchOptionsFor(const EntrySettings& settings) {
+  DispatchOptions options;
+  options.evacuation.limit = settings.evacuation_limit;
+  options.evacuation.notice_delay = settings.change_limit;
+  return options;
+}
+
 }  // namespace
 
 Traffic::Traffic(boost::asio::io_context& io,
@@ -52,7 +59,7 @@
                   names,
                   settings.failure_domain,
                   settings.retries,
-                  DispatchOptions{},
+                  DispatchOptionsFor(settings),
                   std::move(hooks)),
       delivery_{.read_limit = settings.caller_read_limit,
                 .held = std::make_shared<core::request::HeldAnswers>(
@@ -74,6 +81,8 @@
             EntryMetrics& metrics = dispatcher_.metrics();
             metrics.SetPoison(*dispatcher_.view().poison);
             metrics.SetRunning(dispatcher_.running());
+            metrics.SetEvacuations(dispatcher_.view().evacuated.size(),
+                                   dispatcher_.view().evacuated_owners);
             const auto& routes = dispatcher_.view().routes;
             metrics.SetConfig(routes ? routes->config()
                                      : core::routing::RouteConfig{});
--- a/tests/entry/dispatcher_availability_test.cc
+++ b/tests/entry/dispatcher_availability_test.cc
@@ -89,7 +89,9 @@
 // chosen first.
 class AvailabilityFixture {
  public:
-  explicit AvailabilityFixture(bool keyed = false, bool idempotent = true)
+  explicit AvailabilityFixture(bool keyed = false,
+                               bool idempotent = true,
+                               const DispatchOptions& options = {})
       : keyed_(keyed),
         idempotent_(idempotent),
         dispatcher_(io_,
@@ -104,7 +106,7 @@
                      .target_id = "Target"},
                     "a",
                     {},
-                    DispatchOptions{},
+                    options,
                     {.report_load = [](const core::keyspace::LoadReport&) {},
                      .report_poison = [](const PoisonUpdate&) {}}) {}
   // Requests in flight would keep their connections open.
@@ -120,8 +122,12 @@
   };
 
   // Lists the targets as ready. The first one owns all keys.
-  void List(const std::vector<Listed>& targets) {
+  void List(const std::vector<Listed>& targets,
+            const std::vector<std::string>& evacuated = {}) {
     auto view = std::make_shared<RoutingView>();
+    for (const std::string& it : evacuated) {
+      view->evacuated[it] = steady_clock::now();
+    }
     core::routing::RouteConfig config{.version = 1};
     config.routes = {{.host = "h",
                       .path_prefix = "/",
@@ -470,4 +476,66 @@
   }
 }
 
+// Guards against requests that reach a failure domain after the operator has
+// evacuated it, and against callers that wait although no target is left.
+TEST_CASE("an evacuated failure domain must not get requests") {
+  ScriptedTarget near;
+  ScriptedTarget far;
+  const AvailabilityFixture::Listed first{.target = &near};
+  const AvailabilityFixture::Listed other{
+      .target = &far, .id = "far", .failure_domain = "b"};
+
+  SUBCASE("for a service without keys, from the moment it is known") {
+    AvailabilityFixture host;
+    host.List({first, other}, {"a"});
+    CHECK(host.SendMany(10) == 10);
+    CHECK(near.requests() == 0);
+    SUBCASE("and again once it is revoked") {
+      host.List({first, other});
+      CHECK(host.SendMany(10) == 10);
+      CHECK(near.requests() > 0);
+    }
+    SUBCASE("and callers are refused at once if no domain is left") {
+      host.List({first, other}, {"a", "b"});
+      const CallerResult result = host.Send();
+      CHECK(result.answer.error == ErrorKind::kOverloaded);
+      CHECK(result.after < kAtOnce);
+      CHECK(result.answer.retry_after == seconds(1));
+      CHECK(host.Counts("cause=\"evacuated\""));
+      CHECK(near.requests() == 0);
+    }
+  }
+  SUBCASE("while a connection to it is being opened") {
+    AvailabilityFixture host;
+    host.List({first, other});
+    const auto result = host.Start();
+    host.List({first, other}, {"a"});
+    host.RunUntil([&] { return result->done; });
+    CHECK(AvailabilityFixture::IsAnswered(*result));
+    CHECK(near.requests() == 0);
+    CHECK(far.requests() == 1);
+  }
+  SUBCASE("for keys, once their handover has had its time") {
+    DispatchOptions options;
+    options.evacuation = {.limit = milliseconds(1'200),
+                          .notice_delay = milliseconds(500),
+                          .transit_margin = milliseconds(300)};
+    options.max_move_time = milliseconds(100);
+    AvailabilityFixture host(true, true, options);
+    host.List({first, other}, {"a"});
+    CHECK(host.SendMany(3) == 3);
+    CHECK(near.requests() == 3);
+    host.RunFor(milliseconds(550));
+    const CallerResult result = host.Send();
+    CHECK(result.answer.error == ErrorKind::kOwnerUnavailable);
+    CHECK(result.after < kAtOnce);
+    CHECK(near.requests() == 3);
+    SUBCASE("and from their new owner without delay") {
+      host.List({other, first}, {"a"});
+      CHECK(host.SendMany(3) == 3);
+      CHECK(near.requests() == 3);
+    }
+  }
+}
+
 }  // namespace toucandock::entry
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -138,8 +138,7 @@
     CHECK(limit->requests_per_second == doctest::Approx(7.2));
     CHECK(odd == 0);
   }
-  for (const char* odd_rate :
-       {"-1", "1e9", "\"7\"", "null", "[]", "true"}) {
+  for (const char* odd_rate : {"-1", "1e9", "\"7\"", "null", "[]", "true"}) {
     SUBCASE(absl::StrCat("no request for a rate of ", odd_rate).c_str()) {
       const auto [limit, odd] = cold_limit_of(
           absl::StrCat(R"(,"warmup":"3s","warmupPerS":)", odd_rate));
--- a/tests/process/platform_fleet.cc
+++ b/tests/process/platform_fleet.cc
@@ -137,6 +137,13 @@
   return Append("keyed.servers", "target", id, text);
 }
 
+bool PlatformFleet::SetEvacuated(const std::string& failure_domain,
+                                 bool evacuated) {
+  return Append("keyed.op", "operator",
+                absl::StrCat("evacuate/", failure_domain),
+                evacuated ? "{}" : "");
+}
+
 bool PlatformFleet::Append(const std::string& topic,
                            const std::string& writer,
                            const std::string& key,
--- a/tests/process/platform_fleet.h
+++ b/tests/process/platform_fleet.h
@@ -63,6 +63,8 @@
   bool PublishConfig(std::chrono::milliseconds timeout);
   // Writes an entry to the store's list of targets as another writer would.
   bool WriteTargetEntry(const std::string& id, const std::string& text);
+  // Evacuates a failure domain as the operator does, or revokes that.
+  bool SetEvacuated(const std::string& failure_domain, bool evacuated);
   bool IsReady(size_t host);
   void WaitUntilReady();
   std::string Metrics(size_t host);
--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -95,6 +97,56 @@
   CheckGuarantees(fleet, load.Stop(), {{.from = began, .to = ended}});
 }
 
+// Guards against requests that reach an evacuated failure domain after the
+// limit, and against keys that stay without a serving owner because of it.
+TEST_CASE("on the platform, an evacuation ends work in a failure domain") {
+  // The hosts' limit of an evacuation.
+  constexpr milliseconds kLimit{5'000};
+  PlatformFleet fleet({});
+  Prepare(fleet);
+  PlatformLoad load(fleet, {});
+  WaitForAll(fleet, load, 50);
+  const std::string domain = "lk-west-0";
+
+  const Clock::time_point began = Clock::now();
+  REQUIRE(fleet.SetEvacuated(domain, true));
+  SUBCASE("while nothing else happens") {}
+  SUBCASE("also if the store is unavailable right after it") {
+    std::this_thread::sleep_for(milliseconds(2'000));
+    REQUIRE(fleet.SetStoreFault("down=1"));
+  }
+  SUBCASE("also if a host is killed right after it") {
+    fleet.host(0).process->Kill();
+    fleet.StartHost(0);
+  }
+  std::this_thread::sleep_until(began + kLimit);
+  WaitForAll(fleet, load, 100);
+  const Clock::time_point ended = Clock::now();
+  REQUIRE(fleet.SetStoreFault("down=0"));
+  REQUIRE(fleet.SetEvacuated(domain, false));
+  WaitForAll(fleet, load, 200);
+
+  std::vector<std::string> evacuated;
+  for (size_t n = 0; n < fleet.target_count(); n += 3) {
+    evacuated.push_back(fleet.target(n).id);
+  }
+  size_t late = 0;
+  size_t after = 0;
+  for (const PlatformJournalEntry& it : ReadPlatformJournals(fleet)) {
+    const bool is_evacuated = std::find(evacuated.begin(), evacuated.end(),
+                                        it.target) != evacuated.end();
+    if (it.event != PlatformEvent::kStart || !is_evacuated) {
+      continue;
+    }
+    late += it.at > began + kLimit && it.at < ended ? 1 : 0;
+    after += it.at > ended ? 1 : 0;
+  }
+  CHECK(late == 0);
+  // The domain is used again after the evacuation.
+  CHECK(after > 0);
+  CheckGuarantees(fleet, load.Stop(), {{.from = began, .to = ended}});
+}
+
 // Guards against a planned stop, or a reload, that cuts answers on their way to
 // callers with slow links (an answer takes 2 s at 1.6 Mbit/s).
 TEST_CASE("on the platform, a planned stop cuts no answer of a slow caller") {
