Issue and hold permits for requests to cold targets

Cause: a cold target ends if it receives far more than it can bear, and hosts sent it requests without any limit that they have in common. Change: a token bucket for each target on the leader, the permits and questions of a host, and targets that return after they were unreachable. An entry that is read again no longer extends the time for which its target is cold. The coordinator's targets carry the rate of cold targets.

--- a/src/core/balance/target_availability.cc
+++ b/src/core/balance/target_availability.cc
@@ -15,6 +15,8 @@
       return "paused";
     case Availability::kResuming:
       return "resuming";
+    case Availability::kCold:
+      return "cold";
   }
   return "";
 }
--- a/src/core/balance/target_availability.h
+++ b/src/core/balance/target_availability.h
@@ -23,6 +23,9 @@
   // A pause has ended recently. The next request has to wait for a moment, so
   // that the load returns gradually.
   kResuming,
+  // It is cold and its service has a limit, and this host has no permit to send
+  // it a request (core/warmup). Never declared by a target.
+  kCold,
 };
 
 struct AvailabilityState {
--- a/src/core/discovery/target_directory.cc
+++ b/src/core/discovery/target_directory.cc
@@ -24,6 +24,10 @@
   const auto it = targets_.find(entry.instance.id);
   const bool changed =
       it == targets_.end() || !(it->second.entry == listed.entry);
+  if (!changed) {
+    // The same entry was read again; its time left began with the first read.
+    listed.warm_at = it->second.warm_at;
+  }
   targets_.insert_or_assign(entry.instance.id, std::move(listed));
   return changed;
 }
--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -147,6 +147,9 @@
   std::uint32_t slots = 1;
   bool draining = false;
   bool cold = false;
+  // Requests a second that the target can bear from all hosts together while it
+  // is cold; empty if its service has no limit.
+  std::optional<double> cold_requests_per_second;
 };
 
 // Decides which targets own the keys of one service and keeps their leases
