Send requests to cold targets only with a permit of the leader

Cause: hosts sent cold targets of limited services as many requests as warm ones, and knew of a restart only from the next entry. Change: the dispatcher takes warm targets first and a permit for cold ones, and refuses at once what no permit comes for in time. Questions and answers pass over the peer port to the leader. A target that was unreachable counts as cold when it accepts connections again, until its next entry or its health response.

--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -98,7 +98,8 @@
 Control::Control(boost::asio::io_context& io,
                  const EntrySettings& settings,
                  const PlatformHooks& platform,
-                 PublishView publish)
+                 PublishView publish,
+                 DeliverPermits deliver_permits)
     : io_(io),
       settings_(settings),
       platform_(platform),
@@ -117,6 +118,9 @@
               .capacity = CapacityOf(settings)},
              MakeRelayHooks()),
       poison_(PoisonControlOptions{}, MakePoisonHooks()),
+      permit_link_(settings.warm_up,
+                   core::warmup::IssuerOptions{},
+                   MakePermitHooks(std::move(deliver_permits))),
       directory_(core::discovery::DirectoryOptions{}) {}
 
 absl::Status Control::Start() {
@@ -337,13 +341,17 @@
   }
   const bool changed = directory_.Apply(*entry, now);
   if (changed && !complete) {
-    LogEvent("target_entry", {{"target", entry->instance.id},
-                              {"born", entry->instance.start_time_ms},
-                              {"service", entry->service},
-                              {"address", entry->address},
-                              {"draining", entry->draining},
-                              {"sequence", entry->sequence},
-                              {"offset", record.offset}});
+    LogEvent("target_entry",
+             {{"target", entry->instance.id},
+              {"born", entry->instance.start_time_ms},
+              {"service", entry->service},
+              {"address", entry->address},
+              {"draining", entry->draining},
+              {"cold_ms",
+               std::chrono::duration_cast<milliseconds>(entry->warm_up_left)
+                   .count()},
+              {"sequence", entry->sequence},
+              {"offset", record.offset}});
   }
   return changed;
 }
@@ -473,6 +481,7 @@
   for (auto& [service, coordinator] : coordinators_) {
     coordinator->OnLeadership(result.is_leader, requested_at);
   }
+  permit_link_.OnLeadership(result.is_leader, requested_at);
   RunCoordinators();
 }
 
@@ -489,7 +498,11 @@
 void Control::Tick() {
   Contain("tick", [this] {
     ApplyExpirations();
+    if (next_warm_at_ && LeaseClockNow() >= *next_warm_at_) {
+      OnTargetsChanged();
+    }
     RunCoordinators();
+    permit_link_.Tick();
     poison_.Tick(CurrentPoisonWriter());
   });
   tick_timer_.expires_after(is_leader_ ? kTickInterval : 5 * kTickInterval);
@@ -540,7 +553,9 @@
     versions_in_use[listed.entry.service].insert(listed.entry.version);
   }
   poison_.SetVersionsInUse(std::move(versions_in_use));
+  UpdateColdRates();
   for (auto& [service, coordinator] : coordinators_) {
+    const core::routing::ColdLimit* limit = ColdLimitOf(service);
     std::vector<core::keyspace::OwnerTarget> targets;
     for (const auto& [id, listed] : directory_.targets()) {
       if (listed.entry.service == service) {
@@ -552,13 +567,43 @@
              // targets that drain.
              .draining = listed.entry.draining ||
                          evacuations_.Contains(listed.entry.failure_domain),
-             .cold = now < listed.warm_at});
+             .cold = now < listed.warm_at,
+             .cold_requests_per_second =
+                 limit == nullptr ? std::nullopt
+                                  : std::optional(limit->requests_per_second)});
       }
     }
     coordinator->OnTargets(std::move(targets), now);
   }
 }
 
+const core::routing::ColdLimit* Control::ColdLimitOf(
+    const std::string& service) const {
+  const core::routing::RoutedService* found =
+      routes_ ? routes_->FindService(service) : nullptr;
+  return found != nullptr && found->cold_limit ? &*found->cold_limit : nullptr;
+}
+
+// Permits are issued for all targets of services with a limit, also for warm
+// ones, since another host may have learned earlier that a target is cold.
+void Control::UpdateColdRates() {
+  const core::TimePoint now = LeaseClockNow();
+  std::map<core::discovery::TargetInstance, double> rates;
+  next_warm_at_ = std::nullopt;
+  for (const auto& [id, listed] : directory_.targets()) {
+    const core::routing::ColdLimit* limit = ColdLimitOf(listed.entry.service);
+    if (limit == nullptr) {
+      continue;
+    }
+    rates[listed.entry.instance] = limit->requests_per_second;
+    if (now < listed.warm_at) {
+      next_warm_at_ =
+          std::min(next_warm_at_.value_or(listed.warm_at), listed.warm_at);
+    }
+  }
+  permit_link_.SetRates(std::move(rates));
+}
+
 void Control::RunCoordinators() {
   const bool active = IsActive();
   const bool was_active = std::exchange(active_, active);
@@ -730,6 +775,27 @@
   return false;
 }
 
+NewestTable Control::FindNewestTable() const {
+  NewestTable newest;
+  for (const auto& [service, table] : tables_) {
+    if (table.offset + 1 > newest.end) {
+      newest = {.address = table.report_address, .end = table.offset + 1};
+    }
+  }
+  return newest;
+}
+
+PermitLinkHooks Control::MakePermitHooks(DeliverPermits deliver) {
+  return {
+      .now = LeaseClockNow,
+      .send = [this](const std::string& address,
+                     const std::string& text) { relay_.SendTo(address, text); },
+      // The leader writes a table as soon as it takes over.
+      .leader_address = [this] { return FindNewestTable().address; },
+      .deliver = std::move(deliver),
+  };
+}
+
 PeerRelayHooks Control::MakeRelayHooks() {
   return {
       .on_load =
@@ -768,17 +834,7 @@
             }
           },
       .is_member = [this] { return is_member_; },
-      .newest_table =
-          [this] {
-            NewestTable newest;
-            for (const auto& [service, table] : tables_) {
-              if (table.offset + 1 > newest.end) {
-                newest = {.address = table.report_address,
-                          .end = table.offset + 1};
-              }
-            }
-            return newest;
-          },
+      .newest_table = [this] { return FindNewestTable(); },
       .is_active = [this] { return IsActive(); },
       .on_host_report =
           [this](const core::keyspace::HostReport& report) {
@@ -816,6 +872,10 @@
           [this](const core::request::PoisonDigest& digest) {
             poison_.OnLeaderDigest(digest);
           },
+      .on_permit_message =
+          [this](const std::string& text, const std::string& from) {
+            permit_link_.OnMessage(text, from);
+          },
   };
 }
 
@@ -864,6 +924,7 @@
 void Control::Leave() {
   leaving_ = true;
   relay_.BeginLeaving();
+  permit_link_.OnLeadership(false, LeaseClockNow());
   membership_timer_.cancel();
   // The coordinators renew leases until the record of a successor is read or
   // the process ends. A host that is not the leader stays in the group until
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -19,6 +19,7 @@
 #include "core/keyspace/leader_membership.h"
 #include "entry/peer_json.h"
 #include "entry/peer_relay.h"
+#include "entry/permit_link.h"
 #include "entry/platform_hooks.h"
 #include "entry/poison_control.h"
 #include "entry/routing_view.h"
@@ -28,6 +29,8 @@
 namespace toucandock::entry {
 
 using PublishView = std::function<void(std::shared_ptr<const RoutingView>)>;
+using DeliverPermits =
+    std::function<void(const std::vector<core::warmup::PermitAnswer>&)>;
 
 // Control state of one entry host: the configuration, the targets and the
 // owners of keys, as read from the store. On the leader, it also runs the
@@ -38,7 +41,8 @@
   Control(boost::asio::io_context& io,
           const EntrySettings& settings,
           const PlatformHooks& platform,
-          PublishView publish);
+          PublishView publish,
+          DeliverPermits deliver_permits);
 
   absl::Status Start();
   // Address ("IP:PORT") at which the other hosts reach this one.
@@ -51,6 +55,10 @@
   void OnPoisonUpdate(const PoisonUpdate& update) {
     poison_.OnLocalUpdate(update);
   }
+  // Asks the leader for permits to send requests of this host to cold targets.
+  void AskPermits(const std::vector<core::warmup::PermitQuestion>& questions) {
+    permit_link_.Ask(questions);
+  }
   // Gives up leadership before the process ends, so that another host can
   // become the leader at once.
   void Leave();
@@ -85,6 +93,10 @@
   void SyncCoordinators();
   void MarkChanged();
   void Publish();
+  const core::routing::ColdLimit* ColdLimitOf(const std::string& service) const;
+  void UpdateColdRates();
+  NewestTable FindNewestTable() const;
+  PermitLinkHooks MakePermitHooks(DeliverPermits deliver);
   PeerRelayHooks MakeRelayHooks();
   PoisonControlHooks MakePoisonHooks();
   void StorePoison(const std::string& value, std::function<void(bool)> done);
@@ -106,11 +118,14 @@
   Followers followers_;
   PeerRelay relay_;
   PoisonControl poison_;
+  PermitLink permit_link_;
   // Whether each stream has been read at least once.
   std::map<Stream, bool> was_read_;
   std::shared_ptr<const core::routing::RouteTable> routes_;
   core::discovery::TargetDirectory directory_;
   core::discovery::Evacuations evacuations_;
+  // The next time at which a target of a service with a limit becomes warm.
+  std::optional<core::TimePoint> next_warm_at_;
   // At the last published view.
   size_t evacuated_owners_ = 0;
   std::map<core::discovery::TargetInstance, std::string> addresses_;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -101,6 +101,11 @@
       crashes_(core::request::CrashDetectorOptions{}),
       safe_contents_(options.safe_contents),
       notices_(io, metrics_),
+      cold_targets_(io,
+                    names_,
+                    answer_memory_,
+                    metrics_,
+                    MakeColdTargetHooks()),
       report_timer_(io),
       dispatch_timer_(io),
       random_(std::random_device{}()) {
@@ -317,19 +322,30 @@
 Dispatcher::HandlePtr Dispatcher::ChooseTarget(Exchange& exchange,
                                                TimePoint now) {
   if (exchange.key) {
-    return OwnerOf(exchange, now);
+    return Permitted(exchange, OwnerOf(exchange, now), now);
   }
   const auto found = handles_by_service_.find(exchange.service);
   if (found == handles_by_service_.end()) {
     return nullptr;
   }
-  std::vector<core::balance::PickCandidate> candidates;
+  exchange.send_by.reset();
   std::vector<HandlePtr> handles;
+  std::vector<HandlePtr> cold;
   for (const HandlePtr& it : found->second) {
-    const core::discovery::TargetEntry& entry = it->target.entry;
-    if (!IsOpen(entry, now) || !HasConnectionRoom(*it)) {
-      continue;
+    if (IsOpen(it->target.entry, now) && HasConnectionRoom(*it)) {
+      (cold_targets_.ColdUntil(it->target, now) ? cold : handles).push_back(it);
     }
+  }
+  HandlePtr handle = Pick(exchange, handles, now);
+  return handle ? handle : ChooseCold(exchange, cold, now);
+}
+
+Dispatcher::HandlePtr Dispatcher::Pick(const Exchange& exchange,
+                                       const std::vector<HandlePtr>& handles,
+                                       TimePoint now) {
+  std::vector<core::balance::PickCandidate> candidates;
+  for (const HandlePtr& it : handles) {
+    const core::discovery::TargetEntry& entry = it->target.entry;
     candidates.push_back(
         {.load = &it->load,
          .slots = entry.slots,
@@ -337,7 +353,6 @@
          .cold = now < it->target.warm_at,
          .tried = std::find(exchange.tried.begin(), exchange.tried.end(),
                             entry.instance) != exchange.tried.end()});
-    handles.push_back(it);
   }
   const int pick = core::balance::PickTarget(
       candidates,
@@ -417,7 +432,7 @@
     metrics_.CountRetry(exchange->service);
   }
   if (!exchange->connection) {
-    exchange->connection = Connect(handle);
+    exchange->connection = Connect(handle, exchange->send_by);
   }
   exchange->used_connections.push_back(exchange->connection);
   ArmTimer(exchange, exchange->answer_by + options_.timeout_margin);
@@ -509,6 +524,7 @@
     // The other idle connections to this target have probably ended as well.
     handle->idle.clear();
   }
+  NoteUnreachable(*handle, answer.cause);
   DetectCrash(*exchange, handle, answer, now);
   if (exchange->done) {
     DispatchWaiting(service);
@@ -694,7 +710,9 @@
             handle->target.entry.instance;
         if (!ec) {
           crashes_.OnAlive(instance, probe_start);
+          cold_targets_.OnAccepted(*handle, now);
         } else if (ec == boost::asio::error::connection_refused) {
+          cold_targets_.OnUnreachable(handle->target.entry);
           ReportCrashes(crashes_.OnConnectRefused(instance, now), now);
         }
       });
@@ -836,6 +854,7 @@
 }
 
 void Dispatcher::RemoveFromQueue(const ExchangePtr& exchange) {
+  AwaitPermit(*exchange, std::nullopt);
   if (!exchange->waiting) {
     return;
   }
@@ -888,6 +907,10 @@
     Fail(exchange, ErrorKind::kOutcomeUnknown, "no target for a retry");
     return;
   }
+  if (const auto coldness = FindColdness(*exchange, Now())) {
+    RefuseAsUnavailable(exchange, *coldness);
+    return;
+  }
   const Duration expected =
       std::chrono::duration_cast<Duration>(typical_times_[exchange->service]);
   Refuse(
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -21,6 +21,7 @@
 #include "core/request/crash_detector.h"
 #include "core/request/safe_contents.h"
 #include "core/time.h"
+#include "entry/cold_targets.h"
 #include "entry/entry_metrics.h"
 #include "entry/poison_json.h"
 #include "entry/routing_view.h"
@@ -99,6 +100,10 @@
   // Reports requests that were in flight when their target ended, and suspected
   // requests that received a complete response.
   std::function<void(const PoisonUpdate&)> report_poison;
+  // Asks the leader for permits to send requests to cold targets. The answers
+  // are passed to Dispatcher::OnPermits().
+  std::function<void(const std::vector<core::warmup::PermitQuestion>&)>
+      ask_permits;
 };
 
 class Exchange;
@@ -129,6 +134,9 @@
   // Refuses all further requests, so that none is interrupted by the end of the
   // process.
   void BeginRefusing() { refusing_ = true; }
+  void OnPermits(const std::vector<core::warmup::PermitAnswer>& answers) {
+    cold_targets_.OnPermits(answers);
+  }
   // Called when the caller has closed its connection.
   void Cancel(const std::shared_ptr<Exchange>& exchange);
 
@@ -170,6 +178,30 @@
   DecisionInputs InputsOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
+  HandlePtr Pick(const Exchange& exchange,
+                 const std::vector<HandlePtr>& handles,
+                 core::TimePoint now);
+  ColdTargetHooks MakeColdTargetHooks();
+  HandlePtr Permitted(Exchange& exchange,
+                      HandlePtr handle,
+                      core::TimePoint now);
+  HandlePtr ChooseCold(Exchange& exchange,
+                       const std::vector<HandlePtr>& cold,
+                       core::TimePoint now);
+  void AwaitPermit(
+      Exchange& exchange,
+      const std::optional<core::discovery::TargetInstance>& target);
+  bool MaySendNow(const TargetHandle& handle,
+                  const std::optional<core::TimePoint>& send_by,
+                  core::TimePoint now);
+  void NoteUnreachable(const TargetHandle& handle, AttemptCause cause);
+  std::optional<core::TimePoint> ColdAvailableAt(const Exchange& exchange,
+                                                 const TargetHandle& handle,
+                                                 core::TimePoint now) const;
+  std::optional<core::TimePoint> ColdAvailableAt(const Exchange& exchange,
+                                                 core::TimePoint now) const;
+  std::optional<Unavailability> FindColdness(const Exchange& exchange,
+                                             core::TimePoint now);
   HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
   HandlePtr ListedOwnerOf(const Exchange& exchange) const;
   core::balance::AvailabilityState AvailabilityFor(const Exchange& exchange,
@@ -181,13 +213,17 @@
               core::TimePoint now) const;
   std::optional<Unavailability> FindUnavailability(const Exchange& exchange,
                                                    core::TimePoint now);
+  core::Duration ReturnSpread(core::Duration left);
   void RefuseAsUnavailable(const ExchangePtr& exchange,
                            const Unavailability& reason);
   void NoteRedirected(Exchange& exchange,
                       const std::string& target,
                       const core::balance::AvailabilityState& cause,
                       const char* action);
-  std::shared_ptr<TargetConnection> Connect(const HandlePtr& handle);
+  // Nothing is sent on the connection if it is not established by `send_by`.
+  std::shared_ptr<TargetConnection> Connect(
+      const HandlePtr& handle,
+      std::optional<core::TimePoint> send_by);
   void OnNotice(const HandlePtr& handle, const TargetNotice& notice);
   void OnTargetsListed(core::TimePoint now);
   bool HasConnectionRoom(const TargetHandle& handle) const;
@@ -261,6 +297,7 @@
   core::request::CrashDetector crashes_;
   core::request::SafeContents safe_contents_;
   TargetNotices notices_;
+  ColdTargets cold_targets_;
   boost::asio::steady_timer report_timer_;
   boost::asio::steady_timer dispatch_timer_;
   std::minstd_rand random_;
--- a/src/entry/dispatcher_availability.cc
+++ b/src/entry/dispatcher_availability.cc
@@ -21,7 +21,9 @@
 
 }  // namespace
 
-std::shared_ptr<TargetConnection> Dispatcher::Connect(const HandlePtr& handle) {
+std::shared_ptr<TargetConnection> Dispatcher::Connect(
+    const HandlePtr& handle,
+    std::optional<TimePoint> send_by) {
   metrics_.CountConnection(handle->target.entry.service);
   // The handle owns idle connections, so they do not own the handle.
   const std::weak_ptr<TargetHandle> weak = handle;
@@ -29,13 +31,14 @@
       io_, handle->endpoint, names_, answer_memory_,
       TargetConnectionHooks{
           .may_send =
-              [this, instance = handle->target.entry.instance] {
+              [this, instance = handle->target.entry.instance, send_by] {
                 const auto listed = handles_.find(instance);
                 const TimePoint now = std::chrono::steady_clock::now();
                 return listed != handles_.end() &&
                        !notices_.IsUnavailable(instance, now) &&
                        StateOf(listed->second->target.entry, now)
-                               .availability != Availability::kLeaving;
+                               .availability != Availability::kLeaving &&
+                       MaySendNow(*listed->second, send_by, now);
               },
           .on_notice =
               [this, weak](const TargetNotice& notice) {
@@ -73,6 +76,7 @@
 }
 
 void Dispatcher::OnTargetsListed(TimePoint now) {
+  cold_targets_.OnView(*view_);
   notices_.OnListChanged(
       [this](const TargetInstance& instance) {
         const auto it = handles_.lower_bound(instance);
@@ -149,6 +153,9 @@
 std::optional<Dispatcher::Unavailability> Dispatcher::FindUnavailability(
     const Exchange& exchange,
     TimePoint now) {
+  if (auto coldness = FindColdness(exchange, now)) {
+    return coldness;
+  }
   const AvailabilityState state = AvailabilityFor(exchange, now);
   if (state.availability == Availability::kLeaving) {
     // The key may move to another owner in time.
@@ -163,19 +170,23 @@
     return std::nullopt;
   }
   const Duration left = state.until - now;
+  return Unavailability{.state = state,
+                        .retry_after = left + ReturnSpread(left)};
+}
+
+// Returns how much later than after `left` a caller is asked to return.
+Duration Dispatcher::ReturnSpread(Duration left) {
   const Duration spread = std::min(options_.max_return_spread,
                                    std::chrono::duration_cast<Duration>(
                                        left * options_.return_spread_ratio));
-  return Unavailability{
-      .state = state,
-      .retry_after = left + std::chrono::duration_cast<Duration>(
-                                spread * std::uniform_real_distribution<double>(
-                                             0, 1)(random_))};
+  return std::chrono::duration_cast<Duration>(
+      spread * std::uniform_real_distribution<double>(0, 1)(random_));
 }
 
 void Dispatcher::RefuseAsUnavailable(const ExchangePtr& exchange,
                                      const Unavailability& reason) {
   const bool is_leaving = reason.state.availability == Availability::kLeaving;
+  const bool is_cold = reason.state.availability == Availability::kCold;
   const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
   NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
                  reason.state, "refused");
@@ -187,6 +198,7 @@
     Refuse(exchange, ErrorKind::kOwnerUnavailable,
            reason.state.evacuated ? "owner is evacuated"
            : is_leaving           ? "owner leaves"
+           : is_cold              ? "owner is cold"
                                   : "owner pauses",
            reason.retry_after);
     return;
@@ -194,6 +206,7 @@
   Refuse(exchange, ErrorKind::kOverloaded,
          reason.state.evacuated ? "all targets are evacuated or leave"
          : is_leaving           ? "all targets leave"
+         : is_cold              ? "all targets are cold"
                                 : "all targets pause or leave",
          reason.retry_after);
 }
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -92,6 +92,19 @@
               .Help("Targets in evacuated failure domains that own keys")
               .Register(*registry_)
               .Add({})),
+      permits_(prometheus::BuildGauge()
+                   .Name("toucandock_entry_permits")
+                   .Help("Permits for requests to cold targets since the start")
+                   .Register(*registry_)),
+      cold_requests_(prometheus::BuildCounter()
+                         .Name("toucandock_entry_cold_requests_total")
+                         .Help("Requests to cold targets, with a permit")
+                         .Register(*registry_)),
+      health_requests_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_health_requests_total")
+              .Help("Health requests to targets that were unreachable")
+              .Register(*registry_)),
       thread_lag_(prometheus::BuildHistogram()
                       .Name("toucandock_entry_thread_lag_seconds")
                       .Help("How late timers of the traffic thread ran")
@@ -206,6 +219,26 @@
   evacuated_owners_.Set(static_cast<double>(owners));
 }
 
+void EntryMetrics::SetPermits(const core::warmup::PermitCounts& permits) {
+  const std::pair<const char*, std::uint64_t> values[] = {
+      {"asked", permits.asked},
+      {"issued", permits.issued},
+      {"refused", permits.refused},
+      {"expired", permits.expired}};
+  for (const auto& [name, value] : values) {
+    permits_.Add({{"what", name}}).Set(static_cast<double>(value));
+  }
+}
+
+void EntryMetrics::CountColdRequest(const std::string& service) {
+  cold_requests_.Add({{"service", service}}).Increment();
+}
+
+void EntryMetrics::CountHealthRequest(bool is_usable) {
+  health_requests_.Add({{"result", is_usable ? "usable" : "unusable"}})
+      .Increment();
+}
+
 void EntryMetrics::CountConnection(const std::string& service) {
   connections_.Add({{"service", service}}).Increment();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -7,6 +7,7 @@
 #include "absl/strings/string_view.h"
 #include "core/error_kind.h"
 #include "core/time.h"
+#include "core/warmup/permit_pool.h"
 #include "entry/routing_view.h"
 
 namespace prometheus {
@@ -55,6 +56,12 @@
   // Sets the number of evacuated failure domains and of the targets in them
   // that still own keys.
   void SetEvacuations(size_t domains, size_t owners);
+  // Sets the numbers of permits for cold targets since the start.
+  void SetPermits(const core::warmup::PermitCounts& permits);
+  // Counts a request that was chosen for a cold target, with a permit.
+  void CountColdRequest(const std::string& service);
+  // `is_usable`: the response said how long the target remains cold.
+  void CountHealthRequest(bool is_usable);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
   // How late a timer of the traffic thread ran.
@@ -81,6 +88,9 @@
   prometheus::Family<prometheus::Gauge>& poison_;
   prometheus::Gauge& evacuated_domains_;
   prometheus::Gauge& evacuated_owners_;
+  prometheus::Family<prometheus::Gauge>& permits_;
+  prometheus::Family<prometheus::Counter>& cold_requests_;
+  prometheus::Family<prometheus::Counter>& health_requests_;
   prometheus::Histogram& thread_lag_;
   prometheus::Histogram& view_delay_;
   prometheus::Gauge& running_;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -57,6 +57,10 @@
   // could be taken for the response to a later attempt.
   std::vector<std::weak_ptr<TargetConnection>> used_connections;
   core::TimePoint sent_at{};
+  // The cold target for which the request waits for a permit.
+  std::optional<core::discovery::TargetInstance> awaits_permit_for;
+  // With a permit: the time before which the request must be sent.
+  std::optional<core::TimePoint> send_by;
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -11,6 +11,7 @@
 #include "entry/clock.h"
 #include "entry/contained_exception.h"
 #include "entry/event_log.h"
+#include "entry/permit_json.h"
 #include "util/hash.h"
 
 namespace toucandock::entry {
@@ -195,6 +196,12 @@
   socket_.send_to(boost::asio::buffer(text), to, 0, ec);
 }
 
+void PeerRelay::SendTo(const std::string& address, const std::string& text) {
+  if (const auto to = net::ParseEndpoint(address); to.ok()) {
+    Send({to->address(), to->port()}, text);
+  }
+}
+
 void PeerRelay::SendLoad(const core::keyspace::LoadReport& report) {
   if (IsRelay()) {
     AddReport(report, summed_loads_[report.service]);
@@ -591,6 +598,10 @@
 }
 
 void PeerRelay::OnDatagram(const std::string& text) {
+  if (IsPermitMessage(text)) {
+    hooks_.on_permit_message(text, ToString(sender_));
+    return;
+  }
   if (IsPoisonUpdate(text)) {
     const auto update = DecodePoisonUpdate(text);
     if (!update.ok()) {
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -96,6 +96,10 @@
       on_poison_update;
   std::function<void(const core::request::PoisonDigest& digest)>
       on_leader_digest;
+  // Called with a datagram about permits, undecoded, and the address
+  // ("IP:PORT") of its sender.
+  std::function<void(const std::string& text, const std::string& from)>
+      on_permit_message;
 };
 
 // Lets one host read the store on behalf of all. Each host sends heartbeats to
@@ -125,6 +129,8 @@
   // Sends the load of this host's own requests to the host that decides about
   // the owners of the service, or to the relay.
   void SendLoad(const core::keyspace::LoadReport& report);
+  // Sends a datagram to the peer port of one host.
+  void SendTo(const std::string& address, const std::string& text);
   // Sends a message to all hosts that this one knows.
   void Broadcast(const std::string& text);
   // Takes records that this host has read from the store or from the source.
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -34,6 +34,10 @@
   std::string metrics_address() const;
   void SetSettings(const EntrySettings& settings);
   void SetView(std::shared_ptr<const RoutingView> view);
+  // Takes the leader's answers to questions about permits.
+  void OnPermits(const std::vector<core::warmup::PermitAnswer>& answers) {
+    dispatcher_.OnPermits(answers);
+  }
   // Lets the requests in flight finish and then calls `stopped`, before the
   // stop limit of the settings.
   void Stop(std::function<void()> stopped);
--- a/src/net/header_names.h
+++ b/src/net/header_names.h
@@ -28,6 +28,9 @@
   std::string leaving;
   // Id of the target that created a response.
   std::string target_id;
+  // In a response to a health request: for how many milliseconds the target
+  // remains cold.
+  std::string warm_up_left;
 };
 
 }  // namespace toucandock::net
--- a/tests/http/raw_target.h
+++ b/tests/http/raw_target.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -119,9 +120,14 @@
  public:
   using Serve = std::function<void(RawConnection&)>;
 
-  explicit RawTarget(Serve serve) : serve_(std::move(serve)) {
+  // `port` 0 lets the kernel choose.
+  explicit RawTarget(Serve serve, std::uint16_t port = 0)
+      : serve_(std::move(serve)) {
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int reuse = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
     sockaddr_in address = {.sin_family = AF_INET,
+                           .sin_port = htons(port),
                            .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
     socklen_t length = sizeof(address);
     auto* generic_address = reinterpret_cast<sockaddr*>(&address);
