Let the planner know what cold targets of limited services bear

Cause: the planner and the limit of cold targets were built side by side. Change: the coordinator passes the rate of a cold target on to the planner, in place of halving its capacity.

--- a/src/core/keyspace/grant_coordinator.cc
+++ b/src/core/keyspace/grant_coordinator.cc
@@ -722,7 +722,9 @@
         {.instance = it.instance,
          .capacity = it.slots *
                      samples_.SpeedOf(it.instance.id, input.mean_work_time) *
-                     (it.cold ? 0.5 : 1.0)});
+                     (it.cold && !it.cold_requests_per_second ? 0.5 : 1.0),
+         .cold_requests_per_second =
+             it.cold ? it.cold_requests_per_second : std::nullopt});
   }
   // If many targets do not respond, the network links of this host are the more
   // likely cause. Their leases are then left to expire or to be renewed by a
