--- a/src/core/keyspace/key_samples.h
+++ b/src/core/keyspace/key_samples.h
@@ -55,6 +55,9 @@
   // Returns the number of slots that one sampled request keeps busy on average
   // over the window.
   double BusySlotsPerSample(TimePoint now) const;
+  // Returns the smoothed response time of all targets; zero before the first
+  // response.
+  FloatSeconds MeanTime() const { return FloatSeconds(mean_seconds_); }
   double SpeedOf(const std::string& target_id) const;
 
  private:
