--- a/src/core/balance/target_load.cc
+++ b/src/core/balance/target_load.cc
@@ -44,6 +44,7 @@
   failure_at_ = now;
   const bool is_failure = health == AttemptHealth::kFailed ||
                           health == AttemptHealth::kShed ||
+                          health == AttemptHealth::kRefusedWithFreeSlots ||
                           health == AttemptHealth::kRejected;
   failure_rate_ +=
       ((is_failure ? 1.0 : 0.0) - failure_rate_) * kFailureSmoothing;
@@ -76,6 +77,10 @@
   }
 }
 
+void TargetLoad::OnFull(TimePoint now) {
+  paused_until_ = std::max(paused_until_, now + options_.full_pause);
+}
+
 // Returns the number of requests that the target is expected to have, including
 // those of this host.
 double TargetLoad::Estimate(TimePoint now) const {
--- a/src/core/keyspace/key_samples.cc
+++ b/src/core/keyspace/key_samples.cc
@@ -216,6 +216,17 @@
   return static_cast<float>(steady_since / since * all / steady);
 }
 
+std::vector<std::uint32_t> KeySamples::SortedKeys(TimePoint now) {
+  DropOldSamples(now);
+  std::vector<std::uint32_t> keys;
+  keys.reserve(samples_.size());
+  for (const Sample& it : samples_) {
+    keys.push_back(it.key);
+  }
+  std::sort(keys.begin(), keys.end());
+  return keys;
+}
+
 WeightedKeys KeySamples::Sorted(TimePoint now) {
   DropOldSamples(now);
   DetectChanges(now);
@@ -293,6 +304,12 @@
   return std::chrono::duration_cast<Duration>(MeanWorkSeconds());
 }
 
+bool KeySamples::HasWorkTimes() const {
+  return std::any_of(
+      target_times_.begin(), target_times_.end(),
+      [](const auto& it) { return it.second.work_time > FloatSeconds{}; });
+}
+
 // Returns the speed of a target relative to the mean of all targets; 1 if it is
 // unknown.
 double KeySamples::SpeedOf(const std::string& target_id,
--- a/src/core/keyspace/key_samples.h
+++ b/src/core/keyspace/key_samples.h
@@ -76,6 +76,8 @@
   explicit KeySamples(const KeySampleOptions& options) : options_(options) {}
 
   void Add(const LoadReport& report, TimePoint now);
+  // Keys of all requests within the window, sorted, one entry for each request.
+  std::vector<std::uint32_t> SortedKeys(TimePoint now);
   // Keys whose load has changed count by their recent samples only.
   WeightedKeys Sorted(TimePoint now);
   // Returns whether the load has changed just now, so that the samples show
@@ -89,6 +91,8 @@
   double SpeedOf(const std::string& target_id, Duration mean_work_time) const;
   // Mean time for which a request occupies a slot of a target.
   Duration MeanWorkTime() const;
+  // Whether the response time of any target is known.
+  bool HasWorkTimes() const;
 
  private:
   struct Sample {
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -99,7 +99,8 @@
                  const EntrySettings& settings,
                  const PlatformHooks& platform,
                  PublishView publish,
-                 DeliverPermits deliver_permits)
+                 DeliverPermits deliver_permits,
+                 PublishAdmitted publish_admitted)
     : io_(io),
       settings_(settings),
       platform_(platform),
@@ -121,6 +122,7 @@
       permit_link_(settings.warm_up,
                    core::warmup::IssuerOptions{},
                    MakePermitHooks(std::move(deliver_permits))),
+      admission_(std::move(publish_admitted)),
       directory_(core::discovery::DirectoryOptions{}) {}
 
 absl::Status Control::Start() {
@@ -503,6 +505,7 @@
     }
     RunCoordinators();
     permit_link_.Tick();
+    UpdateAdmission();
     poison_.Tick(CurrentPoisonWriter());
   });
   tick_timer_.expires_after(is_leader_ ? kTickInterval : 5 * kTickInterval);
@@ -514,6 +517,19 @@
   });
 }
 
+void Control::UpdateAdmission() {
+  const core::TimePoint now = LeaseClockNow();
+  std::vector<const core::keyspace::OwnershipTable*> led;
+  for (const auto& [service, coordinator] : coordinators_) {
+    const auto table = tables_.find(service);
+    if (table != tables_.end() && table->second.writer == writer_ &&
+        coordinator->IsActive(now)) {
+      led.push_back(&table->second);
+    }
+  }
+  admission_.Tick(led, now);
+}
+
 // The relays of a large fleet write for the hosts that use them: records of all
 // hosts at once would delay the other records of the store for seconds.
 PoisonWriter Control::CurrentPoisonWriter() const {
@@ -554,6 +570,7 @@
   }
   poison_.SetVersionsInUse(std::move(versions_in_use));
   UpdateColdRates();
+  admission_.OnTargets(directory_, routes_.get());
   for (auto& [service, coordinator] : coordinators_) {
     const core::routing::ColdLimit* limit = ColdLimitOf(service);
     std::vector<core::keyspace::OwnerTarget> targets;
@@ -748,6 +765,7 @@
     return;
   }
   if (table->second.writer == writer_) {
+    admission_.OnLoad(report, LeaseClockNow());
     const auto it = coordinators_.find(report.service);
     if (it != coordinators_.end()) {
       it->second->OnLoad(report, LeaseClockNow());
@@ -759,6 +777,7 @@
 
 // Takes the load of other hosts.
 void Control::OnLoadReport(const core::keyspace::LoadReport& report) {
+  admission_.OnLoad(report, LeaseClockNow());
   const auto it = coordinators_.find(report.service);
   if (it != coordinators_.end()) {
     it->second->OnLoad(report, LeaseClockNow());
@@ -876,6 +895,16 @@
           [this](const std::string& text, const std::string& from) {
             permit_link_.OnMessage(text, from);
           },
+      .admitted_version = [this] { return admission_.version(); },
+      .admitted_update =
+          [this](std::uint32_t known_version) {
+            return admission_.MakeUpdate(known_version, LeaseClockNow());
+          },
+      .on_admitted =
+          [this](const core::keyspace::AdmittedUpdate& update,
+                 core::TimePoint received_at) {
+            admission_.OnUpdate(update, received_at, LeaseClockNow());
+          },
   };
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -17,6 +17,7 @@
 #include "core/discovery/target_directory.h"
 #include "core/keyspace/grant_coordinator.h"
 #include "core/keyspace/leader_membership.h"
+#include "entry/admission_control.h"
 #include "entry/peer_json.h"
 #include "entry/peer_relay.h"
 #include "entry/permit_link.h"
@@ -42,7 +43,8 @@
           const EntrySettings& settings,
           const PlatformHooks& platform,
           PublishView publish,
-          DeliverPermits deliver_permits);
+          DeliverPermits deliver_permits,
+          PublishAdmitted publish_admitted);
 
   absl::Status Start();
   // Address ("IP:PORT") at which the other hosts reach this one.
@@ -84,6 +86,7 @@
   void ApplyExpirations();
   void Tick();
   void RunCoordinators();
+  void UpdateAdmission();
   void Execute(Coordinator& coordinator, const core::keyspace::Action& action);
   void Append(Coordinator& coordinator,
               const core::keyspace::AppendCommand& command);
@@ -119,6 +122,7 @@
   PeerRelay relay_;
   PoisonControl poison_;
   PermitLink permit_link_;
+  AdmissionControl admission_;
   // Whether each stream has been read at least once.
   std::map<Stream, bool> was_read_;
   std::shared_ptr<const core::routing::RouteTable> routes_;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -5,7 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
+#include "core/balance/reported_load.h"
 #include "core/request/attempt_rules.h"
 #include "core/request/fingerprint.h"
 #include "entry/contained_exception.h"
@@ -41,25 +41,6 @@
   return std::chrono::duration_cast<milliseconds>(time);
 }
 
-struct ReportedLoad {
-  int running = 0;
-  int waiting = 0;
-};
-
-// Parses the load header of a target: the numbers of its running requests, of
-// its waiting requests and of its slots, separated by commas. The slots are
-// ignored.
-std::optional<ReportedLoad> ParseReportedLoad(boost::beast::string_view text) {
-  const std::vector<std::string> parts =
-      absl::StrSplit(absl::string_view(text.data(), text.size()), ',');
-  ReportedLoad load;
-  if (parts.size() < 2 || !absl::SimpleAtoi(parts[0], &load.running) ||
-      !absl::SimpleAtoi(parts[1], &load.waiting)) {
-    return std::nullopt;
-  }
-  return load;
-}
-
 // Returns the same text for requests with the same content, so that a request
 // is recognized when it is sent again with another id.
 std::string FingerprintOf(const net::HttpRequest& request) {
@@ -267,6 +248,9 @@
     FailAsPoison(exchange);
     return;
   }
+  if (exchange->key && RefuseUnlessAdmitted(exchange, now)) {
+    return;
+  }
   RetriesOf(exchange->service).OnRequest(now);
   typical_times_.try_emplace(exchange->service, kInitialTypicalTime);
   if (!TryDispatch(exchange, now)) {
@@ -310,7 +294,9 @@
     return nullptr;
   }
   const core::balance::PickCandidate candidate{
-      .load = &handle->load, .slots = handle->target.entry.slots};
+      .load = &handle->load,
+      .slots = handle->target.entry.slots,
+      .max_requests = MaxRequestsOf(*handle, now)};
   if (!IsOpen(handle->target.entry, now) || handle->load.IsPaused(now) ||
       !core::balance::HasCapacity(candidate, pick_options_, now) ||
       !HasConnectionRoom(*handle)) {
@@ -352,7 +338,8 @@
          .same_domain = entry.failure_domain == failure_domain_,
          .cold = now < it->target.warm_at,
          .tried = std::find(exchange.tried.begin(), exchange.tried.end(),
-                            entry.instance) != exchange.tried.end()});
+                            entry.instance) != exchange.tried.end(),
+         .max_requests = MaxRequestsOf(*it, now)});
   }
   const int pick = core::balance::PickTarget(
       candidates,
@@ -435,7 +422,7 @@
     exchange->connection = Connect(handle, exchange->send_by);
   }
   exchange->used_connections.push_back(exchange->connection);
-  ArmTimer(exchange, exchange->answer_by + options_.timeout_margin);
+  ArmAttemptTimer(exchange, now);
   exchange->connection->Send(
       std::move(request), [this, exchange](TargetAnswer answer) {
         RunStep(exchange, [&] { OnTargetAnswer(exchange, std::move(answer)); });
@@ -467,14 +454,8 @@
     return;
   }
   const Duration taken = now - exchange.sent_at;
-  bool has_queue = false;
-  const auto load = answer.response.find(names_.target_load);
-  if (load != answer.response.end()) {
-    if (const auto reported = ParseReportedLoad(load->value())) {
-      handle.load.OnReport(reported->running + reported->waiting, now);
-      has_queue = reported->waiting > 0;
-    }
-  }
+  const auto reported = NoteReport(exchange, answer, now);
+  const bool has_queue = reported && reported->waiting > 0;
   AttemptHealth health = AttemptHealth::kGood;
   switch (answer.end) {
     case AttemptEnd::kAnswered:
@@ -489,7 +470,11 @@
           kTypicalTimeSmoothing;
       break;
     case AttemptEnd::kNotExecuted:
-      health = answer.shed ? AttemptHealth::kShed : AttemptHealth::kFailed;
+      health = core::balance::HealthOfRefusal(answer.shed, reported,
+                                              handle.target.entry.slots);
+      if (health == AttemptHealth::kRefusedWithFreeSlots) {
+        metrics_.CountRefusalWithFreeSlots(exchange.service);
+      }
       break;
     case AttemptEnd::kNotSent:
       health = answer.rejected_connection ? AttemptHealth::kRejected
@@ -515,6 +500,7 @@
   const core::balance::AvailabilityState state =
       StateOf(handle->target.entry, now);
   if (state.availability != Availability::kLeaving &&
+      !exchange->is_target_silent &&
       exchange->connection->IsUsable(options_.max_idle_idempotent)) {
     handle->idle.push_back(std::move(exchange->connection));
   }
@@ -891,12 +877,18 @@
 // the longest time allowed.
 void Dispatcher::OnTimer(const ExchangePtr& exchange) {
   if (exchange->connection) {
+    const TimePoint now = Now();
+    if (now < exchange->answer_by) {
+      OnSilence(exchange, now);
+      return;
+    }
+    NoteUnanswered(*exchange, now);
     exchange->may_have_run = true;
     if (exchange->route->IsIdempotent()) {
       exchange->connection->Abandon();
       exchange->connection = nullptr;
       exchange->current_target->load.OnEnd(AttemptHealth::kFailed,
-                                           Now() - exchange->sent_at, Now());
+                                           now - exchange->sent_at, now);
       exchange->current_target = nullptr;
     }
     Fail(exchange, ErrorKind::kAnswerTimeout, "no answer in time");
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -50,6 +50,11 @@
                            .Name("toucandock_entry_failed_attempts_total")
                            .Help("Attempts without a usable answer, by cause")
                            .Register(*registry_)),
+      refusals_with_free_slots_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_refusals_with_free_slots_total")
+              .Help("Refusals of targets that report free slots")
+              .Register(*registry_)),
       connections_(prometheus::BuildCounter()
                        .Name("toucandock_entry_target_connections_total")
                        .Help("New connections to targets")
@@ -105,6 +110,23 @@
               .Name("toucandock_entry_health_requests_total")
               .Help("Health requests to targets that were unreachable")
               .Register(*registry_)),
+      limited_requests_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_limited_key_requests_total")
+              .Help("Requests for keys that are asked for more than their "
+                    "owners can serve")
+              .Register(*registry_)),
+      full_targets_(prometheus::BuildCounter()
+                        .Name("toucandock_entry_full_targets_total")
+                        .Help("Targets that were found full because they did "
+                              "not answer")
+                        .Register(*registry_)),
+      limited_ranges_(prometheus::BuildGauge()
+                          .Name("toucandock_entry_limited_key_ranges")
+                          .Help("Key ranges of which only a part of the "
+                                "requests is admitted")
+                          .Register(*registry_)
+                          .Add({})),
       thread_lag_(prometheus::BuildHistogram()
                       .Name("toucandock_entry_thread_lag_seconds")
                       .Help("How late timers of the traffic thread ran")
@@ -176,6 +198,10 @@
       .Increment();
 }
 
+void EntryMetrics::CountRefusalWithFreeSlots(const std::string& service) {
+  refusals_with_free_slots_.Add({{"service", service}}).Increment();
+}
+
 void EntryMetrics::CountTargetCrash(const std::string& service,
                                     absl::string_view evidence) {
   target_crashes_
@@ -239,6 +265,22 @@
       .Increment();
 }
 
+void EntryMetrics::CountLimitedRequest(const std::string& service,
+                                       bool is_admitted) {
+  limited_requests_
+      .Add({{"service", service},
+            {"decision", is_admitted ? "admitted" : "refused"}})
+      .Increment();
+}
+
+void EntryMetrics::CountFullTarget(const std::string& service) {
+  full_targets_.Add({{"service", service}}).Increment();
+}
+
+void EntryMetrics::SetLimitedRanges(size_t ranges) {
+  limited_ranges_.Set(static_cast<double>(ranges));
+}
+
 void EntryMetrics::CountConnection(const std::string& service) {
   connections_.Add({{"service", service}}).Increment();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -38,6 +38,8 @@
   void CountRetry(const std::string& service);
   // `cause` says why an attempt at a target returned no usable response.
   void CountFailedAttempt(const std::string& service, absl::string_view cause);
+  // Counts a target's refusal of a request although it reports free slots.
+  void CountRefusalWithFreeSlots(const std::string& service);
   // `evidence` names the sign from which it was concluded that a target had
   // ended.
   void CountTargetCrash(const std::string& service, absl::string_view evidence);
@@ -62,6 +64,13 @@
   void CountColdRequest(const std::string& service);
   // `is_usable`: the response said how long the target remains cold.
   void CountHealthRequest(bool is_usable);
+  // Counts a request for a key of which only a part of the requests can be
+  // served.
+  void CountLimitedRequest(const std::string& service, bool is_admitted);
+  // Counts targets that were found full because they did not answer.
+  void CountFullTarget(const std::string& service);
+  // Sets the number of key ranges that are limited.
+  void SetLimitedRanges(size_t ranges);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
   // How late a timer of the traffic thread ran.
@@ -80,6 +89,7 @@
   prometheus::Family<prometheus::Counter>& undelivered_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
+  prometheus::Family<prometheus::Counter>& refusals_with_free_slots_;
   prometheus::Family<prometheus::Counter>& connections_;
   prometheus::Family<prometheus::Counter>& target_crashes_;
   prometheus::Family<prometheus::Counter>& target_notices_;
@@ -91,6 +101,9 @@
   prometheus::Family<prometheus::Gauge>& permits_;
   prometheus::Family<prometheus::Counter>& cold_requests_;
   prometheus::Family<prometheus::Counter>& health_requests_;
+  prometheus::Family<prometheus::Counter>& limited_requests_;
+  prometheus::Family<prometheus::Counter>& full_targets_;
+  prometheus::Gauge& limited_ranges_;
   prometheus::Histogram& thread_lag_;
   prometheus::Histogram& view_delay_;
   prometheus::Gauge& running_;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -61,6 +61,9 @@
   std::optional<core::discovery::TargetInstance> awaits_permit_for;
   // With a permit: the time before which the request must be sent.
   std::optional<core::TimePoint> send_by;
+  // The silence of the current attempt was taken to mean that the target is
+  // full.
+  bool is_target_silent = false;
 };
 
 }  // namespace toucandock::entry
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -38,6 +38,9 @@
   void OnPermits(const std::vector<core::warmup::PermitAnswer>& answers) {
     dispatcher_.OnPermits(answers);
   }
+  void SetAdmitted(const AdmittedView& admitted) {
+    dispatcher_.SetAdmitted(admitted);
+  }
   // Lets the requests in flight finish and then calls `stopped`, before the
   // stop limit of the settings.
   void Stop(std::function<void()> stopped);
