Move the choice of a target and the detection of crashes out of the dispatcher

The listed targets and the choice among them are now in target_set, the probes and reports of targets that ended in crash_watch.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -93,14 +93,29 @@
                        DispatchHooks hooks)
     : io_(io),
       names_(std::move(names)),
-      failure_domain_(std::move(failure_domain)),
       retry_options_(retries),
       options_(options),
       hooks_(std::move(hooks)),
       view_(std::make_shared<RoutingView>()),
-      crashes_(core::request::CrashDetectorOptions{}),
-      safe_contents_(options.safe_contents),
       notices_(io, metrics_),
+      targets_(std::move(failure_domain),
+               notices_,
+               {.connection_fraction = options.connection_fraction,
+                .evacuation = options.evacuation}),
+      crash_watch_(
+          io,
+          metrics_,
+          notices_,
+          {.probe_delay = options.probe_delay,
+           .rejected_probe_delay = options.rejected_probe_delay,
+           .probe_limit = options.probe_limit,
+           .safe_contents = options.safe_contents},
+          {.is_listed =
+               [this](const core::discovery::TargetInstance& instance) {
+                 return targets_.Find(instance) != nullptr;
+               },
+           .report =
+               [this](const PoisonUpdate& it) { hooks_.report_poison(it); }}),
       report_timer_(io),
       dispatch_timer_(io),
       random_(std::random_device{}()) {
@@ -110,35 +125,10 @@
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::SetView(std::shared_ptr<const RoutingView> view) {
-  const bool has_new_suspects =
-      view->poison->suspected != view_->poison->suspected;
   view_ = std::move(view);
   const TimePoint now = Now();
-  ReportCrashes(crashes_.OnTargets(view_->targets, now), now);
-  if (has_new_suspects) {
-    ReportSafeSuspects(now);
-  }
-  std::map<core::discovery::TargetInstance, HandlePtr> handles;
-  handles_by_service_.clear();
-  for (const auto& [service, targets] : view_->targets) {
-    for (const core::discovery::ListedTarget& it : targets) {
-      const auto known = handles_.find(it.entry.instance);
-      HandlePtr handle;
-      if (known != handles_.end() &&
-          known->second->target.entry.address == it.entry.address) {
-        handle = known->second;
-        handle->target = it;
-      } else if (const auto at = net::ParseEndpoint(it.entry.address);
-                 at.ok()) {
-        handle = std::make_shared<TargetHandle>(it, *at, load_options_);
-      } else {
-        continue;
-      }
-      handles[it.entry.instance] = handle;
-      handles_by_service_[service].push_back(std::move(handle));
-    }
-  }
-  handles_ = std::move(handles);
+  crash_watch_.SetView(*view_, now);
+  targets_.SetView(view_);
   OnTargetsListed(now);
   std::vector<std::string> services;
   for (const auto& [service, queue] : waiting_) {
@@ -269,85 +259,6 @@
   }
 }
 
-bool Dispatcher::HasConnectionRoom(const TargetHandle& handle) const {
-  const core::routing::RoutedService* service =
-      view_->routes ? view_->routes->FindService(handle.target.entry.service)
-                    : nullptr;
-  const double cap = service == nullptr ? 100 : service->max_connections;
-  const int share =
-      std::max(1, static_cast<int>(cap * options_.connection_fraction /
-                                   std::max(1, view_->live_hosts)));
-  return handle.load.in_flight() < share;
-}
-
-// Returns the owner of the request's key if it is listed and serves the key.
-Dispatcher::HandlePtr Dispatcher::ListedOwnerOf(
-    const Exchange& exchange) const {
-  const auto table = view_->ownership.find(exchange.service);
-  if (table == view_->ownership.end() ||
-      exchange.misdirected_at == table->second.offset) {
-    return nullptr;
-  }
-  const core::keyspace::Assignment* assignment =
-      core::keyspace::FindAssignment(table->second, *exchange.key);
-  if (assignment == nullptr || !assignment->serving) {
-    return nullptr;
-  }
-  const auto handle = handles_.find(assignment->owner);
-  return handle == handles_.end() ? nullptr : handle->second;
-}
-
-// Returns the owner of the request's key, or null if the request must not be
-// sent there now.
-Dispatcher::HandlePtr Dispatcher::OwnerOf(Exchange& exchange, TimePoint now) {
-  HandlePtr handle = ListedOwnerOf(exchange);
-  if (handle == nullptr) {
-    return nullptr;
-  }
-  const core::balance::PickCandidate candidate{
-      .load = &handle->load, .slots = handle->target.entry.slots};
-  if (!IsOpen(handle->target.entry, now) || handle->load.IsPaused(now) ||
-      !core::balance::HasCapacity(candidate, pick_options_, now) ||
-      !HasConnectionRoom(*handle)) {
-    return nullptr;
-  }
-  return handle;
-}
-
-Dispatcher::HandlePtr Dispatcher::ChooseTarget(Exchange& exchange,
-                                               TimePoint now) {
-  if (exchange.key) {
-    return OwnerOf(exchange, now);
-  }
-  const auto found = handles_by_service_.find(exchange.service);
-  if (found == handles_by_service_.end()) {
-    return nullptr;
-  }
-  std::vector<core::balance::PickCandidate> candidates;
-  std::vector<HandlePtr> handles;
-  for (const HandlePtr& it : found->second) {
-    const core::discovery::TargetEntry& entry = it->target.entry;
-    if (!IsOpen(entry, now) || !HasConnectionRoom(*it)) {
-      continue;
-    }
-    candidates.push_back(
-        {.load = &it->load,
-         .slots = entry.slots,
-         .same_domain = entry.failure_domain == failure_domain_,
-         .cold = now < it->target.warm_at,
-         .tried = std::find(exchange.tried.begin(), exchange.tried.end(),
-                            entry.instance) != exchange.tried.end()});
-    handles.push_back(it);
-  }
-  const int pick = core::balance::PickTarget(
-      candidates,
-      {.idempotent = exchange.route->IsIdempotent(),
-       .latency_goal = exchange.route->latency_goal,
-       .typical_time = typical_times_[exchange.service]},
-      pick_options_, random_(), now);
-  return pick < 0 ? nullptr : handles[pick];
-}
-
 // Returns false when the request has to wait for a target.
 bool Dispatcher::TryDispatch(const ExchangePtr& exchange, TimePoint now) {
   // The content may have been blocked while the request waited or while an
@@ -356,7 +267,8 @@
     FailAsPoison(exchange);
     return true;
   }
-  const HandlePtr handle = ChooseTarget(*exchange, now);
+  const HandlePtr handle =
+      targets_.ChooseTarget(*exchange, typical_times_[exchange->service], now);
   if (handle == nullptr) {
     const auto reason = FindUnavailability(*exchange, now);
     if (reason) {
@@ -498,7 +410,7 @@
   const std::string service = exchange->service;
   const HandlePtr handle = exchange->current_target;
   const core::balance::AvailabilityState state =
-      StateOf(handle->target.entry, now);
+      targets_.StateOf(handle->target.entry, now);
   if (state.availability != Availability::kLeaving &&
       exchange->connection->IsUsable(options_.max_idle_idempotent)) {
     handle->idle.push_back(std::move(exchange->connection));
@@ -509,7 +421,7 @@
     // The other idle connections to this target have probably ended as well.
     handle->idle.clear();
   }
-  DetectCrash(*exchange, handle, answer, now);
+  crash_watch_.OnAttemptEnd(*exchange, handle, answer, now);
   if (exchange->done) {
     DispatchWaiting(service);
     return;
@@ -599,186 +511,6 @@
        "targets ended under the same content");
 }
 
-// Updates the crash detector with the result of an attempt, which shows whether
-// the target still runs or whether a request may have ended it.
-void Dispatcher::DetectCrash(const Exchange& exchange,
-                             const HandlePtr& handle,
-                             const TargetAnswer& answer,
-                             TimePoint now) {
-  const core::discovery::TargetEntry& target = handle->target.entry;
-  if (answer.cause == AttemptCause::kConnectionEnded) {
-    OnBroken(exchange, handle,
-             answer.rejected_connection ? options_.rejected_probe_delay
-                                        : options_.probe_delay,
-             now);
-    return;
-  }
-  if (answer.cause == AttemptCause::kConnectRefused) {
-    ReportCrashes(crashes_.OnConnectRefused(target.instance, now), now);
-    return;
-  }
-  const bool is_alive = answer.end == AttemptEnd::kAnswered ||
-                        answer.end == AttemptEnd::kFailedAnswer || answer.shed;
-  if (is_alive) {
-    crashes_.OnAlive(target.instance, exchange.sent_at);
-  }
-  if (answer.end == AttemptEnd::kAnswered &&
-      http::to_status_class(answer.response.result()) ==
-          http::status_class::successful) {
-    NoteCompleteAnswer(exchange, target.version, now);
-  }
-}
-
-// Handles a connection that ended without a complete response. Either the
-// request has crashed the target, or only the connection has ended; a later
-// probe shows which.
-void Dispatcher::OnBroken(const Exchange& exchange,
-                          const HandlePtr& handle,
-                          Duration probe_delay,
-                          TimePoint now) {
-  // A target that leaves or is no longer listed was stopped as planned and did
-  // not crash.
-  const core::discovery::TargetInstance& instance =
-      handle->target.entry.instance;
-  if (!handles_.contains(instance) || notices_.IsLeaving(instance)) {
-    return;
-  }
-  crashes_.OnBroken({.target = handle->target.entry,
-                     .caller_fingerprint = exchange.caller_fingerprint,
-                     .content_fingerprint = exchange.content_fingerprint,
-                     .request_id = exchange.request_id,
-                     .at = now});
-  // One probe is enough for all requests that this target had in flight.
-  if (handle->is_probe_scheduled) {
-    return;
-  }
-  handle->is_probe_scheduled = true;
-  ScheduleProbe(handle, now + probe_delay);
-}
-
-// Probes the target at the given time, or after the pause that it asked for.
-void Dispatcher::ScheduleProbe(const HandlePtr& handle, TimePoint at) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, at);
-  timer->async_wait([this, handle, timer](const boost::system::error_code&) {
-    const core::discovery::TargetInstance& instance =
-        handle->target.entry.instance;
-    const TimePoint now = Now();
-    const core::balance::AvailabilityState state =
-        notices_.StateOf(instance, now);
-    const bool is_needed = state.availability != Availability::kLeaving &&
-                           crashes_.IsPending(instance, now);
-    if (is_needed && state.availability == Availability::kPaused) {
-      ScheduleProbe(handle, state.until);
-      return;
-    }
-    handle->is_probe_scheduled = false;
-    if (is_needed) {
-      ProbeTarget(handle);
-    }
-  });
-}
-
-// Opens a test connection to find out whether a process still listens at the
-// target's address.
-void Dispatcher::ProbeTarget(const HandlePtr& handle) {
-  metrics_.CountConnection(handle->target.entry.service);
-  const TimePoint probe_start = Now();
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-  auto socket = std::make_shared<net::Tcp::socket>(io_);
-  socket->async_connect(
-      handle->endpoint, [this, handle, timer, socket,
-                         probe_start](const boost::system::error_code& ec) {
-        timer->cancel();
-        const TimePoint now = Now();
-        const core::discovery::TargetInstance& instance =
-            handle->target.entry.instance;
-        if (!ec) {
-          crashes_.OnAlive(instance, probe_start);
-        } else if (ec == boost::asio::error::connection_refused) {
-          ReportCrashes(crashes_.OnConnectRefused(instance, now), now);
-        }
-      });
-  timer->expires_after(options_.probe_limit);
-  timer->async_wait([socket](const boost::system::error_code& ec) {
-    if (!ec) {
-      boost::system::error_code ignored;
-      socket->close(ignored);
-    }
-  });
-}
-
-// Reports the requests that were in flight when targets ended to the control
-// thread, except those whose content recently completed without a crash.
-void Dispatcher::ReportCrashes(const std::vector<core::request::Crash>& crashes,
-                               TimePoint now) {
-  PoisonUpdate update;
-  for (const core::request::Crash& it : crashes) {
-    const core::discovery::TargetEntry& target = it.attempt.target;
-    metrics_.CountTargetCrash(target.service,
-                              core::request::ToString(it.evidence));
-    bool is_safe = true;
-    for (const std::string& fingerprint :
-         {it.attempt.caller_fingerprint, it.attempt.content_fingerprint}) {
-      if (safe_contents_.Contains(fingerprint, target.version, now)) {
-        continue;
-      }
-      is_safe = false;
-      update.crashes.push_back(
-          {.key = {.fingerprint = fingerprint},
-           .target = absl::StrCat(target.instance.id, "/",
-                                  target.instance.start_time_ms),
-           .crash_limit = kCrashLimit,
-           .age = now - it.attempt.at,
-           .target_version = {.service = target.service,
-                              .version = target.version}});
-    }
-    LogEvent("target_crash",
-             {{"target", target.instance.id},
-              {"born", target.instance.start_time_ms},
-              {"service", target.service},
-              {"evidence", core::request::ToString(it.evidence)},
-              {"request", it.attempt.request_id},
-              {"content", it.attempt.content_fingerprint},
-              {"age_ms", ToMilliseconds(now - it.attempt.at).count()},
-              {"is_proven", is_safe}});
-  }
-  if (!update.empty()) {
-    hooks_.report_poison(update);
-  }
-}
-
-void Dispatcher::NoteCompleteAnswer(const Exchange& exchange,
-                                    const std::string& version,
-                                    TimePoint now) {
-  PoisonUpdate update;
-  const auto& suspected = view_->poison->suspected;
-  for (const std::string& it :
-       {exchange.caller_fingerprint, exchange.content_fingerprint}) {
-    safe_contents_.Add(it, version, now);
-    if (!suspected.empty() && suspected.contains(it)) {
-      update.safe_reports.push_back({.fingerprint = it, .version = version});
-    }
-  }
-  if (!update.empty()) {
-    hooks_.report_poison(update);
-  }
-}
-
-// Reports those suspected requests as safe that recently received a complete
-// response through this host.
-void Dispatcher::ReportSafeSuspects(TimePoint now) {
-  PoisonUpdate update;
-  for (const auto& [fingerprint, version] : view_->poison->suspected) {
-    if (safe_contents_.Contains(fingerprint, version, now)) {
-      update.safe_reports.push_back(
-          {.fingerprint = fingerprint, .version = version});
-    }
-  }
-  if (!update.empty()) {
-    hooks_.report_poison(update);
-  }
-}
-
 // Queues the request until a target has room or its key has a serving owner.
 void Dispatcher::Enqueue(const ExchangePtr& exchange, TimePoint now) {
   std::list<ExchangePtr>& queue = waiting_[exchange->service];
@@ -787,10 +519,11 @@
     return;
   }
   const core::balance::AvailabilityState state =
-      AvailabilityFor(*exchange, now);
+      targets_.AvailabilityFor(*exchange, now);
   if (state.availability == Availability::kLeaving ||
       state.availability == Availability::kPaused) {
-    const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
+    const HandlePtr owner =
+        exchange->key ? targets_.ListedOwnerOf(*exchange) : nullptr;
     NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
                    state, "wait");
   }
@@ -917,9 +650,8 @@
   }
   inputs.owner = assignment->owner.id;
   inputs.owner_serves = assignment->serving;
-  const auto handle = handles_.find(assignment->owner);
-  if (handle != handles_.end()) {
-    inputs.owner_load = handle->second->load.Estimate(Now());
+  if (const HandlePtr owner = targets_.Find(assignment->owner)) {
+    inputs.owner_load = owner->load.Estimate(Now());
   }
   return inputs;
 }
@@ -1052,7 +784,7 @@
       continue;
     }
     report.service = service;
-    for (const HandlePtr& it : handles_by_service_[service]) {
+    for (const HandlePtr& it : targets_.OfService(service)) {
       if (with_speeds && it->answers > 0) {
         report.speeds.push_back({.target_id = it->target.entry.instance.id,
                                  .answers = it->answers,
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -14,18 +14,18 @@
 #include <vector>
 
 #include "core/balance/retry_window.h"
-#include "core/balance/target_picker.h"
 #include "core/discovery/evacuations.h"
 #include "core/error_kind.h"
 #include "core/keyspace/key_samples.h"
-#include "core/request/crash_detector.h"
 #include "core/request/safe_contents.h"
 #include "core/time.h"
+#include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
 #include "entry/poison_json.h"
 #include "entry/routing_view.h"
 #include "entry/target_handle.h"
 #include "entry/target_notices.h"
+#include "entry/target_set.h"
 #include "net/header_names.h"
 
 namespace toucandock::entry {
@@ -169,16 +169,6 @@
 
   DecisionInputs InputsOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
-  HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
-  HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
-  HandlePtr ListedOwnerOf(const Exchange& exchange) const;
-  core::balance::AvailabilityState AvailabilityFor(const Exchange& exchange,
-                                                   core::TimePoint now) const;
-  core::balance::AvailabilityState StateOf(
-      const core::discovery::TargetEntry& target,
-      core::TimePoint now) const;
-  bool IsOpen(const core::discovery::TargetEntry& target,
-              core::TimePoint now) const;
   std::optional<Unavailability> FindUnavailability(const Exchange& exchange,
                                                    core::TimePoint now);
   void RefuseAsUnavailable(const ExchangePtr& exchange,
@@ -190,7 +180,6 @@
   std::shared_ptr<TargetConnection> Connect(const HandlePtr& handle);
   void OnNotice(const HandlePtr& handle, const TargetNotice& notice);
   void OnTargetsListed(core::TimePoint now);
-  bool HasConnectionRoom(const TargetHandle& handle) const;
   static std::shared_ptr<TargetConnection> TakeIdleConnection(
       const Exchange& exchange,
       TargetHandle& handle,
@@ -204,22 +193,6 @@
                   core::TimePoint now);
   bool IsRefusedAsPoison(const Exchange& exchange) const;
   void FailAsPoison(const ExchangePtr& exchange);
-  void DetectCrash(const Exchange& exchange,
-                   const HandlePtr& handle,
-                   const TargetAnswer& answer,
-                   core::TimePoint now);
-  void OnBroken(const Exchange& exchange,
-                const HandlePtr& handle,
-                core::Duration probe_delay,
-                core::TimePoint now);
-  void ScheduleProbe(const HandlePtr& handle, core::TimePoint at);
-  void ProbeTarget(const HandlePtr& handle);
-  void ReportCrashes(const std::vector<core::request::Crash>& crashes,
-                     core::TimePoint now);
-  void NoteCompleteAnswer(const Exchange& exchange,
-                          const std::string& version,
-                          core::TimePoint now);
-  void ReportSafeSuspects(core::TimePoint now);
   void Enqueue(const ExchangePtr& exchange, core::TimePoint now);
   void StartDispatchTimer();
   void DispatchWaiting(const std::string& service);
@@ -241,15 +214,10 @@
   boost::asio::io_context& io_;
   EntryMetrics metrics_;
   const net::HeaderNames names_;
-  const std::string failure_domain_;
   core::balance::RetryWindowOptions retry_options_;
   const DispatchOptions options_;
-  const core::balance::PickOptions pick_options_;
-  const core::balance::TargetLoadOptions load_options_;
   const DispatchHooks hooks_;
   std::shared_ptr<const RoutingView> view_;
-  std::map<core::discovery::TargetInstance, HandlePtr> handles_;
-  std::map<std::string, std::vector<HandlePtr>> handles_by_service_;
   std::map<std::string, std::list<ExchangePtr>> waiting_;
   std::map<std::string, core::routing::WeightedRotation> rotations_;
   std::map<std::string, core::balance::RetryWindow> retry_windows_;
@@ -258,9 +226,9 @@
   std::map<std::string, core::keyspace::LoadReport> reports_;
   const std::shared_ptr<AnswerMemory> answer_memory_ =
       std::make_shared<AnswerMemory>();
-  core::request::CrashDetector crashes_;
-  core::request::SafeContents safe_contents_;
   TargetNotices notices_;
+  TargetSet targets_;
+  CrashWatch crash_watch_;
   boost::asio::steady_timer report_timer_;
   boost::asio::steady_timer dispatch_timer_;
   std::minstd_rand random_;
--- a/src/entry/dispatcher_availability.cc
+++ b/src/entry/dispatcher_availability.cc
@@ -16,7 +16,6 @@
 using core::TimePoint;
 using core::balance::Availability;
 using core::balance::AvailabilityState;
-using core::balance::Listing;
 using core::discovery::TargetInstance;
 
 }  // namespace
@@ -30,11 +29,11 @@
       TargetConnectionHooks{
           .may_send =
               [this, instance = handle->target.entry.instance] {
-                const auto listed = handles_.find(instance);
+                const HandlePtr listed = targets_.Find(instance);
                 const TimePoint now = std::chrono::steady_clock::now();
-                return listed != handles_.end() &&
+                return listed != nullptr &&
                        !notices_.IsUnavailable(instance, now) &&
-                       StateOf(listed->second->target.entry, now)
+                       targets_.StateOf(listed->target.entry, now)
                                .availability != Availability::kLeaving;
               },
           .on_notice =
@@ -53,17 +52,12 @@
   const core::discovery::TargetEntry& expected = handle->target.entry;
   HandlePtr sender = handle;
   if (!notice.target_id.empty() && notice.target_id != expected.instance.id) {
-    const auto it =
-        std::find_if(handles_.begin(), handles_.end(), [&](const auto& listed) {
-          return listed.first.id == notice.target_id &&
-                 listed.second->target.entry.address == expected.address;
-        });
-    if (it == handles_.end()) {
+    sender = targets_.FindAt(notice.target_id, expected.address);
+    if (sender == nullptr) {
       notices_.ReportUnusual(expected, notice, "other-target",
                              notice.target_id);
       return;
     }
-    sender = it->second;
   }
   const TargetInstance& instance = sender->target.entry.instance;
   notices_.Apply(sender->target.entry, notice, now);
@@ -74,74 +68,7 @@
 
 void Dispatcher::OnTargetsListed(TimePoint now) {
   notices_.OnListChanged(
-      [this](const TargetInstance& instance) {
-        const auto it = handles_.lower_bound(instance);
-        if (it != handles_.end() && it->first == instance) {
-          return Listing::kListed;
-        }
-        return it != handles_.end() && it->first.id == instance.id
-                   ? Listing::kReplaced
-                   : Listing::kUnlisted;
-      },
-      now);
-}
-
-// Returns the target's state by its own word and by the operator's: a target in
-// an evacuated failure domain is used as if it were leaving, for as long as the
-// evacuation lasts.
-AvailabilityState Dispatcher::StateOf(
-    const core::discovery::TargetEntry& target,
-    TimePoint now) const {
-  const AvailabilityState own = notices_.StateOf(target.instance, now);
-  const auto evacuated = view_->evacuated.find(target.failure_domain);
-  if (evacuated == view_->evacuated.end() ||
-      own.availability == Availability::kLeaving) {
-    return own;
-  }
-  const core::routing::RoutedService* service =
-      view_->routes ? view_->routes->FindService(target.service) : nullptr;
-  const TimePoint closed_from = core::discovery::ClosedFrom(
-      evacuated->second, service != nullptr && service->keyed,
-      options_.evacuation);
-  return now < closed_from
-             ? own
-             : AvailabilityState{.availability = Availability::kLeaving,
-                                 .since = closed_from,
-                                 .evacuated = true};
-}
-
-bool Dispatcher::IsOpen(const core::discovery::TargetEntry& target,
-                        TimePoint now) const {
-  return StateOf(target, now).availability == Availability::kOpen;
-}
-
-// Returns the state of the target that may receive the request first. A request
-// without listed targets is not held up by any declaration.
-AvailabilityState Dispatcher::AvailabilityFor(const Exchange& exchange,
-                                              TimePoint now) const {
-  if (exchange.key) {
-    const HandlePtr owner = ListedOwnerOf(exchange);
-    return owner ? StateOf(owner->target.entry, now) : AvailabilityState{};
-  }
-  const auto handles = handles_by_service_.find(exchange.service);
-  if (handles == handles_by_service_.end() || handles->second.empty()) {
-    return {};
-  }
-  AvailabilityState first{.availability = Availability::kLeaving};
-  for (const HandlePtr& it : handles->second) {
-    const AvailabilityState state = StateOf(it->target.entry, now);
-    first.evacuated = first.evacuated || state.evacuated;
-    if (state.availability != Availability::kLeaving &&
-        state.availability != Availability::kPaused) {
-      return state;
-    }
-    if (state.availability == Availability::kPaused &&
-        (first.availability == Availability::kLeaving ||
-         state.until < first.until)) {
-      first = state;
-    }
-  }
-  return first;
+      [this](const TargetInstance& it) { return targets_.ListingOf(it); }, now);
 }
 
 // Returns a value if it is known that no target will take the request while it
@@ -149,7 +76,7 @@
 std::optional<Dispatcher::Unavailability> Dispatcher::FindUnavailability(
     const Exchange& exchange,
     TimePoint now) {
-  const AvailabilityState state = AvailabilityFor(exchange, now);
+  const AvailabilityState state = targets_.AvailabilityFor(exchange, now);
   if (state.availability == Availability::kLeaving) {
     // The key may move to another owner in time.
     if (exchange.key && now < state.since + options_.max_move_time) {
@@ -176,7 +103,8 @@
 void Dispatcher::RefuseAsUnavailable(const ExchangePtr& exchange,
                                      const Unavailability& reason) {
   const bool is_leaving = reason.state.availability == Availability::kLeaving;
-  const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
+  const HandlePtr owner =
+      exchange->key ? targets_.ListedOwnerOf(*exchange) : nullptr;
   NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
                  reason.state, "refused");
   if (exchange->may_have_run) {
