--- a/src/core/admission/target_queue.h
+++ b/src/core/admission/target_queue.h
@@ -10,14 +10,12 @@
 
 #include "core/admission/service_times.h"
 #include "core/admission/slot_limit.h"
+#include "core/admission/ticket.h"
 #include "core/config/config.h"
 #include "core/time.h"
 
 namespace toucandock::core::admission {
 
-// Identifies a request in one queue; never reused.
-using Ticket = std::uint64_t;
-
 // The properties of a request that the queue uses.
 struct Work {
   std::string request_class;
--- a/src/core/balance/target_load.cc
+++ b/src/core/balance/target_load.cc
@@ -84,6 +84,17 @@
              RemainingWeight(now - reported_at_, options_.report_lifetime);
 }
 
+Duration TargetLoad::TimeUntilBelow(double limit, TimePoint now) const {
+  TimePoint at = std::max(now, paused_until_);
+  const double room = limit - in_flight_;
+  if (room > 0 && load_of_others_ > room) {
+    at = std::max(at, reported_at_ + std::chrono::duration_cast<Duration>(
+                                         options_.report_lifetime *
+                                         (1 - room / load_of_others_)));
+  }
+  return at - now;
+}
+
 FloatSeconds TargetLoad::AnswerTime(FloatSeconds typical, TimePoint now) const {
   if (answer_time_ == FloatSeconds{}) {
     return typical;
--- a/src/core/balance/target_load.h
+++ b/src/core/balance/target_load.h
@@ -58,6 +58,10 @@
 
   int in_flight() const { return in_flight_; }
   double Estimate(TimePoint now) const;
+  // Returns the time until the target is no longer paused and, without further
+  // reports, Estimate() is below the limit. Requests of this host that are in
+  // flight are not taken into account.
+  Duration TimeUntilBelow(double limit, TimePoint now) const;
   // Returns the smoothed response time; `typical` while it is unknown or
   // outdated.
   FloatSeconds AnswerTime(FloatSeconds typical, TimePoint now) const;
--- a/src/core/balance/target_picker.cc
+++ b/src/core/balance/target_picker.cc
@@ -24,11 +24,14 @@
 
 }  // namespace
 
+double MaxRequests(std::uint32_t slots, const PickOptions& options) {
+  return slots * (1.0 + options.queue_factor);
+}
+
 bool HasCapacity(const PickCandidate& it,
                  const PickOptions& options,
                  TimePoint now) {
-  const double max_requests = it.slots * (1.0 + options.queue_factor);
-  return it.load->Estimate(now) < max_requests;
+  return it.load->Estimate(now) < MaxRequests(it.slots, options);
 }
 
 // Chooses the target that is expected to respond first. Prefers targets in the
--- a/src/core/balance/target_picker.h
+++ b/src/core/balance/target_picker.h
@@ -48,6 +48,9 @@
                std::uint64_t random,
                TimePoint now);
 
+// Number of requests that a target may have, with those in its own queue.
+double MaxRequests(std::uint32_t slots, const PickOptions& options);
+
 bool HasCapacity(const PickCandidate& candidate,
                  const PickOptions& options,
                  TimePoint now);
