Let requests wait in the new list instead of by a fixed time

All waiting requests of a service were tried each 25 ms, each removal walked the list, and a request waited for 0.6 of its goal whether or not a target could take it in time. WaitingRequests connects the core's list with the dispatcher: lanes are tried when their target has completed a request, when the view changes, and every 25 ms at their heads only. Metrics show the ranks, the predicted and actual waits, refusals by reason, and callers that came back.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -116,8 +116,34 @@
                },
            .report =
                [this](const PoisonUpdate& it) { hooks_.report_poison(it); }}),
+      waiting_(
+          io,
+          metrics_,
+          options.dispatch_interval,
+          {.max_requests = options.max_waiting,
+           .late_wait_fraction = options.late_wait_fraction},
+          {.try_send =
+               [this](const ExchangePtr& it, TimePoint now) {
+                 bool is_settled = true;
+                 RunStep(it, [&] { is_settled = TryDispatch(it, now); });
+                 return is_settled;
+               },
+           .end_if_unavailable =
+               [this](const ExchangePtr& it, TimePoint now) {
+                 return EndIfUnavailable(it, now);
+               },
+           .lane_of =
+               [this](const Exchange& it) { return targets_.LaneOf(it); },
+           .outlook_of = [this](const Exchange& it,
+                                TimePoint now) { return OutlookOf(it, now); },
+           .set_timer = [this](const ExchangePtr& it,
+                               TimePoint until) { ArmTimer(it, until); },
+           .refuse =
+               [this](const ExchangePtr& it,
+                      const core::admission::RefusedWait& refused) {
+                 RefuseWaiting(it, refused);
+               }}),
       report_timer_(io),
-      dispatch_timer_(io),
       random_(std::random_device{}()) {
   SendReports();
 }
@@ -128,15 +154,9 @@
   view_ = std::move(view);
   const TimePoint now = Now();
   crash_watch_.SetView(*view_, now);
-  targets_.SetView(view_);
+  targets_.SetView(view_, now);
   OnTargetsListed(now);
-  std::vector<std::string> services;
-  for (const auto& [service, queue] : waiting_) {
-    services.push_back(service);
-  }
-  for (const std::string& service : services) {
-    DispatchWaiting(service);
-  }
+  waiting_.OnViewChanged(now);
 }
 
 void Dispatcher::SetRetryOptions(
@@ -224,11 +244,11 @@
     time_limit = std::min<Duration>(time_limit, milliseconds(deadline_ms));
   }
   exchange->answer_by = now + time_limit;
-  exchange->wait_deadline =
-      now + std::min(std::chrono::duration_cast<Duration>(
-                         route.latency_goal * options_.max_wait_of_goal),
-                     std::chrono::duration_cast<Duration>(
-                         time_limit * options_.max_wait_of_time_left));
+  exchange->goal_by = now + std::min(route.latency_goal, time_limit);
+  exchange->wait_deadline = std::max(
+      exchange->goal_by - response_times_[exchange->service].AnswerTime(route),
+      now + std::chrono::duration_cast<Duration>(time_limit *
+                                                 options_.late_wait_fraction));
   const core::routing::RoutedService* service =
       exchange->routes->FindService(exchange->service);
   if (service != nullptr && service->keyed) {
@@ -254,9 +274,12 @@
   }
   RetriesOf(exchange->service).OnRequest(now);
   typical_times_.try_emplace(exchange->service, kInitialTypicalTime);
-  if (!TryDispatch(exchange, now)) {
-    Enqueue(exchange, now);
+  exchange->returned = told_returns_.Take(exchange->caller_fingerprint, now);
+  metrics_.CountReturn(exchange->service, exchange->returned.state);
+  if (exchange->returned.state != core::admission::Return::kNew) {
+    exchange->goal_by = exchange->returned.goal_by;
   }
+  SendOrWait(exchange, now);
 }
 
 // Returns false when the request has to wait for a target.
@@ -270,11 +293,7 @@
   const HandlePtr handle =
       targets_.ChooseTarget(*exchange, typical_times_[exchange->service], now);
   if (handle == nullptr) {
-    const auto reason = FindUnavailability(*exchange, now);
-    if (reason) {
-      RefuseAsUnavailable(exchange, *reason);
-    }
-    return reason.has_value();
+    return EndIfUnavailable(exchange, now);
   }
   SendTo(exchange, handle, now);
   return true;
@@ -314,7 +333,7 @@
                         TimePoint now) {
   // Built first, so that an exception leaves the counts of the target alone.
   net::HttpRequest request = RequestFor(*exchange, *handle, now);
-  RemoveFromQueue(exchange);
+  waiting_.OnSent(*exchange, now);
   exchange->attempts++;
   exchange->tried.push_back(handle->target.entry.instance);
   exchange->current_target = handle;
@@ -381,6 +400,7 @@
         handle.answers++;
         handle.answer_time += taken;
       }
+      response_times_[exchange.service].Add(*exchange.route, taken, has_queue);
       typical_times_[exchange.service] +=
           (core::FloatSeconds(taken) - typical_times_[exchange.service]) *
           kTypicalTimeSmoothing;
@@ -423,7 +443,7 @@
   }
   crash_watch_.OnAttemptEnd(*exchange, handle, answer, now);
   if (exchange->done) {
-    DispatchWaiting(service);
+    OnCapacity(*handle, now);
     return;
   }
   const auto table = view_->ownership.find(service);
@@ -477,9 +497,7 @@
         NoteRedirected(*exchange, handle->target.entry.instance.id, state,
                        "other-target");
       }
-      if (!TryDispatch(exchange, now)) {
-        Enqueue(exchange, now);
-      }
+      SendOrWait(exchange, now);
       break;
     case AttemptDecision::kRefuse: {
       const auto reason = FindUnavailability(*exchange, now);
@@ -495,7 +513,7 @@
       Fail(exchange, ErrorKind::kOutcomeUnknown, "no usable answer");
       break;
   }
-  DispatchWaiting(service);
+  OnCapacity(*handle, now);
 }
 
 bool Dispatcher::IsRefusedAsPoison(const Exchange& exchange) const {
@@ -511,86 +529,6 @@
        "targets ended under the same content");
 }
 
-// Queues the request until a target has room or its key has a serving owner.
-void Dispatcher::Enqueue(const ExchangePtr& exchange, TimePoint now) {
-  std::list<ExchangePtr>& queue = waiting_[exchange->service];
-  if (now >= exchange->wait_deadline || queue.size() >= options_.max_waiting) {
-    OnTimer(exchange);
-    return;
-  }
-  const core::balance::AvailabilityState state =
-      targets_.AvailabilityFor(*exchange, now);
-  if (state.availability == Availability::kLeaving ||
-      state.availability == Availability::kPaused) {
-    const HandlePtr owner =
-        exchange->key ? targets_.ListedOwnerOf(*exchange) : nullptr;
-    NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
-                   state, "wait");
-  }
-  exchange->waiting = true;
-  // The queue is ordered by the priority of the route, the most urgent first,
-  // and then by the deadline.
-  const auto place = std::find_if(
-      queue.begin(), queue.end(), [&exchange](const ExchangePtr& it) {
-        return std::pair(exchange->route->priority, exchange->answer_by) <
-               std::pair(it->route->priority, it->answer_by);
-      });
-  queue.insert(place, exchange);
-  ArmTimer(exchange, exchange->wait_deadline);
-  StartDispatchTimer();
-}
-
-// Tries the waiting requests at regular intervals, because targets also become
-// available without an event: pauses end and reported loads expire.
-void Dispatcher::StartDispatchTimer() {
-  if (is_dispatch_timer_running_) {
-    return;
-  }
-  is_dispatch_timer_running_ = true;
-  dispatch_timer_.expires_after(options_.dispatch_interval);
-  dispatch_timer_.async_wait([this](const boost::system::error_code& ec) {
-    if (ec) {
-      return;
-    }
-    is_dispatch_timer_running_ = false;
-    std::vector<std::string> services;
-    for (const auto& [service, queue] : waiting_) {
-      if (!queue.empty()) {
-        services.push_back(service);
-      }
-    }
-    for (const std::string& service : services) {
-      DispatchWaiting(service);
-    }
-    if (!services.empty()) {
-      StartDispatchTimer();
-    }
-  });
-}
-
-void Dispatcher::RemoveFromQueue(const ExchangePtr& exchange) {
-  if (!exchange->waiting) {
-    return;
-  }
-  exchange->waiting = false;
-  waiting_[exchange->service].remove(exchange);
-}
-
-void Dispatcher::DispatchWaiting(const std::string& service) {
-  const auto queue = waiting_.find(service);
-  if (queue == waiting_.end() || queue->second.empty()) {
-    return;
-  }
-  const TimePoint now = Now();
-  const std::vector<ExchangePtr> waiting(queue->second.begin(),
-                                         queue->second.end());
-  for (const ExchangePtr& it : waiting) {
-    if (it->waiting) {
-      RunStep(it, [&] { TryDispatch(it, now); });
-    }
-  }
-}
-
 void Dispatcher::ArmTimer(const ExchangePtr& exchange, TimePoint until) {
   exchange->timer.expires_at(until);
   exchange->timer.async_wait(
@@ -617,17 +555,11 @@
     ArmLateAnswerTimer(exchange);
     return;
   }
-  if (exchange->may_have_run) {
-    Fail(exchange, ErrorKind::kOutcomeUnknown, "no target for a retry");
+  if (IsRefusedAsPoison(*exchange)) {
+    FailAsPoison(exchange);
     return;
   }
-  const Duration expected =
-      std::chrono::duration_cast<Duration>(typical_times_[exchange->service]);
-  Refuse(
-      exchange,
-      exchange->key ? ErrorKind::kOwnerUnavailable : ErrorKind::kOverloaded,
-      exchange->key ? "no owner with room for the key" : "no target with room",
-      std::max<Duration>(kRetryAfterMove, expected));
+  waiting_.OnTimeUp(exchange, Now());
 }
 
 // Collects the inputs of a decision for the log line that explains it.
@@ -699,7 +631,7 @@
 }
 
 void Dispatcher::Finish(const ExchangePtr& exchange, CallerAnswer answer) {
-  RemoveFromQueue(exchange);
+  waiting_.Remove(*exchange);
   if (exchange->done) {
     return;
   }
@@ -736,7 +668,7 @@
                            ? exchange->current_target->target.entry.instance.id
                            : ""},
             {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()}});
-  RemoveFromQueue(exchange);
+  waiting_.Remove(*exchange);
   exchange->done = true;
   running_.erase(exchange);
   exchange->timer.cancel();
@@ -744,9 +676,9 @@
   if (exchange->connection && exchange->route->IsIdempotent()) {
     exchange->connection->Abandon();
     exchange->connection = nullptr;
-    exchange->current_target->load.OnCancelled();
-    exchange->current_target = nullptr;
-    DispatchWaiting(exchange->service);
+    const HandlePtr handle = std::exchange(exchange->current_target, nullptr);
+    handle->load.OnCancelled();
+    OnCapacity(*handle, Now());
     return;
   }
   ArmLateAnswerTimer(exchange);
@@ -761,17 +693,17 @@
     return;
   }
   exchange->timer.expires_at(exchange->answer_by + options_.late_answer_limit);
-  exchange->timer.async_wait(
-      [this, exchange](const boost::system::error_code& ec) {
-        if (ec || !exchange->connection) {
-          return;
-        }
-        exchange->connection->Abandon();
-        exchange->connection = nullptr;
-        exchange->current_target->load.OnCancelled();
-        exchange->current_target = nullptr;
-        DispatchWaiting(exchange->service);
-      });
+  exchange->timer.async_wait([this,
+                              exchange](const boost::system::error_code& ec) {
+    if (ec || !exchange->connection) {
+      return;
+    }
+    exchange->connection->Abandon();
+    exchange->connection = nullptr;
+    const HandlePtr handle = std::exchange(exchange->current_target, nullptr);
+    handle->load.OnCancelled();
+    OnCapacity(*handle, Now());
+  });
 }
 
 // Reports the requested keys, and every so often the response times of the
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/return_times.h"
 #include "core/balance/retry_window.h"
 #include "core/discovery/evacuations.h"
 #include "core/error_kind.h"
@@ -22,19 +22,20 @@
 #include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
 #include "entry/poison_json.h"
+#include "entry/route_times.h"
 #include "entry/routing_view.h"
 #include "entry/target_handle.h"
 #include "entry/target_notices.h"
 #include "entry/target_set.h"
+#include "entry/waiting_requests.h"
 #include "net/header_names.h"
 
 namespace toucandock::entry {
 
 struct DispatchOptions {
-  // A request for which no target has room waits for at most these fractions of
-  // the latency goal of its route and of the time that its caller still waits.
-  double max_wait_of_goal = 0.6;
-  double max_wait_of_time_left = 0.33;
+  // A request that can no longer meet the latency goal of its route waits for
+  // at most this fraction of the time that its caller still waits.
+  double late_wait_fraction = 0.33;
   // Time after the deadline in which a response is still accepted, since
   // targets may respond right at the deadline.
   core::Duration timeout_margin = std::chrono::milliseconds(30);
@@ -53,6 +54,7 @@
   // contains them.
   int reports_per_speed_report = 8;
   core::Duration dispatch_interval = std::chrono::milliseconds(25);
+  // Maximum number of waiting requests of a service.
   size_t max_waiting = 2'000;
   // Load reports name at most this many keys.
   size_t max_reported_keys = 2'000;
@@ -193,9 +195,13 @@
                   core::TimePoint now);
   bool IsRefusedAsPoison(const Exchange& exchange) const;
   void FailAsPoison(const ExchangePtr& exchange);
-  void Enqueue(const ExchangePtr& exchange, core::TimePoint now);
-  void StartDispatchTimer();
-  void DispatchWaiting(const std::string& service);
+  void OnCapacity(const TargetHandle& handle, core::TimePoint now);
+  core::admission::LaneOutlook OutlookOf(const Exchange& exchange,
+                                         core::TimePoint now) const;
+  void SendOrWait(const ExchangePtr& exchange, core::TimePoint now);
+  bool EndIfUnavailable(const ExchangePtr& exchange, core::TimePoint now);
+  void RefuseWaiting(const ExchangePtr& exchange,
+                     const core::admission::RefusedWait& refused);
   void OnTimer(const ExchangePtr& exchange);
   void ArmTimer(const ExchangePtr& exchange, core::TimePoint until);
   void Refuse(const ExchangePtr& exchange,
@@ -207,7 +213,6 @@
             const char* cause);
   void Finish(const ExchangePtr& exchange, CallerAnswer answer);
   void ArmLateAnswerTimer(const ExchangePtr& exchange);
-  void RemoveFromQueue(const ExchangePtr& exchange);
   void SendReports();
   core::balance::RetryWindow& RetriesOf(const std::string& service);
 
@@ -218,22 +223,22 @@
   const DispatchOptions options_;
   const DispatchHooks hooks_;
   std::shared_ptr<const RoutingView> view_;
-  std::map<std::string, std::list<ExchangePtr>> waiting_;
   std::map<std::string, core::routing::WeightedRotation> rotations_;
   std::map<std::string, core::balance::RetryWindow> retry_windows_;
   // Smoothed response time by service.
   std::map<std::string, core::FloatSeconds> typical_times_;
+  std::map<std::string, RouteTimes> response_times_;
   std::map<std::string, core::keyspace::LoadReport> reports_;
+  core::admission::ToldReturns told_returns_{{}};
   const std::shared_ptr<AnswerMemory> answer_memory_ =
       std::make_shared<AnswerMemory>();
   TargetNotices notices_;
   TargetSet targets_;
   CrashWatch crash_watch_;
+  WaitingRequests waiting_;
   boost::asio::steady_timer report_timer_;
-  boost::asio::steady_timer dispatch_timer_;
   std::minstd_rand random_;
   std::set<ExchangePtr> running_;
-  bool is_dispatch_timer_running_ = false;
   int reports_sent_ = 0;
   bool refusing_ = false;
 };
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "entry/contained_exception.h"
@@ -18,6 +19,22 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.8, 1.2, 1.5, 2.5, 5, 10};
 
+// In seconds; negative if the request was sent earlier than predicted.
+const prometheus::Histogram::BucketBoundaries kErrorBuckets = {
+    -1, -0.3, -0.1, -0.03, 0, 0.03, 0.1, 0.3, 1};
+
+// Label values for the rank of a waiting request.
+prometheus::Labels RankLabels(const std::string& service,
+                              const core::admission::WaitRank& rank) {
+  // Priorities beyond this one are shown as one.
+  constexpr int kMaxPriority = 9;
+  return {
+      {"service", service},
+      {"priority", std::to_string(std::clamp(rank.priority, 0, kMaxPriority))},
+      {"caller", std::string(core::admission::ToString(rank.returned))},
+      {"goal", rank.is_late ? "missed" : "met"}};
+}
+
 // In seconds. Changes have to be in force after 2 s.
 const prometheus::Histogram::BucketBoundaries kLagBuckets = {
     0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4};
@@ -54,6 +71,38 @@
                        .Name("toucandock_entry_target_connections_total")
                        .Help("New connections to targets")
                        .Register(*registry_)),
+      waiting_(prometheus::BuildGauge()
+                   .Name("toucandock_entry_waiting_requests")
+                   .Help("Requests that wait for a target, by rank")
+                   .Register(*registry_)),
+      waits_(prometheus::BuildCounter()
+                 .Name("toucandock_entry_waits_total")
+                 .Help("Requests that began to wait for a target, by rank")
+                 .Register(*registry_)),
+      wait_time_(prometheus::BuildHistogram()
+                     .Name("toucandock_entry_wait_seconds")
+                     .Help("Time that requests waited before they were sent")
+                     .Register(*registry_)),
+      predicted_wait_time_(
+          prometheus::BuildHistogram()
+              .Name("toucandock_entry_predicted_wait_seconds")
+              .Help("Predicted time that these requests would wait")
+              .Register(*registry_)),
+      wait_error_(
+          prometheus::BuildHistogram()
+              .Name("toucandock_entry_wait_error_seconds")
+              .Help("Actual time that requests waited, less the predicted one")
+              .Register(*registry_)),
+      wait_refusals_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_wait_refusals_total")
+              .Help("Requests refused by the waiting list, by reason")
+              .Register(*registry_)),
+      returns_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_returns_total")
+              .Help("Requests of callers that had been told when to come back")
+              .Register(*registry_)),
       target_crashes_(
           prometheus::BuildCounter()
               .Name("toucandock_entry_crashed_attempts_total")
@@ -210,6 +259,47 @@
   connections_.Add({{"service", service}}).Increment();
 }
 
+void EntryMetrics::AddWaiting(const std::string& service,
+                              const core::admission::WaitRank& rank,
+                              int change) {
+  const prometheus::Labels labels = RankLabels(service, rank);
+  waiting_.Add(labels).Increment(change);
+  if (change > 0) {
+    waits_.Add(labels).Increment();
+  }
+}
+
+void EntryMetrics::ObserveWait(const std::string& service,
+                               core::Duration predicted,
+                               core::Duration actual) {
+  const prometheus::Labels labels = {{"service", service}};
+  wait_time_.Add(labels, kLatencyBuckets)
+      .Observe(core::FloatSeconds(actual).count());
+  predicted_wait_time_.Add(labels, kLatencyBuckets)
+      .Observe(core::FloatSeconds(predicted).count());
+  wait_error_.Add(labels, kErrorBuckets)
+      .Observe(core::FloatSeconds(actual - predicted).count());
+}
+
+void EntryMetrics::CountWaitRefusal(const std::string& service,
+                                    core::admission::WaitRefusal reason) {
+  wait_refusals_
+      .Add({{"service", service},
+            {"reason", std::string(core::admission::ToString(reason))}})
+      .Increment();
+}
+
+void EntryMetrics::CountReturn(const std::string& service,
+                               core::admission::Return returned) {
+  if (returned == core::admission::Return::kNew) {
+    return;
+  }
+  returns_
+      .Add({{"service", service},
+            {"when", std::string(core::admission::ToString(returned))}})
+      .Increment();
+}
+
 void EntryMetrics::ObserveThreadLag(core::Duration lag) {
   thread_lag_.Observe(std::chrono::duration<double>(lag).count());
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -5,6 +5,8 @@
 #include <string>
 
 #include "absl/strings/string_view.h"
+#include "core/admission/return_times.h"
+#include "core/admission/waiting_list.h"
 #include "core/error_kind.h"
 #include "core/time.h"
 #include "entry/routing_view.h"
@@ -56,6 +58,19 @@
   // that still own keys.
   void SetEvacuations(size_t domains, size_t owners);
   void CountConnection(const std::string& service);
+  // Adds to the number of waiting requests of this rank.
+  void AddWaiting(const std::string& service,
+                  const core::admission::WaitRank& rank,
+                  int change);
+  // A request that waited was sent.
+  void ObserveWait(const std::string& service,
+                   core::Duration predicted,
+                   core::Duration actual);
+  void CountWaitRefusal(const std::string& service,
+                        core::admission::WaitRefusal reason);
+  // Counts requests whose caller had been told to come back.
+  void CountReturn(const std::string& service,
+                   core::admission::Return returned);
   void SetRunning(size_t requests);
   // How late a timer of the traffic thread ran.
   void ObserveThreadLag(core::Duration lag);
@@ -74,6 +89,13 @@
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& failed_attempts_;
   prometheus::Family<prometheus::Counter>& connections_;
+  prometheus::Family<prometheus::Gauge>& waiting_;
+  prometheus::Family<prometheus::Counter>& waits_;
+  prometheus::Family<prometheus::Histogram>& wait_time_;
+  prometheus::Family<prometheus::Histogram>& predicted_wait_time_;
+  prometheus::Family<prometheus::Histogram>& wait_error_;
+  prometheus::Family<prometheus::Counter>& wait_refusals_;
+  prometheus::Family<prometheus::Counter>& returns_;
   prometheus::Family<prometheus::Counter>& target_crashes_;
   prometheus::Family<prometheus::Counter>& target_notices_;
   prometheus::Counter& ended_pauses_;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/return_times.h"
+#include "core/admission/ticket.h"
 #include "core/routing/route_table.h"
 #include "core/time.h"
 #include "core/unit.h"
@@ -36,11 +38,18 @@
   core::TimePoint arrived{};
   // The earlier of the caller's deadline and the route's timeout.
   core::TimePoint answer_by{};
+  // A response by then meets the latency goal of the route.
+  core::TimePoint goal_by{};
+  // A target that is unavailable for longer is not waited for.
   core::TimePoint wait_deadline{};
   boost::asio::steady_timer timer;
   int attempts = 0;
   bool may_have_run = false;
-  bool waiting = false;
+  // What is known of an earlier attempt of the caller.
+  core::admission::ReturnedRequest returned;
+  // Place in the waiting list of the service; zero if the request does not
+  // wait.
+  core::admission::Ticket ticket = 0;
   // The handler was called, or the exchange was cancelled.
   bool done = false;
   // It was logged that a target received no request because it leaves or
--- a/src/entry/target_set.cc
+++ b/src/entry/target_set.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "core/keyspace/ownership.h"
 #include "entry/exchange.h"
 
@@ -28,7 +29,8 @@
 
 // Lists the targets of the view. Instances that were listed before at the same
 // address keep what is known of them.
-void TargetSet::SetView(std::shared_ptr<const RoutingView> view) {
+void TargetSet::SetView(std::shared_ptr<const RoutingView> view,
+                        TimePoint now) {
   view_ = std::move(view);
   std::map<core::discovery::TargetInstance, std::shared_ptr<TargetHandle>>
       handles;
@@ -52,6 +54,14 @@
     }
   }
   handles_ = std::move(handles);
+  for (const auto& [service, table] : view_->ownership) {
+    move_times_[service].Update(
+        table.assignments,
+        [this](const core::keyspace::Assignment& it) {
+          return it.serving && handles_.contains(it.owner);
+        },
+        now);
+  }
 }
 
 // Returns the listed instance, or null.
@@ -90,15 +100,17 @@
              : Listing::kUnlisted;
 }
 
+// Returns the number of connections to each target that this host may use.
+int TargetSet::ConnectionShare(const std::string& service) const {
+  const core::routing::RoutedService* it =
+      view_->routes ? view_->routes->FindService(service) : nullptr;
+  const double cap = it == nullptr ? 100 : it->max_connections;
+  return std::max(1, static_cast<int>(cap * options_.connection_fraction /
+                                      std::max(1, view_->live_hosts)));
+}
+
 bool TargetSet::HasConnectionRoom(const TargetHandle& handle) const {
-  const core::routing::RoutedService* service =
-      view_->routes ? view_->routes->FindService(handle.target.entry.service)
-                    : nullptr;
-  const double cap = service == nullptr ? 100 : service->max_connections;
-  const int share =
-      std::max(1, static_cast<int>(cap * options_.connection_fraction /
-                                   std::max(1, view_->live_hosts)));
-  return handle.load.in_flight() < share;
+  return handle.load.in_flight() < ConnectionShare(handle.target.entry.service);
 }
 
 // Returns the owner of the request's key if it is listed and serves the key.
@@ -229,4 +241,63 @@
   return first;
 }
 
+std::string TargetSet::LaneOf(const Exchange& exchange) const {
+  if (!exchange.key) {
+    return "";
+  }
+  const std::shared_ptr<TargetHandle> owner = ListedOwnerOf(exchange);
+  return owner ? LaneOf(*owner) : absl::StrCat("key:", *exchange.key);
+}
+
+std::string TargetSet::LaneOf(const TargetHandle& owner) {
+  const TargetInstance& instance = owner.target.entry.instance;
+  return absl::StrCat("owner:", instance.id, "/", instance.start_time_ms);
+}
+
+core::admission::LaneOutlook TargetSet::OutlookOf(const Exchange& exchange,
+                                                  core::Duration work_time,
+                                                  TimePoint now) const {
+  const int share = ConnectionShare(exchange.service);
+  // Without better knowledge, all slots are assumed to be free for this host,
+  // so that no request is refused that could be served.
+  const auto slots_of = [share](const TargetHandle& it) {
+    return std::clamp(static_cast<int>(it.target.entry.slots), 1, share);
+  };
+  if (exchange.key) {
+    const std::shared_ptr<TargetHandle> owner = ListedOwnerOf(exchange);
+    if (owner) {
+      return {.first_free = TimeUntilFree(*owner, now),
+              .interval = work_time / slots_of(*owner)};
+    }
+    const auto moves = move_times_.find(exchange.service);
+    return {.first_free = moves == move_times_.end()
+                              ? core::Duration{}
+                              : moves->second.RemainingFor(*exchange.key, now)};
+  }
+  core::admission::LaneOutlook outlook;
+  int slots = 0;
+  for (const auto& it : OfService(exchange.service)) {
+    if (StateOf(it->target.entry, now).availability == Availability::kLeaving) {
+      continue;
+    }
+    const core::Duration free = TimeUntilFree(*it, now);
+    outlook.first_free = slots == 0 ? free : std::min(outlook.first_free, free);
+    slots += slots_of(*it);
+  }
+  outlook.interval = work_time / std::max(1, slots);
+  return outlook;
+}
+
+core::Duration TargetSet::TimeUntilFree(const TargetHandle& handle,
+                                        TimePoint now) const {
+  const AvailabilityState state = StateOf(handle.target.entry, now);
+  const core::Duration pause = state.availability == Availability::kPaused
+                                   ? state.until - now
+                                   : core::Duration{};
+  return std::max(pause, handle.load.TimeUntilBelow(
+                             core::balance::MaxRequests(
+                                 handle.target.entry.slots, pick_options_),
+                             now));
+}
+
 }  // namespace toucandock::entry
--- a/src/entry/target_set.h
+++ b/src/entry/target_set.h
@@ -7,9 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/waiting_list.h"
 #include "core/balance/target_availability.h"
 #include "core/balance/target_picker.h"
 #include "core/discovery/evacuations.h"
+#include "core/keyspace/move_times.h"
 #include "core/time.h"
 #include "entry/routing_view.h"
 #include "entry/target_handle.h"
@@ -33,7 +35,7 @@
             TargetNotices& notices,
             const TargetSetOptions& options);
 
-  void SetView(std::shared_ptr<const RoutingView> view);
+  void SetView(std::shared_ptr<const RoutingView> view, core::TimePoint now);
 
   std::shared_ptr<TargetHandle> Find(
       const core::discovery::TargetInstance& instance) const;
@@ -56,12 +58,25 @@
                                              core::FloatSeconds typical_time,
                                              core::TimePoint now);
 
+  // Names the capacity that a request waits for: that of its owner, of the next
+  // owner of its key, or of all targets of the service.
+  std::string LaneOf(const Exchange& exchange) const;
+  static std::string LaneOf(const TargetHandle& owner);
+  // Returns when this capacity is free. `work_time` is the time for which a
+  // request occupies a slot.
+  core::admission::LaneOutlook OutlookOf(const Exchange& exchange,
+                                         core::Duration work_time,
+                                         core::TimePoint now) const;
+
  private:
   std::shared_ptr<TargetHandle> OwnerOf(const Exchange& exchange,
                                         core::TimePoint now) const;
   bool IsOpen(const core::discovery::TargetEntry& target,
               core::TimePoint now) const;
+  int ConnectionShare(const std::string& service) const;
   bool HasConnectionRoom(const TargetHandle& handle) const;
+  core::Duration TimeUntilFree(const TargetHandle& handle,
+                               core::TimePoint now) const;
 
   const std::string failure_domain_;
   TargetNotices& notices_;
@@ -73,6 +88,8 @@
       handles_;
   std::map<std::string, std::vector<std::shared_ptr<TargetHandle>>>
       handles_by_service_;
+  // How long keys without a serving owner have waited for one, by service.
+  std::map<std::string, core::keyspace::MoveTimes> move_times_;
   std::minstd_rand random_;
 };
 
