--- a/src/core/balance/target_picker.cc
+++ b/src/core/balance/target_picker.cc
@@ -24,10 +24,14 @@
 
 }  // namespace
 
+double MaxRequests(std::uint32_t slots, const PickOptions& options) {
+  return slots * (1.0 + options.queue_factor);
+}
+
 bool HasCapacity(const PickCandidate& it,
                  const PickOptions& options,
                  TimePoint now) {
-  const double max_requests = it.slots * (1.0 + options.queue_factor);
+  const double max_requests = MaxRequests(it.slots, options);
   return it.load->Estimate(now) <
          std::min(max_requests, it.max_requests.value_or(max_requests));
 }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,32 +12,34 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/return_times.h"
 #include "core/balance/reported_load.h"
 #include "core/balance/retry_window.h"
-#include "core/balance/target_picker.h"
 #include "core/discovery/evacuations.h"
 #include "core/error_kind.h"
 #include "core/keyspace/key_samples.h"
-#include "core/request/crash_detector.h"
 #include "core/request/safe_contents.h"
 #include "core/time.h"
 #include "entry/admission_control.h"
 #include "entry/capacity_guard.h"
 #include "entry/cold_targets.h"
+#include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
 #include "entry/poison_json.h"
+#include "entry/route_times.h"
 #include "entry/routing_view.h"
 #include "entry/target_handle.h"
 #include "entry/target_notices.h"
+#include "entry/target_set.h"
+#include "entry/waiting_requests.h"
 #include "net/header_names.h"
 
 namespace toucandock::entry {
 
 struct DispatchOptions {
-  // A request for which no target has room waits for at most these fractions of
-  // the latency goal of its route and of the time that its caller still waits.
-  double max_wait_of_goal = 0.6;
-  double max_wait_of_time_left = 0.33;
+  // A request that can no longer meet the latency goal of its route waits for
+  // at most this fraction of the time that its caller still waits.
+  double late_wait_fraction = 0.33;
   // Time after the deadline in which a response is still accepted, since
   // targets may respond right at the deadline.
   core::Duration timeout_margin = std::chrono::milliseconds(30);
@@ -57,6 +58,7 @@
   // contains them.
   int reports_per_speed_report = 8;
   core::Duration dispatch_interval = std::chrono::milliseconds(25);
+  // Maximum number of waiting requests of a service.
   size_t max_waiting = 2'000;
   // Load reports name at most this many keys.
   size_t max_reported_keys = 2'000;
@@ -184,9 +186,6 @@
   DecisionInputs InputsOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
-  HandlePtr Pick(const Exchange& exchange,
-                 const std::vector<HandlePtr>& handles,
-                 core::TimePoint now);
   ColdTargetHooks MakeColdTargetHooks();
   HandlePtr Permitted(Exchange& exchange,
                       HandlePtr handle,
@@ -208,15 +207,6 @@
                                                  core::TimePoint now) const;
   std::optional<Unavailability> FindColdness(const Exchange& exchange,
                                              core::TimePoint now);
-  HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
-  HandlePtr ListedOwnerOf(const Exchange& exchange) const;
-  core::balance::AvailabilityState AvailabilityFor(const Exchange& exchange,
-                                                   core::TimePoint now) const;
-  core::balance::AvailabilityState StateOf(
-      const core::discovery::TargetEntry& target,
-      core::TimePoint now) const;
-  bool IsOpen(const core::discovery::TargetEntry& target,
-              core::TimePoint now) const;
   std::optional<Unavailability> FindUnavailability(const Exchange& exchange,
                                                    core::TimePoint now);
   core::Duration ReturnSpread(core::Duration left);
@@ -232,7 +222,6 @@
       std::optional<core::TimePoint> send_by);
   void OnNotice(const HandlePtr& handle, const TargetNotice& notice);
   void OnTargetsListed(core::TimePoint now);
-  bool HasConnectionRoom(const TargetHandle& handle) const;
   static std::shared_ptr<TargetConnection> TakeIdleConnection(
       const Exchange& exchange,
       TargetHandle& handle,
@@ -258,25 +247,13 @@
   void OnSilence(const ExchangePtr& exchange, core::TimePoint now);
   bool IsRefusedAsPoison(const Exchange& exchange) const;
   void FailAsPoison(const ExchangePtr& exchange);
-  void DetectCrash(const Exchange& exchange,
-                   const HandlePtr& handle,
-                   const TargetAnswer& answer,
-                   core::TimePoint now);
-  void OnBroken(const Exchange& exchange,
-                const HandlePtr& handle,
-                core::Duration probe_delay,
-                core::TimePoint now);
-  void ScheduleProbe(const HandlePtr& handle, core::TimePoint at);
-  void ProbeTarget(const HandlePtr& handle);
-  void ReportCrashes(const std::vector<core::request::Crash>& crashes,
-                     core::TimePoint now);
-  void NoteCompleteAnswer(const Exchange& exchange,
-                          const std::string& version,
-                          core::TimePoint now);
-  void ReportSafeSuspects(core::TimePoint now);
-  void Enqueue(const ExchangePtr& exchange, core::TimePoint now);
-  void StartDispatchTimer();
-  void DispatchWaiting(const std::string& service);
+  void OnCapacity(const TargetHandle& handle, core::TimePoint now);
+  core::admission::LaneOutlook OutlookOf(const Exchange& exchange,
+                                         core::TimePoint now) const;
+  void SendOrWait(const ExchangePtr& exchange, core::TimePoint now);
+  bool EndIfUnavailable(const ExchangePtr& exchange, core::TimePoint now);
+  void RefuseWaiting(const ExchangePtr& exchange,
+                     const core::admission::RefusedWait& refused);
   void OnTimer(const ExchangePtr& exchange);
   void ArmTimer(const ExchangePtr& exchange, core::TimePoint until);
   void Refuse(const ExchangePtr& exchange,
@@ -288,40 +265,34 @@
             const char* cause);
   void Finish(const ExchangePtr& exchange, CallerAnswer answer);
   void ArmLateAnswerTimer(const ExchangePtr& exchange);
-  void RemoveFromQueue(const ExchangePtr& exchange);
   void SendReports();
   core::balance::RetryWindow& RetriesOf(const std::string& service);
 
   boost::asio::io_context& io_;
   EntryMetrics metrics_;
   const net::HeaderNames names_;
-  const std::string failure_domain_;
   core::balance::RetryWindowOptions retry_options_;
   const DispatchOptions options_;
-  const core::balance::PickOptions pick_options_;
-  const core::balance::TargetLoadOptions load_options_;
   const DispatchHooks hooks_;
   std::shared_ptr<const RoutingView> view_;
-  std::map<core::discovery::TargetInstance, HandlePtr> handles_;
-  std::map<std::string, std::vector<HandlePtr>> handles_by_service_;
-  std::map<std::string, std::list<ExchangePtr>> waiting_;
   std::map<std::string, core::routing::WeightedRotation> rotations_;
   std::map<std::string, core::balance::RetryWindow> retry_windows_;
   // Smoothed response time by service.
   std::map<std::string, core::FloatSeconds> typical_times_;
+  std::map<std::string, RouteTimes> response_times_;
   std::map<std::string, core::keyspace::LoadReport> reports_;
+  core::admission::ToldReturns told_returns_{{}};
   const std::shared_ptr<AnswerMemory> answer_memory_ =
       std::make_shared<AnswerMemory>();
-  core::request::CrashDetector crashes_;
-  core::request::SafeContents safe_contents_;
   TargetNotices notices_;
   ColdTargets cold_targets_;
   CapacityGuard capacity_;
+  TargetSet targets_;
+  CrashWatch crash_watch_;
+  WaitingRequests waiting_;
   boost::asio::steady_timer report_timer_;
-  boost::asio::steady_timer dispatch_timer_;
   std::minstd_rand random_;
   std::set<ExchangePtr> running_;
-  bool is_dispatch_timer_running_ = false;
   int reports_sent_ = 0;
   bool refusing_ = false;
 };
--- a/src/entry/dispatcher_capacity.cc
+++ b/src/entry/dispatcher_capacity.cc
@@ -191,13 +191,11 @@
   } else {
     // The target is left alone for a moment, so the request has to wait again.
     exchange->wait_deadline =
-        now + std::chrono::duration_cast<Duration>(
-                  (exchange->answer_by - now) * options_.max_wait_of_time_left);
-    if (!TryDispatch(exchange, now)) {
-      Enqueue(exchange, now);
-    }
+        now + std::chrono::duration_cast<Duration>((exchange->answer_by - now) *
+                                                   options_.late_wait_fraction);
+    SendOrWait(exchange, now);
   }
-  DispatchWaiting(exchange->service);
+  OnCapacity(*handle, now);
 }
 
 }  // namespace toucandock::entry
--- a/src/entry/dispatcher_cold.cc
+++ b/src/entry/dispatcher_cold.cc
@@ -21,13 +21,30 @@
 ColdTargetHooks Dispatcher::MakeColdTargetHooks() {
   return {.ask = hooks_.ask_permits,
           .on_available = [this](const TargetInstance& instance) {
-            const auto it = handles_.find(instance);
-            if (it != handles_.end()) {
-              DispatchWaiting(it->second->target.entry.service);
+            if (const HandlePtr it = targets_.Find(instance)) {
+              OnCapacity(*it, std::chrono::steady_clock::now());
             }
           }};
 }
 
+// Chooses a target for the request, a cold one only if no warm one has room.
+Dispatcher::HandlePtr Dispatcher::ChooseTarget(Exchange& exchange,
+                                               TimePoint now) {
+  if (exchange.key) {
+    return Permitted(exchange, targets_.OwnerOf(exchange, now), now);
+  }
+  exchange.send_by.reset();
+  std::vector<HandlePtr> warm;
+  std::vector<HandlePtr> cold;
+  for (HandlePtr& it : targets_.UsableTargets(exchange.service, now)) {
+    (cold_targets_.ColdUntil(it->target, now) ? cold : warm)
+        .push_back(std::move(it));
+  }
+  HandlePtr handle =
+      targets_.Pick(exchange, warm, typical_times_[exchange.service], now);
+  return handle ? handle : ChooseCold(exchange, cold, now);
+}
+
 // Returns the target if the request may be sent to it now, with a permit if one
 // is needed. Without one, the request waits for it.
 Dispatcher::HandlePtr Dispatcher::Permitted(Exchange& exchange,
@@ -73,9 +90,11 @@
       awaited = exchange.awaits_permit_for == instance ? it : awaited;
     }
   }
-  HandlePtr choice = Pick(exchange, permitted, now);
+  const core::FloatSeconds typical_time = typical_times_[exchange.service];
+  HandlePtr choice = targets_.Pick(exchange, permitted, typical_time, now);
   if (!choice) {
-    choice = awaited ? awaited : Pick(exchange, first, now);
+    choice =
+        awaited ? awaited : targets_.Pick(exchange, first, typical_time, now);
   }
   return Permitted(exchange, std::move(choice), now);
 }
@@ -124,7 +143,7 @@
   // A request that has been accepted to wait keeps its place.
   const TargetInstance& instance = handle.target.entry.instance;
   const std::uint32_t own = exchange.awaits_permit_for == instance ? 1 : 0;
-  const std::uint32_t ahead = own > 0 && exchange.waiting
+  const std::uint32_t ahead = own > 0 && exchange.ticket != 0
                                   ? 0
                                   : cold_targets_.CountWaiting(instance) - own;
   return cold_targets_.AvailableAt(handle.target, *cold_until, ahead, now);
@@ -134,16 +153,12 @@
 // cold and limited.
 std::optional<TimePoint> Dispatcher::ColdAvailableAt(const Exchange& exchange,
                                                      TimePoint now) const {
-  std::vector<HandlePtr> handles;
-  if (exchange.key) {
-    handles = {ListedOwnerOf(exchange)};
-  } else if (const auto it = handles_by_service_.find(exchange.service);
-             it != handles_by_service_.end()) {
-    handles = it->second;
-  }
+  const std::vector<HandlePtr> handles =
+      exchange.key ? std::vector<HandlePtr>{targets_.ListedOwnerOf(exchange)}
+                   : targets_.OfService(exchange.service);
   std::optional<TimePoint> first;
   for (const HandlePtr& it : handles) {
-    if (!it || !IsOpen(it->target.entry, now)) {
+    if (!it || !targets_.IsOpen(it->target.entry, now)) {
       continue;
     }
     const auto at = ColdAvailableAt(exchange, *it, now);
