Treat an answer with a status outside 100 to 599 as broken

Cause: the HTTP library accepts each status of three digits. An answer of a target with the status 000, 099, 600 or 999 and a digest reached the caller as its answer; calls to the store, targets and other hosts counted as answered; toucandockd skipped 000 as an interim response. HTTP has no such status (RFC 9110, section 15). Change: the readers of responses report such a head as malformed, so the attempt is broken: its outcome is unknown, its connection is not kept, and what its head says about the target does not count.

--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -241,8 +241,11 @@
           self->ReleaseBytes();
           return;
         }
-        // A body beyond the limit is detected at the end of the head.
-        if (self->parser_->is_header_done() || ec == http::error::body_limit) {
+        // A body beyond the limit is detected at the end of the head. What is
+        // no response says nothing about its target.
+        const bool has_head =
+            self->parser_->is_header_done() || ec == http::error::body_limit;
+        if (has_head && ec != http::error::bad_status) {
           self->ReportNotice();
         }
         if (ec) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -19,6 +19,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "util/http_status.h"
 
 namespace toucandock::http {
 namespace {
@@ -68,7 +69,8 @@
   return absl::StartsWith(text, "HTTP/1.") &&
          text.size() >= kStatusOffset + kStatusDigits &&
          absl::SimpleAtoi(text.substr(kStatusOffset, kStatusDigits), &status) &&
-         status >= kFirstFinalStatus;
+         status >= kFirstFinalStatus &&
+         util::IsStatusCode(static_cast<unsigned>(status));
 }
 
 // Returns whether the end of the response is marked by a length or by chunks.
@@ -320,6 +322,9 @@
   bool CopyHeaders() {
     const auto& head = parser_->get();
     const int status = static_cast<int>(head.result_int());
+    if (!util::IsStatusCode(head.result_int())) {
+      return Fail(Failure::kBroken);
+    }
     if (status < kFirstFinalStatus) {
       return status != kSwitchingProtocols || Fail(Failure::kBroken);
     }
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -14,6 +14,8 @@
 #include <exception>
 #include <utility>
 
+#include "util/http_status.h"
+
 namespace toucandock::net {
 
 template <bool kIsRequest>
@@ -24,7 +26,8 @@
 inline constexpr size_t kMaxReadBytes = 64U << 10;
 
 // Parses buffered bytes. The parser throws for some messages, such as one with
-// a field of 64 KiB or more in its trailers; these count as malformed.
+// a field of 64 KiB or more in its trailers, and accepts each status of three
+// digits; such messages count as malformed.
 template <bool kIsRequest>
 boost::system::error_code ParseBuffered(boost::beast::flat_buffer& buffer,
                                         MessageParser<kIsRequest>& parser) {
@@ -34,6 +37,12 @@
   } catch (const std::exception&) {
     ec = boost::beast::http::error::bad_field;
   }
+  if constexpr (!kIsRequest) {
+    if (parser.is_header_done() &&
+        !util::IsStatusCode(parser.get().result_int())) {
+      ec = boost::beast::http::error::bad_status;
+    }
+  }
   return ec;
 }
 
--- a/tests/entry/target_connection_test.cc
+++ b/tests/entry/target_connection_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "http/raw_target.h"
 #include "support/slow_listener.h"
 
@@ -571,4 +572,46 @@
   CHECK_FALSE(has_request);
 }
 
+// Guards against bytes that are no answer but reach the caller as one: HTTP has
+// no status outside 100 to 599 (RFC 9110, section 15).
+TEST_CASE("an answer with a status that HTTP does not have must not count") {
+  for (const char* status : {"000", "001", "099", "600", "777", "999"}) {
+    for (const char* header :
+         {"Digest: d\r\n", "Not-Run: 1\r\n", "Digest: d\r\nLeaving: 1\r\n"}) {
+      CAPTURE(std::string(status));
+      CAPTURE(std::string(header));
+      const std::string bytes =
+          absl::StrCat("HTTP/1.1 ", status, " Odd\r\nId: mine\r\n", header,
+                       "Content-Length: 4\r\n\r\nbody");
+      ExchangeOutcome it = RunExchange(bytes, false);
+      CHECK(it.answer.end == AttemptEnd::kBroken);
+      CHECK(it.answer.cause == AttemptCause::kBadAnswer);
+      CHECK_FALSE(it.answer.shed);
+      CHECK_FALSE(it.usable);
+      CHECK(it.notices.empty());
+
+      // Nothing behind it counts either.
+      it = RunExchange(bytes + Answer("mine", "body"), false);
+      CHECK(it.answer.end == AttemptEnd::kBroken);
+    }
+  }
+
+  SUBCASE("interim answers and the highest and lowest final status do") {
+    for (const char* status : {"200", "404"}) {
+      CAPTURE(std::string(status));
+      const ExchangeOutcome it = RunExchange(
+          absl::StrCat("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 ", status,
+                       " X\r\nId: mine\r\nDigest: d\r\n"
+                       "Content-Length: 4\r\n\r\nbody"),
+          false);
+      CHECK(it.answer.end == AttemptEnd::kAnswered);
+      CHECK(it.usable);
+    }
+    CHECK(RunExchange("HTTP/1.1 599 X\r\nId: mine\r\nDigest: d\r\n"
+                      "Content-Length: 0\r\n\r\n",
+                      false)
+              .answer.end == AttemptEnd::kFailedAnswer);
+  }
+}
+
 }  // namespace toucandock::entry
--- a/tests/entry/traffic_test.cc
+++ b/tests/entry/traffic_test.cc
@@ -215,4 +215,23 @@
   CHECK(absl::StartsWith(caller.ReadAll(), "HTTP/1.1 400 "));
 }
 
+// Seen on other systems: an answer with the status 000 reached the caller as
+// the answer to its request.
+TEST_CASE("a caller must not get an answer with a status HTTP does not have") {
+  for (const char* status : {"000", "999"}) {
+    TrafficHost host([&](http::RawConnection& connection) {
+      while (!connection.ReadRequest().empty()) {
+        connection.Write(absl::StrCat("HTTP/1.1 ", status,
+                                      " X\r\nId: a\r\nDigest: d\r\n"
+                                      "Content-Length: 4\r\n\r\nbody"));
+      }
+    });
+    RawCaller caller(host.address());
+    caller.Write("GET /run/ HTTP/1.1\r\nHost: x\r\nId: a\r\n\r\n");
+    const std::string answer = caller.ReadMessage({});
+    CAPTURE(answer);
+    CHECK(absl::StartsWith(answer, "HTTP/1.1 502 "));
+  }
+}
+
 }  // namespace toucandock::entry
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -91,6 +91,13 @@
       {"a change of protocol",
        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\ngood",
        Progress::kSent, Failure::kBroken},
+      {"a status below those of HTTP",
+       "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\ngood" +
+           std::string(kCompleteResponse),
+       Progress::kSent, Failure::kBroken},
+      {"a status above those of HTTP",
+       "HTTP/1.1 999 X\r\nContent-Length: 4\r\n\r\ngood", Progress::kSent,
+       Failure::kBroken},
       {"no HTTP", "220 mail ready\r\n", Progress::kSent, Failure::kBroken},
       {"huge headers",
        ok + "X: " + std::string(1 << 20, 'x') +
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -75,4 +75,35 @@
   }
 }
 
+// Guards against a call to the store, a target or another host that counts as
+// answered by bytes that are no answer (RFC 9110, section 15).
+TEST_CASE("a status that HTTP does not have must fail the call") {
+  const auto call = [](const char* status) {
+    http::RawTarget server([&](http::RawConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(absl::StrCat("HTTP/1.1 ", status,
+                                    " X\r\nContent-Length: 2\r\n\r\n{}"));
+      connection.IsClosedWithin(std::chrono::seconds(2));
+    });
+    boost::asio::io_context io;
+    std::optional<CallResult> result;
+    {
+      HttpClient client(io, *ParseEndpoint(server.address()));
+      client.Call({boost::beast::http::verb::get, "/x", 11},
+                  std::chrono::seconds(2),
+                  [&](const CallAnswer& answer) { result = answer.result; });
+      io.run();
+    }
+    return result;
+  };
+  for (const char* status : {"000", "099", "600", "999"}) {
+    CAPTURE(std::string(status));
+    CHECK(call(status) == CallResult::kUnanswered);
+  }
+  for (const char* status : {"200", "404", "599"}) {
+    CAPTURE(std::string(status));
+    CHECK(call(status) == CallResult::kAnswered);
+  }
+}
+
 }  // namespace toucandock::net
--- a/tests/platform_adapter/grant_client_test.cc
+++ b/tests/platform_adapter/grant_client_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -243,4 +244,29 @@
   }
 }
 
+// Guards against keys that count as granted or refused by an answer whose
+// status HTTP does not have.
+TEST_CASE("a grant must stay unresolved after an answer of an unknown kind") {
+  for (const char* status : {"000", "099", "999"}) {
+    CAPTURE(std::string(status));
+    RepeatingTarget target([&](const std::string& request, int) {
+      return "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n" +
+             IdLineOf(request) + "\r\n";
+    });
+    boost::asio::io_context io;
+    GrantClient client(io);
+    std::optional<CommandResult> result;
+    client.Grant(target.address(),
+                 GrantCommand{.id = 1,
+                              .target = {.id = "t", .start_time_ms = 1},
+                              .fence = 7,
+                              .lease = kTimeout,
+                              .timeout = kTimeout},
+                 [&](const CommandResponse& it) { result = it.result; });
+    while (!result && io.run_one_for(kTimeout) > 0) {
+    }
+    CHECK(result == CommandResult::kUnknown);
+  }
+}
+
 }  // namespace toucandock::platform
--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -104,6 +104,10 @@
       {"a failed gateway", {Response(502, "{}")}, StoreStatus::kUnknown},
       {"a gateway that gave up", {Response(504, "{}")}, StoreStatus::kUnknown},
       {"a status of another kind", {Response(302, "")}, StoreStatus::kUnknown},
+      {"a status that HTTP does not have",
+       {"HTTP/1.1 000 X\r\nContent-Length: 23\r\n\r\n{\"offset\":4,\"end\":5} "
+        " "},
+       StoreStatus::kUnknown},
       {"accepted for later", {Response(202, "{}")}, StoreStatus::kUnknown},
       {"success without an offset",
        {Response(200, "{}")},
