Send no request on whose caller has left before it was read

Cause: an overloaded host reads requests late. Change: the connection is asked once, before the request starts, whether its caller has closed it.

--- a/src/entry/caller_connection.cc
+++ b/src/entry/caller_connection.cc
@@ -208,6 +208,12 @@
     RejectUnreadable(ErrorKind::kMalformedRequest, "TRACE with content");
     return;
   }
+  // A host that is overloaded or was suspended reads requests late, when their
+  // callers may have given up.
+  if (net::HasPeerClosed(socket)) {
+    OnCallerDisconnected();
+    return;
+  }
   auto pending = std::make_shared<Pending>();
   pending->request_id = std::string(request[names_.request_id]);
   pending->keep_alive = request.keep_alive();
--- a/tests/entry/traffic_test.cc
+++ b/tests/entry/traffic_test.cc
@@ -234,4 +234,46 @@
   }
 }
 
+// Guards against work at targets for callers that gave up while an overloaded
+// host had not read their requests yet (GONE on tsb-ub-grown trouble-2).
+TEST_CASE("a request whose caller has left must not be sent on") {
+  std::atomic<int> requests = 0;
+  TrafficHost host([&](http::RawConnection& connection) {
+    while (!connection.ReadRequest().empty()) {
+      ++requests;
+      connection.Write(
+          "HTTP/1.1 200 OK\r\nId: a\r\nDigest: d\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  const std::string request = "GET /run/ HTTP/1.1\r\nHost: x\r\nId: a\r\n\r\n";
+  const auto answer_of = [&](const RawCaller& caller) {
+    caller.Write(request);
+    return caller.ReadMessage({});
+  };
+
+  SUBCASE("on a new connection") {
+    // Runs on the traffic thread, which reads nothing meanwhile.
+    host.ChangeSettings(
+        [&](EntrySettings&) { RawCaller(host.address()).Write(request); });
+  }
+  SUBCASE("on a kept connection") {
+    auto caller = std::make_unique<RawCaller>(host.address());
+    CHECK(absl::StartsWith(answer_of(*caller), "HTTP/1.1 200 "));
+    host.ChangeSettings([&](EntrySettings&) {
+      caller->Write(request);
+      caller.reset();
+    });
+    --requests;
+  }
+  SUBCASE("with further requests behind it") {
+    host.ChangeSettings([&](EntrySettings&) {
+      RawCaller(host.address()).Write(request + request + request);
+    });
+  }
+  // A later caller is served, so the host has read what came before.
+  CHECK(
+      absl::StartsWith(answer_of(RawCaller(host.address())), "HTTP/1.1 200 "));
+  CHECK(requests == 1);
+}
+
 }  // namespace toucandock::entry
