Follow a store that comes back from a copy

Cause: hosts ignored the records of a restored store, since their offsets were below those read already, and took an append as done that the store had lost. Change: the store client reads Store-Era and gives positions that contain it. A read of an earlier era finds its history lost, and an append that was answered in a later one counts as unknown. Records of owners state their position from era 1 on. Followers, caches, poison records, target entries and evacuations are renewed or held until they are written again; the group is asked at once, and a host that the restored group chooses yields to the previous leader while that responds. The stand-in of the store, the process test and the soak learn the fault.

--- a/src/core/discovery/evacuations.h
+++ b/src/core/discovery/evacuations.h
@@ -2,6 +2,7 @@
 #define TOUCANDOCK_CORE_DISCOVERY_EVACUATIONS_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,20 @@
   // Applies a complete listing of the evacuated domains. Returns those whose
   // evacuation has ended.
   std::vector<std::string> RetainOnly(
-      const std::vector<std::string>& failure_domains);
+      const std::vector<std::string>& failure_domains,
+      TimePoint now);
+  // The store has come back from a copy, which may lack records that the
+  // operator has yet to write again. For kRewriteTime, an evacuation ends only
+  // if its record is removed.
+  void OnStoreEra(TimePoint now) { held_until_ = now + kRewriteTime; }
+  // Ends the evacuations whose records were not written again in time, and
+  // returns their domains.
+  std::vector<std::string> Tick(TimePoint now);
+
+  // An operator's tool that notices the restore writes its records again within
+  // seconds. A request to an evacuated domain does more harm than a domain that
+  // is unused for half a minute.
+  static constexpr Duration kRewriteTime = std::chrono::seconds(30);
 
   bool Contains(const std::string& failure_domain) const {
     return domains_.contains(failure_domain);
@@ -31,7 +45,12 @@
   const std::map<std::string, TimePoint>& domains() const { return domains_; }
 
  private:
+  std::vector<std::string> EndUnlisted();
+
   std::map<std::string, TimePoint> domains_;
+  // Domains with a record in the store.
+  std::set<std::string> listed_;
+  TimePoint held_until_{};
 };
 
 // When a host has to stop sending requests to an evacuated failure domain.
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -43,6 +43,10 @@
 // Maximum number of unknown words of a configuration that are logged one by
 // one.
 constexpr size_t kMaxLoggedWords = 8;
+// For this long after a restore of the store, a host that is chosen as the
+// leader leaves leadership to the previous leader if that still responds. The
+// previous leader renews its membership several times in this time.
+constexpr milliseconds kYieldTime{5'000};
 // The lease of a grant is at most this fraction of the longest lease that
 // targets accept.
 constexpr double kMaxLeaseFraction = 0.6;
@@ -128,6 +132,13 @@
   if (absl::Status status = relay_.Start(); !status.ok()) {
     return status;
   }
+  if (platform_.watch_store_era) {
+    platform_.watch_store_era([this](const StoreEra& it) {
+      odd_store_eras_ = it.odd_headers;
+      OnStoreEra(it.era);
+      MarkChanged();
+    });
+  }
   for (const auto& [stream, follower] : followers_) {
     // The owners name the leader, so they are read first.
     follower->Start(stream == Stream::kOwnership ? milliseconds(0)
@@ -164,6 +175,8 @@
 void Control::OnRecords(Stream stream,
                         const ReadResult& result,
                         bool complete) {
+  // A peer may have learned of a new era first.
+  OnStoreEra(core::EraOf(result.end));
   relay_.NoteRecords(stream, result, complete);
   const core::TimePoint now = LeaseClockNow();
   switch (stream) {
@@ -275,7 +288,8 @@
       domains.push_back(*std::move(domain));
     }
   }
-  for (const std::string& it : evacuations_.RetainOnly(domains)) {
+  for (const std::string& it :
+       evacuations_.RetainOnly(domains, LeaseClockNow())) {
     EndEvacuation(it);
   }
 }
@@ -377,6 +391,40 @@
   }
 }
 
+// The store has come back from a copy. What other programs wrote there is
+// written again by them; until then, this host keeps what it knows.
+void Control::OnStoreEra(core::Era era) {
+  if (era <= store_era_) {
+    return;
+  }
+  const core::TimePoint now = LeaseClockNow();
+  LogEvent("store_era", {{"era", era},
+                         {"previous", store_era_},
+                         {"is_leader", is_leader_},
+                         {"ownership_end", ownership_end_}});
+  store_era_ = era;
+  era_began_at_ = now;
+  for (auto& [service, coordinator] : coordinators_) {
+    coordinator->OnStoreEra(era, now);
+  }
+  evacuations_.OnStoreEra(now);
+  // Entries that are missing are kept for as long as after an outage.
+  directory_.OnStoreLost();
+  if (!store_lost_) {
+    directory_.OnStoreRecovered(now);
+  }
+  poison_.OnStoreEra();
+  for (auto& [stream, follower] : followers_) {
+    follower->OnStoreEra(era, follower->is_relayed()
+                                  ? kNewestWait
+                                  : milliseconds(random_() % kResumeSpreadMs));
+  }
+  if (!leaving_) {
+    ScheduleMembership({});
+  }
+  MarkChanged();
+}
+
 void Control::OnStoreAnswer() {
   const core::TimePoint now = LeaseClockNow();
   for (auto& [service, coordinator] : coordinators_) {
@@ -466,16 +514,37 @@
   OnStoreAnswer();
   member_hosts_ = result.live_hosts;
   UpdateLiveHosts();
-  if (result.is_leader != is_leader_) {
-    is_leader_ = result.is_leader;
+  const bool yields =
+      result.is_leader && ShouldYieldLeadership(LeaseClockNow());
+  if (yields) {
+    LogEvent("duty_yielded", {{"era", store_era_}});
+    platform_.leave_membership();
+  }
+  const bool is_leader = result.is_leader && !yields;
+  if (is_leader != is_leader_) {
+    is_leader_ = is_leader;
     LogEvent(is_leader_ ? "duty_taken" : "duty_given_up", {});
   }
   for (auto& [service, coordinator] : coordinators_) {
-    coordinator->OnLeadership(result.is_leader, requested_at);
+    coordinator->OnLeadership(is_leader, requested_at);
   }
   RunCoordinators();
 }
 
+// After a restore, the group is as it was in the copy, or empty. The previous
+// leader knows the newest owners and can go on at once; any other host has to
+// wait until all leases have ended.
+bool Control::ShouldYieldLeadership(core::TimePoint now) const {
+  if (now - era_began_at_ >= kYieldTime || active_ ||
+      !relay_.IsNewestWriterAlive()) {
+    return false;
+  }
+  return std::any_of(tables_.begin(), tables_.end(), [this](const auto& it) {
+    return it.second.writer != writer_ &&
+           core::EraOf(it.second.offset) < store_era_;
+  });
+}
+
 // Removes targets whose entries have expired and did not come back within the
 // grace period.
 void Control::ApplyExpirations() {
@@ -489,6 +558,9 @@
 void Control::Tick() {
   Contain("tick", [this] {
     ApplyExpirations();
+    for (const std::string& it : evacuations_.Tick(LeaseClockNow())) {
+      EndEvacuation(it);
+    }
     RunCoordinators();
     poison_.Tick(CurrentPoisonWriter());
   });
@@ -520,6 +592,7 @@
     auto coordinator = std::make_unique<Coordinator>(
         it.name, writer_, relay_.address(), CoordinatorOptionsFor(settings_));
     const core::TimePoint now = LeaseClockNow();
+    coordinator->OnStoreEra(store_era_, now);
     const auto table = tables_.find(it.name);
     if (table != tables_.end()) {
       coordinator->OnTable(table->second, now);
@@ -691,6 +764,8 @@
   }
   evacuated_owners_ = view->evacuated_owners;
   view->live_hosts = live_hosts_;
+  view->store_era = store_era_;
+  view->odd_store_eras = odd_store_eras_;
   view->poison = poison_.view();
   view->complete = routes_ != nullptr && was_read_[Stream::kTargets] &&
                    was_read_[Stream::kOwnership];
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -63,11 +63,13 @@
   void OnEvacuationRecord(const std::string& failure_domain, bool removed);
   void RetainEvacuations(const std::vector<StoredRecord>& listed);
   void EndEvacuation(const std::string& failure_domain);
+  bool ShouldYieldLeadership(core::TimePoint now) const;
   size_t CountEvacuatedOwners() const;
   size_t CountTargetsIn(const std::string& failure_domain) const;
   bool OnTargetRecord(const StoredRecord& record, bool complete);
   void OnOwnershipRecord(const StoredRecord& record);
   void OnRecords(Stream stream, const ReadResult& result, bool complete);
+  void OnStoreEra(core::Era era);
   void OnStoreAnswer();
   void OnStoreFailure();
   void RenewMembership();
@@ -125,6 +127,10 @@
   // Number of hosts that the leader has reported, including itself.
   int peer_hosts_ = 0;
   bool store_lost_ = false;
+  core::Era store_era_ = 0;
+  std::uint64_t odd_store_eras_ = 0;
+  // When this host learned of the era.
+  core::TimePoint era_began_at_{};
   // Since when the store has answered this host; empty while it does not.
   std::optional<core::TimePoint> store_up_since_;
   bool publish_pending_ = false;
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -92,6 +92,17 @@
               .Help("Targets in evacuated failure domains that own keys")
               .Register(*registry_)
               .Add({})),
+      store_era_(prometheus::BuildGauge()
+                     .Name("toucandock_entry_store_era")
+                     .Help("Times that the store came back from a copy")
+                     .Register(*registry_)
+                     .Add({})),
+      odd_store_eras_(
+          prometheus::BuildGauge()
+              .Name("toucandock_entry_odd_store_eras")
+              .Help("Responses of the store whose era could not be used")
+              .Register(*registry_)
+              .Add({})),
       thread_lag_(prometheus::BuildHistogram()
                       .Name("toucandock_entry_thread_lag_seconds")
                       .Help("How late timers of the traffic thread ran")
@@ -206,6 +217,11 @@
   evacuated_owners_.Set(static_cast<double>(owners));
 }
 
+void EntryMetrics::SetStoreEra(core::Era era, std::uint64_t odd_eras) {
+  store_era_.Set(static_cast<double>(era));
+  odd_store_eras_.Set(static_cast<double>(odd_eras));
+}
+
 void EntryMetrics::CountConnection(const std::string& service) {
   connections_.Add({{"service", service}}).Increment();
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -55,6 +55,8 @@
   // Sets the number of evacuated failure domains and of the targets in them
   // that still own keys.
   void SetEvacuations(size_t domains, size_t owners);
+  // Sets the store's era and the number of responses whose era was odd.
+  void SetStoreEra(core::Era era, std::uint64_t odd_eras);
   void CountConnection(const std::string& service);
   void SetRunning(size_t requests);
   // How late a timer of the traffic thread ran.
@@ -81,6 +83,8 @@
   prometheus::Family<prometheus::Gauge>& poison_;
   prometheus::Gauge& evacuated_domains_;
   prometheus::Gauge& evacuated_owners_;
+  prometheus::Gauge& store_era_;
+  prometheus::Gauge& odd_store_eras_;
   prometheus::Histogram& thread_lag_;
   prometheus::Histogram& view_delay_;
   prometheus::Gauge& running_;
--- a/src/entry/peer_json.cc
+++ b/src/entry/peer_json.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/escaping.h"
 #include "codec/json.h"
+#include "core/position.h"
 
 namespace toucandock::entry {
 namespace {
@@ -106,6 +107,9 @@
   for (const HostList& it : table.earlier_hosts) {
     value["earlier_hosts"].append(ToJson(it));
   }
+  if (table.holders_unknown) {
+    value["holders_unknown"] = 1;
+  }
   return value;
 }
 
@@ -165,6 +169,7 @@
     add(fields.Array("hosts"), lists);
     table.hosts = lists.empty() ? HostList{} : lists.front();
   }
+  table.holders_unknown = fields.Has("holders_unknown");
   if (fields.Has("earlier_hosts")) {
     for (const Json::Value& it : fields.Array("earlier_hosts")) {
       add(it, table.earlier_hosts);
@@ -175,16 +180,25 @@
 
 }  // namespace
 
+// In era 0, a record stands where it was written, so the text is the same as
+// that of earlier versions, which do not state the position.
 std::string EncodeOwnership(const core::keyspace::OwnershipTable& table) {
-  return codec::WriteJson(ToJson(table));
+  Json::Value value = ToJson(table);
+  if (core::EraOf(table.offset) > 0) {
+    value["position"] = codec::Uint(table.offset);
+  }
+  return codec::WriteJson(value);
 }
 
-// Decodes a record; its offset is not part of the text.
+// Decodes a record. Its offset is 0 if the text does not state it.
 absl::StatusOr<core::keyspace::OwnershipTable> DecodeOwnership(
     const std::string& text) {
   return codec::ReadObject<core::keyspace::OwnershipTable>(
       text, [&](ObjectReader& fields, absl::Status& status) {
         core::keyspace::OwnershipTable table = ReadTable(fields, status);
+        if (fields.Has("position")) {
+          table.offset = fields.Uint("position");
+        }
         if (status.ok() && !core::keyspace::CoversAllKeys(table.assignments)) {
           fields.Fail("'ranges' must cover each key exactly once");
         }
@@ -198,8 +212,20 @@
     return *record.table;
   }
   auto table = DecodeOwnership(record.value);
-  if (table.ok()) {
-    table->offset = record.offset;
+  if (!table.ok()) {
+    return table;
+  }
+  // A record without a position was written in era 0.
+  const std::uint64_t store_offset = core::StoreOffsetOf(record.offset);
+  if (core::EraOf(table->offset) == 0) {
+    table->offset = store_offset;
+  }
+  // A record that was written in an earlier era and has survived in the copy
+  // stands at the same offset as before.
+  if (core::StoreOffsetOf(table->offset) != store_offset ||
+      table->offset > record.offset) {
+    return absl::InvalidArgumentError(
+        "'position' does not fit the place of the record");
   }
   return table;
 }
--- a/src/entry/peer_json.h
+++ b/src/entry/peer_json.h
@@ -21,7 +21,8 @@
 absl::StatusOr<core::keyspace::OwnershipTable> DecodeOwnership(
     const std::string& text);
 
-// Returns the table in a record of owners, with the record's offset.
+// Returns the table in a record of owners, with the position at which it was
+// written. Fails if the record cannot have been written where it stands.
 absl::StatusOr<core::keyspace::OwnershipTable> TableOf(
     const StoredRecord& record);
 
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/strip.h"
+#include "core/position.h"
 #include "entry/clock.h"
 #include "entry/contained_exception.h"
 #include "entry/event_log.h"
@@ -33,6 +34,9 @@
 constexpr milliseconds kFreshnessLimit{1'000};
 constexpr milliseconds kRelayFreshnessLimit =
     kFreshnessLimit + kHeartbeatInterval;
+// The writer of the newest table counts as alive for this long after it has
+// responded to one of the heartbeats, of which three may be lost.
+constexpr milliseconds kWriterLifetime{1'200};
 constexpr milliseconds kFetchTimeout{500};
 // The newest records of a large fleet are some hundred kilobytes.
 constexpr milliseconds kFetchNewestTimeout{1'500};
@@ -323,6 +327,10 @@
   return !tracker_.IsLeaderLost(LeaseClockNow());
 }
 
+bool PeerRelay::IsNewestWriterAlive() const {
+  return LeaseClockNow() - newest_writer_answered_at_ < kWriterLifetime;
+}
+
 bool PeerRelay::IsRelay() const {
   return relay_choice_ && relay_choice_->IsRelay();
 }
@@ -736,6 +744,9 @@
     }
     stamps_[sender_] = answer.stamp;
   }
+  if (from == hooks_.newest_table().address) {
+    newest_writer_answered_at_ = now;
+  }
   const auto relay = OwnRelay(now);
   if (answer.is_relay && relay && from != *relay) {
     // A relay that this host no longer uses.
@@ -877,7 +888,15 @@
          refused->second == follower.next());
     const bool waits = reads_store || (stream != Stream::kOwnership &&
                                        tracker_.IsStarting(now));
-    if (follower.has_newest() && !waits && follower.next() < state.next) {
+    // After a restore of the store, the records of the earlier era are not
+    // continued.
+    const bool is_later_era =
+        core::EraOf(state.next) > core::EraOf(follower.next());
+    if (follower.has_newest() && is_later_era &&
+        MayFetchNewest(answer, stream)) {
+      FetchNewest(stream);
+    } else if (follower.has_newest() && !waits &&
+               follower.next() < state.next) {
       Fetch(stream);
     } else if (!follower.has_newest() && MayFetchNewest(answer, stream)) {
       FetchNewest(stream);
@@ -923,6 +942,7 @@
                                   {"source", SourceOf(stream)},
                                   {"cause", records.status().message()}});
         followers_[stream]->EndWait();
+        followers_[stream]->ReadOnce();
       });
 }
 
@@ -1054,7 +1074,13 @@
     return response;
   }
   const size_t max_bytes = IsRelay() ? kMaxRelayedBytes : kMaxFetchedBytes;
-  const std::optional<ReadResult> records = cache->second.From(offset);
+  std::optional<ReadResult> records = cache->second.From(offset);
+  if (!records && static_cast<Stream>(stream) == Stream::kOwnership &&
+      core::EraOf(offset) < core::EraOf(cache->second.next())) {
+    // The peer may be unable to read the store, and any table that is newer
+    // than its own replaces it.
+    records = tables_.Newest(cache->second.next());
+  }
   if (!records) {
     response.result(http::status::gone);
     return response;
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -147,6 +147,9 @@
   std::optional<core::Duration> AgeOf(Stream stream) const;
   // Whether the leader replies to the heartbeats of this host.
   bool IsLeaderReachable() const;
+  // Whether the writer of the newest table has recently responded to this host,
+  // also if the store does not answer it.
+  bool IsNewestWriterAlive() const;
   // Whether this host has to be a member of the group from which the store
   // chooses the leader. In a large fleet, the leader and the relays suffice, as
   // long as the other hosts hear from them.
@@ -257,6 +260,7 @@
   // Last answer of the leader or relay, and the time of the last fresh one.
   PeerHeartbeat last_answer_;
   core::TimePoint fresh_answer_at_{};
+  core::TimePoint newest_writer_answered_at_{};
   core::TimePoint heartbeat_at_{};
   // The last time in which this process did not run.
   core::TimePoint stalled_since_{};
--- a/src/entry/platform_hooks.h
+++ b/src/entry/platform_hooks.h
@@ -13,6 +13,7 @@
 #include "core/discovery/target_directory.h"
 #include "core/keyspace/grant_coordinator.h"
 #include "core/keyspace/ownership.h"
+#include "core/position.h"
 #include "core/routing/route_table.h"
 #include "core/unit.h"
 
@@ -69,6 +70,13 @@
   int live_hosts = 1;
 };
 
+// What the store says about its own history.
+struct StoreEra {
+  core::Era era = 0;
+  // Responses whose statement of the era could not be used.
+  std::uint64_t odd_headers = 0;
+};
+
 // Everything that a host needs from the platform it runs on. Handlers run on
 // the thread of the io_context that the hooks were made for.
 struct PlatformHooks {
@@ -94,6 +102,9 @@
                      std::function<void(MembershipResult)>)>
       renew_membership;
   std::function<void()> leave_membership;
+  // Registers a handler that is called when the store's era has risen, or when
+  // a response has stated an era that could not be used. May be empty.
+  std::function<void(std::function<void(const StoreEra&)>)> watch_store_era;
 
   std::function<absl::StatusOr<core::routing::RouteConfig>(const std::string&)>
       decode_config;
--- a/src/entry/poison_control.cc
+++ b/src/entry/poison_control.cc
@@ -143,6 +143,11 @@
   }
 }
 
+void PoisonControl::OnStoreEra() {
+  stored_crashes_.clear();
+  UpdateUnsaved();
+}
+
 // Returns what a record can hold of the reports that have to be stored.
 std::vector<CrashReport> PoisonControl::ReportsToStore() {
   std::vector<CrashReport> reports = registry_.ReportsToStore(hooks_.now());
--- a/src/entry/poison_control.h
+++ b/src/entry/poison_control.h
@@ -88,6 +88,8 @@
   size_t OnPeerUpdate(const PoisonUpdate& update);
   // Takes the newest record on the store.
   void OnRecord(const std::string& value);
+  // The store has come back from a copy, which may lack the newest record.
+  void OnStoreEra();
   // Takes the digest that the leader has just sent. If it shows that the leader
   // has the same reports as this host, the leader writes them to the store.
   void OnLeaderDigest(const core::request::PoisonDigest& digest);
--- a/src/entry/routing_view.h
+++ b/src/entry/routing_view.h
@@ -10,6 +10,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "core/discovery/target_directory.h"
 #include "core/keyspace/ownership.h"
+#include "core/position.h"
 #include "core/routing/route_table.h"
 
 namespace toucandock::entry {
@@ -40,6 +41,9 @@
   // Owners of the keys of keyed services.
   std::map<std::string, core::keyspace::OwnershipTable> ownership;
   int live_hosts = 1;
+  // Era of the store, and number of its responses whose era was odd.
+  core::Era store_era = 0;
+  std::uint64_t odd_store_eras = 0;
   std::shared_ptr<const PoisonView> poison = std::make_shared<PoisonView>();
   // The configuration, the targets and the owners have each been read from the
   // store at least once.
--- a/src/entry/stream_follower.cc
+++ b/src/entry/stream_follower.cc
@@ -36,6 +36,19 @@
   }
 }
 
+void StreamFollower::OnStoreEra(core::Era era, std::chrono::milliseconds wait) {
+  if (!has_newest_ || core::EraOf(next_) >= era) {
+    return;
+  }
+  // The response to a read in flight would be of no use.
+  ++read_id_;
+  is_reading_now_ = false;
+  restarts_after_read_ = false;
+  has_newest_ = false;
+  waits_for_peer_ = true;
+  ScheduleRead(wait);
+}
+
 void StreamFollower::EndWait() {
   if (waits_for_peer_) {
     ScheduleRead(std::chrono::milliseconds(0));
@@ -43,7 +56,7 @@
 }
 
 void StreamFollower::DeliverNewest(const ReadResult& result) {
-  if (has_newest_) {
+  if (has_newest_ && core::EraOf(result.end) <= core::EraOf(next_)) {
     return;
   }
   // A read of the store that is in flight is no longer needed.
--- a/src/entry/stream_follower.h
+++ b/src/entry/stream_follower.h
@@ -50,7 +50,12 @@
   // Reads the newest records of the store, unless a peer has delivered them
   // within `wait`.
   void Start(std::chrono::milliseconds wait);
-  // Takes the newest records from a peer, if they have not been read yet.
+  // The store is in this era. If the records are of an earlier one, reads the
+  // newest records as Start() does: from the store, unless a peer has delivered
+  // them within `wait`.
+  void OnStoreEra(core::Era era, std::chrono::milliseconds wait);
+  // Takes the newest records from a peer, if they have not been read yet or
+  // belong to an earlier era of the store.
   void DeliverNewest(const ReadResult& result);
   // Reads the newest records without waiting for a peer any longer.
   void EndWait();
--- a/src/entry/table_history.cc
+++ b/src/entry/table_history.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/position.h"
+
 namespace toucandock::entry {
 namespace {
 
@@ -34,7 +36,10 @@
     const auto base =
         std::find_if(tables.rbegin(), tables.rend(),
                      [from](const auto& table) { return table.offset < from; });
-    if (base == tables.rend()) {
+    // After a restore of the store, hosts may know different tables with the
+    // same position of the earlier era.
+    if (base == tables.rend() ||
+        core::EraOf(base->offset) != core::EraOf(tables.back().offset)) {
       return std::nullopt;
     }
     update.deltas.push_back(core::keyspace::ComputeDelta(*base, tables.back()));
@@ -42,6 +47,23 @@
   return update;
 }
 
+ReadResult TableHistory::Newest(core::Offset end) const {
+  ReadResult result{.status = StoreStatus::kOk, .end = end};
+  for (const auto& [service, tables] : tables_) {
+    const core::keyspace::OwnershipTable& table = tables.back();
+    result.records.push_back(
+        {.offset = table.offset,
+         .key = service,
+         .table =
+             std::make_shared<const core::keyspace::OwnershipTable>(table)});
+  }
+  std::sort(result.records.begin(), result.records.end(),
+            [](const StoredRecord& a, const StoredRecord& b) {
+              return a.offset < b.offset;
+            });
+  return result;
+}
+
 std::optional<core::keyspace::OwnershipTable> TableHistory::Apply(
     const core::keyspace::OwnershipDelta& delta) const {
   const auto tables = tables_.find(delta.changes.service);
--- a/src/entry/table_history.h
+++ b/src/entry/table_history.h
@@ -20,6 +20,9 @@
   // nothing if the table of that host is no longer kept.
   std::optional<OwnershipUpdate> UpdateFrom(core::Offset from,
                                             core::Offset end) const;
+  // Returns the newest table of each service as records of a stream that ends
+  // at `end`.
+  ReadResult Newest(core::Offset end) const;
   // Applies the delta to the newest table. Returns nothing if the delta is
   // based on another table.
   std::optional<core::keyspace::OwnershipTable> Apply(
--- a/src/entry/traffic.cc
+++ b/src/entry/traffic.cc
@@ -83,6 +83,8 @@
             metrics.SetRunning(dispatcher_.running());
             metrics.SetEvacuations(dispatcher_.view().evacuated.size(),
                                    dispatcher_.view().evacuated_owners);
+            metrics.SetStoreEra(dispatcher_.view().store_era,
+                                dispatcher_.view().odd_store_eras);
             const auto& routes = dispatcher_.view().routes;
             metrics.SetConfig(routes ? routes->config()
                                      : core::routing::RouteConfig{});
--- a/tests/core/discovery/evacuations_test.cc
+++ b/tests/core/discovery/evacuations_test.cc
@@ -31,10 +31,30 @@
       CHECK_FALSE(evacuations.End("a"));
     }
     SUBCASE("and a complete listing revokes what it does not contain") {
-      CHECK(evacuations.RetainOnly({"b"}) == std::vector<std::string>{"a"});
+      CHECK(evacuations.RetainOnly({"b"}, kStart) ==
+            std::vector<std::string>{"a"});
       CHECK(evacuations.Contains("b"));
     }
   }
+  // A copy may lack the record, which the operator then writes again.
+  SUBCASE("the store comes back from a copy without its record") {
+    evacuations.OnStoreEra(kStart);
+    CHECK(evacuations.RetainOnly({}, kStart + seconds(1)).empty());
+    CHECK(evacuations.Tick(kStart + seconds(29)).empty());
+    CHECK(evacuations.domains().at("a") == kStart);
+    SUBCASE("and it is written again") {
+      CHECK_FALSE(evacuations.Begin("a", kStart + seconds(8)));
+      CHECK(evacuations.Tick(kStart + seconds(30)).empty());
+      CHECK(evacuations.Contains("a"));
+    }
+    SUBCASE("and it is not") {
+      CHECK(evacuations.Tick(kStart + seconds(30)) ==
+            std::vector<std::string>{"a"});
+    }
+    SUBCASE("and the operator revokes the evacuation") {
+      CHECK(evacuations.End("a"));
+    }
+  }
   SUBCASE("a later evacuation of the same domain counts from its own record") {
     CHECK(evacuations.End("a"));
     CHECK(evacuations.Begin("a", kStart + seconds(9)));
--- a/tests/entry/peer_json_test.cc
+++ b/tests/entry/peer_json_test.cc
@@ -39,6 +39,32 @@
   CHECK(decoded->hosts == table.hosts);
   CHECK(decoded->earlier_hosts == table.earlier_hosts);
 
+  // Hosts of earlier versions read the same text while the store is in era 0.
+  SUBCASE("a record states its position only in a later era of the store") {
+    CHECK(text.find("position") == std::string::npos);
+    OwnershipTable later = table;
+    later.offset = core::MakePosition(2, 7);
+    later.holders_unknown = true;
+    const std::string stated = EncodeOwnership(later);
+    const auto place = [&](core::Era era, std::uint64_t offset) {
+      return TableOf({.offset = core::MakePosition(era, offset),
+                      .key = "s",
+                      .value = stated});
+    };
+    CHECK(place(2, 7)->offset == later.offset);
+    CHECK(place(2, 7)->holders_unknown);
+
+    SUBCASE("and keeps it in a copy of the store") {
+      CHECK(place(3, 7)->offset == later.offset);
+      CHECK(TableOf({.offset = core::MakePosition(3, 7), .value = text})
+                ->offset == 7);
+    }
+    SUBCASE("and is void where it cannot have been written") {
+      CHECK_FALSE(place(2, 8).ok());
+      CHECK_FALSE(place(3, 6).ok());
+      CHECK_FALSE(place(1, 7).ok());
+    }
+  }
   SUBCASE("a record that leaves out keys is rejected") {
     OwnershipTable broken = table;
     broken.assignments[1].keys.first = 101;
--- a/tests/entry/stream_follower_test.cc
+++ b/tests/entry/stream_follower_test.cc
@@ -45,11 +45,12 @@
   StoreStatus status = StoreStatus::kOk;
   // Offset of the last record.
   core::Offset last = 5;
+  core::Offset newest_end = 5;
 
   PlatformHooks Hooks() {
     return {.read_newest =
-                [](Stream, const std::function<void(ReadResult)>& handler) {
-                  handler({.status = StoreStatus::kOk, .end = 5});
+                [this](Stream, const std::function<void(ReadResult)>& handler) {
+                  handler({.status = StoreStatus::kOk, .end = newest_end});
                 },
             .read =
                 [this](Stream, core::Offset from, milliseconds,
@@ -174,6 +175,49 @@
   CHECK(host.follower->next() == 7);
 }
 
+// Guards against a host that ignores the records of a restored store for ever,
+// because their offsets are below those that it has read.
+TEST_CASE("a host must follow a store that has come back from a copy") {
+  SlowFollower host(milliseconds(50));
+  host.follower->Start(milliseconds(0));
+  host.Run(milliseconds(20));
+  REQUIRE(host.follower->next() == 5);
+
+  SUBCASE("its era is known: the newest records are read again") {
+    host.store.newest_end = core::MakePosition(1, 2);
+    host.store.last = core::MakePosition(1, 2);
+    host.follower->OnStoreEra(1, milliseconds(0));
+    CHECK_FALSE(host.follower->has_newest());
+    host.Run(milliseconds(120));
+    CHECK(host.follower->next() == core::MakePosition(1, 3));
+    CHECK(host.received == std::vector<core::Offset>{core::MakePosition(1, 2)});
+
+    SUBCASE("but only once for each era") {
+      host.follower->OnStoreEra(1, milliseconds(0));
+      CHECK(host.follower->has_newest());
+    }
+    SUBCASE("and records of a peer that is still in the earlier era are old") {
+      host.follower->Deliver({.status = StoreStatus::kOk,
+                              .records = {{.offset = 9, .key = "config"}},
+                              .end = 10});
+      CHECK(host.received.size() == 1);
+      CHECK(host.follower->next() == core::MakePosition(1, 3));
+    }
+  }
+
+  SUBCASE("a peer has read its newest records first") {
+    host.follower->SetRelayed(true);
+    host.follower->DeliverNewest(
+        {.status = StoreStatus::kOk, .end = core::MakePosition(1, 2)});
+    CHECK(host.follower->next() == core::MakePosition(1, 2));
+
+    SUBCASE("and those of the earlier era that arrive late have no effect") {
+      host.follower->DeliverNewest({.status = StoreStatus::kOk, .end = 8});
+      CHECK(host.follower->next() == core::MakePosition(1, 2));
+    }
+  }
+}
+
 // Guards against a host that waits for seconds after the store is back, because
 // it learned of that while a read hung which then failed.
 TEST_CASE("a restart during a read that fails must not be forgotten") {
--- a/tests/entry/table_history_test.cc
+++ b/tests/entry/table_history_test.cc
@@ -52,6 +52,16 @@
     CHECK_FALSE(TableHistory().Apply({.base = 4, .changes = Table(6, true)}));
   }
 
+  // Two tables may have the same position of an era whose records were lost.
+  SUBCASE("its table belongs to an earlier era of the store") {
+    const core::Offset later = core::MakePosition(1, 2);
+    history.Add(Table(later, false));
+    CHECK_FALSE(history.UpdateFrom(7, later + 1));
+    const ReadResult newest = history.Newest(later + 1);
+    REQUIRE(newest.records.size() == 1);
+    CHECK(newest.records[0].offset == later);
+  }
+
   SUBCASE("its table is too old") {
     for (core::Offset n = 10; n < 30; ++n) {
       history.Add(Table(n, true));
--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -3,10 +3,14 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "core/position.h"
 #include "http/raw_target.h"
 #include "platform/log_protocol.h"
 
@@ -73,6 +77,77 @@
   RawTarget server_;
 };
 
+// A response with the header Store-Era.
+std::string InEra(const std::string& era, int status, const std::string& body) {
+  return absl::StrCat("HTTP/1.1 ", status, " x\r\nStore-Era: ", era,
+                      "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+// A store that gives these responses one after the other, and one client.
+class ScriptedStore {
+ public:
+  explicit ScriptedStore(std::vector<std::string> responses)
+      : responses_(std::move(responses)),
+        server_([this](RawConnection& connection) {
+          while (true) {
+            const std::string request = connection.ReadRequest();
+            if (request.empty() || next_ == responses_.size()) {
+              return;
+            }
+            requests_.push_back(request.substr(0, request.find(" HTTP")));
+            connection.Write(responses_[next_++]);
+          }
+        }),
+        client_(io_, *net::ParseEndpoint(server_.address()), {.member = "h"}) {
+    client_.WatchEra([this](const entry::StoreEra& it) { era = it; });
+  }
+
+  entry::ReadResult Read(core::Offset from) {
+    return Await<entry::ReadResult>([&](auto handler) {
+      client_.Read(entry::Stream::kOwnership, from,
+                   std::chrono::milliseconds(0), handler);
+    });
+  }
+  entry::ReadResult ReadNewest() {
+    return Await<entry::ReadResult>([&](auto handler) {
+      client_.ReadNewest(entry::Stream::kOwnership, handler);
+    });
+  }
+  entry::AppendResult Append(std::optional<core::Offset> at) {
+    return Await<entry::AppendResult>([&](auto handler) {
+      client_.Append(entry::Stream::kOwnership, at, "s", "value", handler);
+    });
+  }
+
+  entry::StoreEra era;
+  // Only valid between two calls.
+  const std::vector<std::string>& requests() const { return requests_; }
+
+ private:
+  template <typename Result>
+  Result Await(const std::function<void(std::function<void(Result)>)>& call) {
+    Result result;
+    call([&](const Result& it) {
+      result = it;
+      io_.stop();
+    });
+    io_.restart();
+    io_.run();
+    return result;
+  }
+
+  const std::vector<std::string> responses_;
+  std::vector<std::string> requests_;
+  size_t next_ = 0;
+  RawTarget server_;
+  boost::asio::io_context io_;
+  StoreClient client_;
+};
+
+std::string Page(core::Offset end, const std::vector<std::string>& records) {
+  return EncodePage({.end = end, .records = records});
+}
+
 std::string Record(const std::string& key) {
   return EncodeKeyedRecord({.key = key, .value = "v"});
 }
@@ -176,4 +251,101 @@
   }
 }
 
+// Guards against hosts that take records of a restored store for those that
+// they have read before at the same offsets, and against leaders that count on
+// an append which is lost or stands in another history.
+TEST_CASE("a store that comes back from a copy must begin new positions") {
+  const std::string added = R"({"offset":4,"end":5})";
+
+  SUBCASE("without a header, positions are the store's offsets") {
+    ScriptedStore store(
+        {Response(200, Page(9, {Record("a")})), Response(200, added)});
+    CHECK(store.Read(8).end == 9);
+    CHECK(store.Append(4).offset == 4);
+    CHECK(store.era.era == 0);
+  }
+
+  SUBCASE("a read from an earlier era finds its history lost") {
+    ScriptedStore store({InEra("1", 200, Page(9, {Record("a")})),
+                         InEra("1", 200, Page(9, {Record("a")}))});
+    CHECK(store.Read(8).status == StoreStatus::kHistoryLost);
+    CHECK(store.era.era == 1);
+    SUBCASE("also without asking again") {
+      CHECK(store.Read(8).status == StoreStatus::kHistoryLost);
+      CHECK(store.requests().size() == 1);
+    }
+    SUBCASE("and one of the new era gets positions of this era") {
+      const auto result = store.Read(core::MakePosition(1, 8));
+      REQUIRE(result.records.size() == 1);
+      CHECK(result.records[0].offset == core::MakePosition(1, 8));
+      CHECK(result.end == core::MakePosition(1, 9));
+      CHECK(store.requests().back().find("from=8&") != std::string::npos);
+    }
+  }
+
+  SUBCASE("an append across the change is neither carried out nor refused") {
+    SUBCASE("the answer says that it is done") {
+      CHECK(ScriptedStore({InEra("1", 200, added)}).Append(4).status ==
+            StoreStatus::kUnknown);
+    }
+    SUBCASE("the answer says that the end is elsewhere") {
+      CHECK(ScriptedStore({InEra("1", 412, R"({"end":7})")}).Append(4).status ==
+            StoreStatus::kUnknown);
+    }
+    SUBCASE("the era was known before: it is not sent") {
+      ScriptedStore store({InEra("1", 410, "{}"), InEra("1", 200, added)});
+      CHECK(store.Read(8).status == StoreStatus::kHistoryLost);
+      CHECK(store.Append(4).status == StoreStatus::kConflict);
+      CHECK(store.requests().size() == 1);
+    }
+  }
+
+  SUBCASE("a peer knew the era first") {
+    ScriptedStore store({InEra("2", 200, added)});
+    const auto result = store.Append(core::MakePosition(2, 4));
+    CHECK(result.status == StoreStatus::kOk);
+    CHECK(result.offset == core::MakePosition(2, 4));
+    CHECK(store.era.era == 2);
+  }
+
+  SUBCASE("a listing whose pages belong to two eras begins again") {
+    const auto page = [](const char* key, bool more) {
+      return absl::StrCat(R"({"items":[{"offset":3,"key":")", key,
+                          R"(","value":"dg=="}],"more":)",
+                          more ? "true" : "false", R"(,"end":6})");
+    };
+    ScriptedStore store({InEra("1", 200, page("a", true)),
+                         InEra("2", 200, page("b", false)),
+                         InEra("2", 200, page("c", false))});
+    const auto result = store.ReadNewest();
+    REQUIRE(result.records.size() == 1);
+    CHECK(result.records[0].key == "c");
+    CHECK(result.end == core::MakePosition(2, 6));
+  }
+
+  SUBCASE("an era that falls is ignored") {
+    ScriptedStore store({InEra("3", 410, "{}"),
+                         InEra("2", 200, Page(9, {Record("a")})),
+                         InEra("2", 200, added)});
+    CHECK(store.Read(8).status == StoreStatus::kHistoryLost);
+    CHECK(store.Read(core::MakePosition(3, 8)).end == core::MakePosition(3, 9));
+    CHECK(store.Append(core::MakePosition(3, 4)).status == StoreStatus::kOk);
+    CHECK(store.era.era == 3);
+    CHECK(store.era.odd_headers == 2);
+  }
+
+  SUBCASE("an odd header changes no era, and an append counts as unknown") {
+    for (const char* odd :
+         {"x", "-1", "1.5", "", "99999999", "1 2", "18446744073709551616"}) {
+      CAPTURE(odd);
+      ScriptedStore store(
+          {InEra(odd, 200, Page(9, {Record("a")})), InEra(odd, 200, added)});
+      CHECK(store.Read(8).end == 9);
+      CHECK(store.Append(4).status == StoreStatus::kUnknown);
+      CHECK(store.era.era == 0);
+      CHECK(store.era.odd_headers == 2);
+    }
+  }
+}
+
 }  // namespace toucandock::platform
--- a/tests/process/platform_fleet_test.cc
+++ b/tests/process/platform_fleet_test.cc
@@ -93,6 +93,33 @@
     WaitForAll(fleet, load, 200);
   }
 
+  // Guards against two owners, lower fences and hosts that stay behind because
+  // offsets are assigned again.
+  SUBCASE("the store comes back from a copy that is some seconds old") {
+    fleet.StartTarget(1);
+    WaitForAll(fleet, load, 100);
+    REQUIRE(fleet.SetStoreFault("restore_ms=4000&away_ms=1200"));
+    std::this_thread::sleep_for(milliseconds(1'300));
+    WaitForAll(fleet, load, 200);
+
+    SUBCASE("and again, while the leader is replaced") {
+      REQUIRE(fleet.SetStoreFault("restore_ms=1000&away_ms=300"));
+      fleet.host(0).process->Kill();
+      fleet.StartHost(0);
+      WaitForAll(fleet, load, 200);
+    }
+    SUBCASE("and hosts follow what is written from then on") {
+      REQUIRE(fleet.PublishConfig(kRouteTimeout));
+      fleet.StartTarget(0);
+      WaitForAll(fleet, load, 200);
+    }
+    for (size_t n = 0; n < fleet.host_count(); ++n) {
+      CHECK(absl::StrContains(
+          ReadFile(fleet.folder().PathOf(fleet.host(n).name + ".out")),
+          "store_era"));
+    }
+  }
+
   const Clock::time_point ended = Clock::now();
   CheckGuarantees(fleet, load.Stop(), {{.from = began, .to = ended}});
 }
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -27,7 +27,8 @@
                                       "store faulty",
                                       "store paused",
                                       "host cut off the store",
-                                      "configuration published"};
+                                      "configuration published",
+                                      "store restored from a copy"};
 
 struct Queries {
   const char* set;
@@ -53,6 +54,9 @@
 // Longer than a lease and the delay until another host becomes the leader.
 constexpr milliseconds kMaxFaultDuration{7'000};
 
+constexpr milliseconds kMaxAway{3'000};
+constexpr milliseconds kMaxLostTime{6'000};
+
 template <size_t kCount>
 void SetQueries(const Queries (&queries)[kCount],
                 std::minstd_rand& random,
@@ -97,6 +101,19 @@
     }
     plan.push_back(std::move(fault));
   }
+  // From a generator of their own, so that the other faults of a seed stay the
+  // same.
+  std::minstd_rand restore_random(seed + 1);
+  restore_random.discard(16);
+  for (size_t n = 0; n < options.restores; ++n) {
+    Fault fault{.kind = FaultKind::kStoreRestore,
+                .at = milliseconds(restore_random() % options.length.count())};
+    fault.fault_duration = milliseconds(restore_random() % kMaxAway.count());
+    fault.query =
+        absl::StrCat("restore_ms=", restore_random() % kMaxLostTime.count(),
+                     "&away_ms=", fault.fault_duration.count());
+    plan.push_back(std::move(fault));
+  }
   std::sort(plan.begin(), plan.end(),
             [](const Fault& a, const Fault& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -32,6 +32,9 @@
   kStoreCut,
   // A new version of the configuration is published.
   kPublish,
+  // The store is unavailable and comes back from a copy that lacks the last
+  // writes.
+  kStoreRestore,
 };
 
 // A fault, when it begins and how long it lasts.
@@ -52,6 +55,8 @@
   // Period in which faults begin.
   std::chrono::milliseconds length{8'000};
   size_t faults = 6;
+  // Restores of the store, in addition to the other faults.
+  size_t restores = 0;
   size_t hosts = 3;
   size_t targets = 7;
 };
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -37,6 +37,7 @@
             seed,
             {.length = options.length,
              .faults = options.faults,
+             .restores = options.restores,
              .hosts = options.hosts,
              .targets = options.keyed_targets + options.plain_targets})),
         fleet_({.hosts = options.hosts,
@@ -148,6 +149,12 @@
           fleet_.SetStoreFault(fault.end_query);
         });
         break;
+      case FaultKind::kStoreRestore:
+        ApplyToStore([&] {
+          fleet_.SetStoreFault(fault.query);
+          std::this_thread::sleep_for(fault.fault_duration);
+        });
+        break;
       case FaultKind::kStorePause:
         ApplyToStore([&] {
           fleet_.store().Send(SIGSTOP);
--- a/tests/standins/log_groups.h
+++ b/tests/standins/log_groups.h
@@ -23,6 +23,8 @@
   http::Response Leave(const http::Request& request, TimePoint now);
   // Reassigns all partitions immediately, without waiting for their holders.
   void Rebalance();
+  // All members have to join again, and generations start again.
+  void Forget() { groups_.clear(); }
 
  private:
   struct Member {
--- a/tests/standins/log_topics.cc
+++ b/tests/standins/log_topics.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr size_t kNewestPage = 500;
+// Appends can be taken back for this long.
+constexpr std::chrono::seconds kMaxGoBack{60};
 // Only operators and targets may write to the topics of IsReadOnly(). Their
 // stand-ins identify themselves with this header.
 constexpr char kWriterHeader[] = "Stand-In-Writer";
@@ -58,15 +60,7 @@
     return http::JsonResponse(412, absl::StrCat("{\"end\":", offset, "}"));
   }
   for (const std::string& it : records) {
-    if (IsKeyed(topic)) {
-      const auto keyed = platform::DecodeKeyedRecord(it);
-      if (keyed.ok() && keyed->value.empty()) {
-        partition.newest.erase(keyed->key);
-      } else if (keyed.ok()) {
-        partition.newest[keyed->key] = {partition.end(), keyed->value};
-      }
-    }
-    partition.records.push_back(it);
+    AppendRecord(topic, partition, it);
   }
   Trim(partition);
   return http::JsonResponse(
@@ -74,6 +68,69 @@
       absl::StrCat("{\"offset\":", offset, ",\"end\":", partition.end(), "}"));
 }
 
+void LogTopics::AppendRecord(const std::string& topic,
+                             Partition& partition,
+                             const std::string& record) {
+  Undo undo{.at = std::chrono::steady_clock::now(), .record = record};
+  if (IsKeyed(topic)) {
+    const auto keyed = platform::DecodeKeyedRecord(record);
+    if (keyed.ok()) {
+      undo.key = keyed->key;
+      const auto before = partition.newest.find(keyed->key);
+      if (before != partition.newest.end()) {
+        undo.previous = before->second;
+      }
+    }
+    if (keyed.ok() && keyed->value.empty()) {
+      partition.newest.erase(keyed->key);
+    } else if (keyed.ok()) {
+      partition.newest[keyed->key] = {partition.end(), keyed->value};
+    }
+  }
+  partition.records.push_back(record);
+  while (!partition.undo.empty() &&
+         undo.at - partition.undo.front().at > kMaxGoBack) {
+    partition.undo.pop_front();
+  }
+  partition.undo.push_back(std::move(undo));
+}
+
+// Takes the last append back.
+void LogTopics::TakeBack(Partition& partition) {
+  Undo undo = std::move(partition.undo.back());
+  partition.undo.pop_back();
+  if (partition.records.empty()) {
+    --partition.first;
+  } else {
+    partition.records.pop_back();
+  }
+  if (undo.previous) {
+    partition.newest[undo.key] = std::move(*undo.previous);
+  } else {
+    partition.newest.erase(undo.key);
+  }
+}
+
+void LogTopics::GoBackTo(TimePoint from) {
+  for (auto& [name, partition] : partitions_) {
+    std::vector<std::pair<std::string, std::string>> lost;
+    while (!partition.undo.empty() && partition.undo.back().at >= from) {
+      if (IsReadOnly(name.first)) {
+        lost.emplace_back(name.first, partition.undo.back().record);
+      }
+      TakeBack(partition);
+    }
+    lost_.insert(lost_.end(), lost.rbegin(), lost.rend());
+  }
+}
+
+void LogTopics::WriteAgain() {
+  for (const auto& [topic, record] : lost_) {
+    AppendRecord(topic, partitions_[{topic, 0}], record);
+  }
+  lost_.clear();
+}
+
 void LogTopics::Trim(Partition& partition) const {
   while (partition.records.size() > retained_) {
     partition.records.pop_front();
@@ -90,7 +147,7 @@
   const std::uint64_t from = NumberIn(request, "from", 0);
   const std::uint64_t max_read_bytes =
       NumberIn(request, "maxKb", 1'024) * 1'024;
-  if (from < partition.first) {
+  if (from < partition.first || from > partition.end()) {
     return http::JsonResponse(
         410, absl::StrCat("{\"first\":", partition.first, "}"));
   }
--- a/tests/standins/log_topics.h
+++ b/tests/standins/log_topics.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANDOCK_STANDINS_LOG_TOPICS_H_
 #define TOUCANDOCK_STANDINS_LOG_TOPICS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -17,6 +18,8 @@
 // The topics of the stand-in log and their partitions. Not thread-safe.
 class LogTopics {
  public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
   // Handles POST /log-append.
   http::Response Append(const http::Request& request);
   // Handles GET /log-read, but does not wait for records.
@@ -30,21 +33,44 @@
   void SetRetained(size_t records);
   // Drops all records; the newest of each key stay readable.
   void ForgetHistory();
+  // Takes back all appends since `from`, so that their offsets are assigned
+  // again. Those of operators and targets wait for WriteAgain().
+  void GoBackTo(TimePoint from);
+  // Appends what operators and targets had written, as they do after a restore.
+  void WriteAgain();
 
  private:
+  using NewestRecord = std::pair<std::uint64_t, std::string>;
+
+  // How to take an append of one record back.
+  struct Undo {
+    TimePoint at;
+    std::string record;
+    std::string key;
+    // What the key's newest record was before.
+    std::optional<NewestRecord> previous;
+  };
+
   struct Partition {
     std::uint64_t first = 0;
     std::deque<std::string> records;
     // For keyed topics: offset and value of the newest record of each key.
-    std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+    std::map<std::string, NewestRecord> newest;
+    std::deque<Undo> undo;
 
     std::uint64_t end() const { return first + records.size(); }
   };
 
   Partition& PartitionOf(const http::Request& request);
+  void AppendRecord(const std::string& topic,
+                    Partition& partition,
+                    const std::string& record);
+  static void TakeBack(Partition& partition);
   void Trim(Partition& partition) const;
 
   std::map<std::pair<std::string, std::uint64_t>, Partition> partitions_;
+  // Topics and records to be written again.
+  std::vector<std::pair<std::string, std::string>> lost_;
   size_t retained_ = 1'000'000;
 };
 
