--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -892,14 +892,12 @@
     // continued.
     const bool is_later_era =
         core::EraOf(state.next) > core::EraOf(follower.next());
-    if (follower.has_newest() && is_later_era &&
+    if ((!follower.has_newest() || is_later_era) &&
         MayFetchNewest(answer, stream)) {
       FetchNewest(stream);
     } else if (follower.has_newest() && !waits &&
                follower.next() < state.next) {
       Fetch(stream);
-    } else if (!follower.has_newest() && MayFetchNewest(answer, stream)) {
-      FetchNewest(stream);
     }
   }
 }
