--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -73,6 +73,8 @@
   void CountFullTarget(const std::string& service);
   // Sets the number of key ranges that are limited.
   void SetLimitedRanges(size_t ranges);
+  // Sets the store's era and the number of responses whose era was odd.
+  void SetStoreEra(core::Era era, std::uint64_t odd_eras);
   void CountConnection(const std::string& service);
   // Adds to the number of waiting requests of this rank.
   void AddWaiting(const std::string& service,
@@ -126,6 +128,8 @@
   prometheus::Family<prometheus::Counter>& limited_requests_;
   prometheus::Family<prometheus::Counter>& full_targets_;
   prometheus::Gauge& limited_ranges_;
+  prometheus::Gauge& store_era_;
+  prometheus::Gauge& odd_store_eras_;
   prometheus::Histogram& thread_lag_;
   prometheus::Histogram& view_delay_;
   prometheus::Gauge& running_;
