Limit keys on arrival only where full targets do not answer

Requests that may have run were refused at once when they could not be retried in time, and 4,062 requests came to owners that had just lost their keys.

--- a/src/core/admission/waiting_list.cc
+++ b/src/core/admission/waiting_list.cc
@@ -72,7 +72,8 @@
         Predict(lane, lane.requests.CountBefore(entry.rank), outlook, now);
     const bool may_be_late =
         lane.requests.on_time() == 0 || request.returned.state != Return::kNew;
-    if (!may_be_late || !IsInTime(entry, entry.predicted, outlook, now)) {
+    if (!request.may_have_run &&
+        (!may_be_late || !IsInTime(entry, entry.predicted, outlook, now))) {
       return refuse(WaitRefusal::kTooLate);
     }
   }
@@ -95,7 +96,8 @@
   const WaitRank last = lane.requests.At(lane.requests.size() - 1);
   if (IsMoreUrgent(entry.rank, last)) {
     const Duration wait = Predict(lane, lane.requests.size() - 1, outlook, now);
-    if (!IsInTime(entries_.at(last.ticket), wait, outlook, now)) {
+    if (!entries_.at(last.ticket).request.may_have_run &&
+        !IsInTime(entries_.at(last.ticket), wait, outlook, now)) {
       offer.displaced.push_back(Displace(last.ticket, outlook, now));
     }
   }
@@ -177,6 +179,9 @@
   // The first one is kept, since its prediction rests on `first_free` only.
   for (size_t n = it.requests.size(); n > 1; --n) {
     const Ticket last = it.requests.At(n - 1).ticket;
+    if (entries_.at(last).request.may_have_run) {
+      continue;
+    }
     if (IsInTime(entries_.at(last), Predict(it, n - 1, outlook, now), outlook,
                  now)) {
       break;
--- a/src/core/admission/waiting_list.h
+++ b/src/core/admission/waiting_list.h
@@ -36,6 +36,9 @@
   int priority = 0;
   // What is known of an earlier attempt.
   ReturnedRequest returned;
+  // This host has sent the request, and it may have run. Its caller could not
+  // be told that it has not, so it waits even if it is likely to be late.
+  bool may_have_run = false;
   // By when the response meets the latency goal, and by when the caller needs
   // it.
   TimePoint goal_by{};
--- a/src/entry/dispatcher_capacity.cc
+++ b/src/entry/dispatcher_capacity.cc
@@ -34,9 +34,14 @@
 }
 
 // Returns whether the request was refused, because its key is asked for more
-// than the owner can serve.
+// than the owner can serve. Where targets refuse what they cannot queue, they
+// decide better themselves: a refusal costs one exchange, while the fraction is
+// an estimate.
 bool Dispatcher::RefuseUnlessAdmitted(const ExchangePtr& exchange,
                                       TimePoint now) {
+  if (!capacity_.OverflowOf(exchange->service).IsSeen(now)) {
+    return false;
+  }
   const core::admission::AdmissionDecision decision =
       capacity_.Decide(exchange->service, exchange->caller_fingerprint,
                        {.key = *exchange->key,
--- a/src/entry/waiting_requests.cc
+++ b/src/entry/waiting_requests.cc
@@ -67,6 +67,7 @@
                           .lane = lane,
                           .priority = exchange->route->priority,
                           .returned = exchange->returned,
+                          .may_have_run = exchange->may_have_run,
                           .goal_by = exchange->goal_by,
                           .answer_by = exchange->answer_by},
                          hooks_.outlook_of(*exchange, now), now);
