--- a/src/core/balance/target_load.cc
+++ b/src/core/balance/target_load.cc
@@ -44,6 +44,7 @@
   failure_at_ = now;
   const bool is_failure = health == AttemptHealth::kFailed ||
                           health == AttemptHealth::kShed ||
+                          health == AttemptHealth::kRefusedWithFreeSlots ||
                           health == AttemptHealth::kRejected;
   failure_rate_ +=
       ((is_failure ? 1.0 : 0.0) - failure_rate_) * kFailureSmoothing;
@@ -76,6 +77,10 @@
   }
 }
 
+void TargetLoad::OnFull(TimePoint now) {
+  paused_until_ = std::max(paused_until_, now + options_.full_pause);
+}
+
 // Returns the number of requests that the target is expected to have, including
 // those of this host.
 double TargetLoad::Estimate(TimePoint now) const {
@@ -84,6 +89,17 @@
              RemainingWeight(now - reported_at_, options_.report_lifetime);
 }
 
+Duration TargetLoad::TimeUntilBelow(double limit, TimePoint now) const {
+  TimePoint at = std::max(now, paused_until_);
+  const double room = limit - in_flight_;
+  if (room > 0 && load_of_others_ > room) {
+    at = std::max(at, reported_at_ + std::chrono::duration_cast<Duration>(
+                                         options_.report_lifetime *
+                                         (1 - room / load_of_others_)));
+  }
+  return at - now;
+}
+
 FloatSeconds TargetLoad::AnswerTime(FloatSeconds typical, TimePoint now) const {
   if (answer_time_ == FloatSeconds{}) {
     return typical;
--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -14,6 +14,7 @@
 #include "core/keyspace/outage_evidence.h"
 #include "core/keyspace/ownership.h"
 #include "core/keyspace/range_planner.h"
+#include "core/position.h"
 #include "core/time.h"
 #include "core/unit.h"
 
@@ -62,20 +63,32 @@
   // A successor waits for the same time before its own first change, so that
   // two processes never carry out different changes at the same time.
   Duration move_lease = std::chrono::milliseconds(1'600);
+  // After the store has come back from a copy, a leader that goes on with its
+  // table waits this long for owners to confirm, with fences of the earlier
+  // era, that no successor has moved their keys. Covers two renewals.
+  Duration recheck_limit = std::chrono::milliseconds(2'000);
   // A target whose grants have failed for this long is replaced as an owner.
   Duration unreachable_after = std::chrono::milliseconds(1'200);
+  // A target whose address refuses connections for this long has ended, so it
+  // holds no keys. One refusal may come from a process that is just starting.
+  Duration refused_after = std::chrono::milliseconds(250);
   // A replaced target may become an owner again this long after its last
   // failure.
   Duration unreachable_retry_after = std::chrono::seconds(8);
   // The clocks of targets may run slow by this fraction.
   double clock_drift = 0.02;
   // Delay between the record of a move and its first command, so that hosts
-  // first stop sending requests to the previous owner.
+  // first stop sending requests to the previous owner, which would refuse them.
+  // Busy hosts take some tens of milliseconds to apply a record; fences do not
+  // need the delay.
   Duration move_start_delay = std::chrono::milliseconds(60);
   // Interval between two attempts to plan moves. A change of the listed targets
-  // makes the next attempt due earlier.
+  // makes the next attempt due earlier. Each plan is a record that all members
+  // of the group read, and calls to the store are limited.
   Duration plan_interval = std::chrono::milliseconds(400);
-  // Grants that are confirmed within this time are written in one record.
+  // Grants that are confirmed within this time are written in one record, since
+  // calls to the store are limited. A record is not delayed if no other grant
+  // can be confirmed soon.
   Duration record_batch = std::chrono::milliseconds(120);
   // No planned move starts unless the store has responded within this time.
   Duration max_store_silence = std::chrono::milliseconds(2'500);
@@ -128,6 +141,8 @@
   kWrongTarget,
   // The target has definitely not received the command.
   kNotSent,
+  // The same, because no process listens at the target's address.
+  kRefused,
   // The command may take effect now or later.
   kUnknown,
 };
@@ -147,6 +162,9 @@
   std::uint32_t slots = 1;
   bool draining = false;
   bool cold = false;
+  // Requests a second that the target can bear from all hosts together while it
+  // is cold; empty if its service has no limit.
+  std::optional<double> cold_requests_per_second;
 };
 
 // Decides which targets own the keys of one service and keeps their leases
@@ -165,8 +183,17 @@
   void OnLeadership(bool is_leader, TimePoint confirmed_at);
   // An ownership record was read from the store.
   void OnTable(const OwnershipTable& table, TimePoint now);
+  // A record that is void or older than the newest table stands here. Hosts
+  // that start would find it in place of the newest table, so the leader writes
+  // its own again if that stands before it.
+  void OnOlderRecord(Offset place);
   // The records of the store were read up to this offset, which is their end.
+  // An end in another era than the store's has no effect.
   void OnEnd(Offset end);
+  // The store has come back from a copy, so that records may be lost, also the
+  // newest tables and those of a successor of this host. Eras that do not
+  // increase have no effect.
+  void OnStoreEra(Era era, TimePoint now);
   // The append succeeded and its record was passed to OnTable(), or it was
   // refused because the records already ended at a later offset, or its outcome
   // is unknown and all records up to the end have been read since.
@@ -184,7 +211,7 @@
   std::vector<Action> Tick(TimePoint now);
 
   // Returns whether this process acts on the newest record, which it has
-  // written itself.
+  // written itself, or waits for earlier leases to end before it does so.
   bool IsActive(TimePoint now) const;
   bool is_leader() const { return is_leader_; }
   const std::optional<OwnershipTable>& table() const { return committed_; }
@@ -230,6 +257,9 @@
     std::uint64_t command_id = 0;
     TimePoint next_grant{};
     bool granted = false;
+    // The owner has confirmed a grant of the earlier era after the time at
+    // which a successor from before the restore could still change owners.
+    bool rechecked = false;
   };
 
   // State of the commands to one target and of the connection for its grants.
@@ -239,6 +269,10 @@
     TimePoint failing_since{};
     TimePoint last_failure{};
     int failures = 0;
+    // When the first and the last of the recent commands found no process at
+    // the target's address; zero if another result came after it.
+    TimePoint refused_since{};
+    TimePoint last_refused{};
     // The target has responded to a grant, and the connection has not been lost
     // since then.
     bool connected = false;
@@ -265,6 +299,12 @@
   };
 
   void Adopt(const OwnershipTable& table, TimePoint now);
+  bool ActsOnOwnRecord() const;
+  bool IsRechecking() const;
+  bool HasUnknownHolders(TimePoint now) const;
+  void Recheck(TimePoint now, std::vector<Action>& out);
+  std::vector<Assignment> RecheckedAssignments() const;
+  void ProposeUnchanged(TimePoint now, std::vector<Action>& out);
   bool CanRenew(TimePoint now) const;
   bool CanMove(TimePoint now) const;
   bool MayGrantTo(const Contact& contact, TimePoint now) const;
@@ -284,6 +324,7 @@
   Contact& ContactOf(const TargetInstance& target);
   RangeState* FindRange(const KeyRange& keys);
   bool HasCertainlyEnded(const TargetInstance& target) const;
+  bool IsRefused(const TargetInstance& target) const;
   const OwnerTarget* FindTarget(const TargetInstance& target) const;
   bool IsUnreachable(const TargetInstance& target, TimePoint now) const;
   bool MayRaiseFence(const RangeState& range,
@@ -296,6 +337,7 @@
   void Propose(std::vector<Assignment> assignments,
                TimePoint now,
                std::vector<Action>& out);
+  static bool IsGrantDueSoon(const RangeState& range);
   void RecordGrantsIfDue(TimePoint now, std::vector<Action>& out);
 
   const std::string service_;
@@ -335,6 +377,16 @@
   // Instances whose address now belongs to another process.
   std::set<TargetInstance> replaced_targets_;
   std::optional<OwnershipTable> committed_;
+  // Of the store.
+  Era era_ = 0;
+  // The own record belongs to an earlier era, and the time in which this host
+  // could act on it had ended when the store came back. A successor of that era
+  // may have moved keys.
+  bool own_record_lapsed_ = false;
+  // Until this time, a successor of the earlier era may still change owners.
+  TimePoint recheck_from_{};
+  // An older record stands after the own one.
+  bool is_hidden_in_store_ = false;
   // Offset at which the records end, once they have been read to the end.
   std::optional<Offset> end_;
   bool append_pending_ = false;
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -43,6 +43,10 @@
 // Maximum number of unknown words of a configuration that are logged one by
 // one.
 constexpr size_t kMaxLoggedWords = 8;
+// For this long after a restore of the store, a host that is chosen as the
+// leader leaves leadership to the previous leader if that still responds. The
+// previous leader renews its membership several times in this time.
+constexpr milliseconds kYieldTime{5'000};
 // The lease of a grant is at most this fraction of the longest lease that
 // targets accept.
 constexpr double kMaxLeaseFraction = 0.6;
@@ -98,7 +102,9 @@
 Control::Control(boost::asio::io_context& io,
                  const EntrySettings& settings,
                  const PlatformHooks& platform,
-                 PublishView publish)
+                 PublishView publish,
+                 DeliverPermits deliver_permits,
+                 PublishAdmitted publish_admitted)
     : io_(io),
       settings_(settings),
       platform_(platform),
@@ -117,6 +123,10 @@
               .capacity = CapacityOf(settings)},
              MakeRelayHooks()),
       poison_(PoisonControlOptions{}, MakePoisonHooks()),
+      permit_link_(settings.warm_up,
+                   core::warmup::IssuerOptions{},
+                   MakePermitHooks(std::move(deliver_permits))),
+      admission_(std::move(publish_admitted)),
       directory_(core::discovery::DirectoryOptions{}) {}
 
 absl::Status Control::Start() {
@@ -128,6 +138,13 @@
   if (absl::Status status = relay_.Start(); !status.ok()) {
     return status;
   }
+  if (platform_.watch_store_era) {
+    platform_.watch_store_era([this](const StoreEra& it) {
+      odd_store_eras_ = it.odd_headers;
+      OnStoreEra(it.era);
+      MarkChanged();
+    });
+  }
   for (const auto& [stream, follower] : followers_) {
     // The owners name the leader, so they are read first.
     follower->Start(stream == Stream::kOwnership ? milliseconds(0)
@@ -164,6 +181,8 @@
 void Control::OnRecords(Stream stream,
                         const ReadResult& result,
                         bool complete) {
+  // A peer may have learned of a new era first.
+  OnStoreEra(core::EraOf(result.end));
   relay_.NoteRecords(stream, result, complete);
   const core::TimePoint now = LeaseClockNow();
   switch (stream) {
@@ -275,7 +294,8 @@
       domains.push_back(*std::move(domain));
     }
   }
-  for (const std::string& it : evacuations_.RetainOnly(domains)) {
+  for (const std::string& it :
+       evacuations_.RetainOnly(domains, LeaseClockNow())) {
     EndEvacuation(it);
   }
 }
@@ -337,13 +357,17 @@
   }
   const bool changed = directory_.Apply(*entry, now);
   if (changed && !complete) {
-    LogEvent("target_entry", {{"target", entry->instance.id},
-                              {"born", entry->instance.start_time_ms},
-                              {"service", entry->service},
-                              {"address", entry->address},
-                              {"draining", entry->draining},
-                              {"sequence", entry->sequence},
-                              {"offset", record.offset}});
+    LogEvent("target_entry",
+             {{"target", entry->instance.id},
+              {"born", entry->instance.start_time_ms},
+              {"service", entry->service},
+              {"address", entry->address},
+              {"draining", entry->draining},
+              {"cold_ms",
+               std::chrono::duration_cast<milliseconds>(entry->warm_up_left)
+                   .count()},
+              {"sequence", entry->sequence},
+              {"offset", record.offset}});
   }
   return changed;
 }
@@ -360,10 +384,14 @@
   if (!table.ok()) {
     LogEvent("ownership_unreadable",
              {{"offset", record.offset}, {"cause", table.status().message()}});
+    OnOlderRecord(record);
     return;
   }
   core::keyspace::OwnershipTable& known = tables_[table->service];
   if (!known.assignments.empty() && table->offset <= known.offset) {
+    if (table->offset < known.offset) {
+      OnOlderRecord(record);
+    }
     return;
   }
   LogEvent("ownership", {{"service", table->service},
@@ -377,6 +405,48 @@
   }
 }
 
+// Without a restore, no record stands after a newer one.
+void Control::OnOlderRecord(const StoredRecord& record) {
+  const auto it = coordinators_.find(record.key);
+  if (it != coordinators_.end() && core::EraOf(record.offset) > 0) {
+    it->second->OnOlderRecord(record.offset);
+  }
+}
+
+// The store has come back from a copy. What other programs wrote there is
+// written again by them; until then, this host keeps what it knows.
+void Control::OnStoreEra(core::Era era) {
+  if (era <= store_era_) {
+    return;
+  }
+  const core::TimePoint now = LeaseClockNow();
+  LogEvent("store_era", {{"era", era},
+                         {"previous", store_era_},
+                         {"is_leader", is_leader_},
+                         {"ownership_end", ownership_end_}});
+  store_era_ = era;
+  era_began_at_ = now;
+  for (auto& [service, coordinator] : coordinators_) {
+    coordinator->OnStoreEra(era, now);
+  }
+  evacuations_.OnStoreEra(now);
+  // Entries that are missing are kept for as long as after an outage.
+  directory_.OnStoreLost();
+  if (!store_lost_) {
+    directory_.OnStoreRecovered(now);
+  }
+  poison_.OnStoreEra();
+  for (auto& [stream, follower] : followers_) {
+    follower->OnStoreEra(era, follower->is_relayed()
+                                  ? kNewestWait
+                                  : milliseconds(random_() % kResumeSpreadMs));
+  }
+  if (!leaving_) {
+    ScheduleMembership({});
+  }
+  MarkChanged();
+}
+
 void Control::OnStoreAnswer() {
   const core::TimePoint now = LeaseClockNow();
   for (auto& [service, coordinator] : coordinators_) {
@@ -466,16 +536,38 @@
   OnStoreAnswer();
   member_hosts_ = result.live_hosts;
   UpdateLiveHosts();
-  if (result.is_leader != is_leader_) {
-    is_leader_ = result.is_leader;
+  const bool yields =
+      result.is_leader && ShouldYieldLeadership(LeaseClockNow());
+  if (yields) {
+    LogEvent("duty_yielded", {{"era", store_era_}});
+    platform_.leave_membership();
+  }
+  const bool is_leader = result.is_leader && !yields;
+  if (is_leader != is_leader_) {
+    is_leader_ = is_leader;
     LogEvent(is_leader_ ? "duty_taken" : "duty_given_up", {});
   }
   for (auto& [service, coordinator] : coordinators_) {
-    coordinator->OnLeadership(result.is_leader, requested_at);
+    coordinator->OnLeadership(is_leader, requested_at);
   }
+  permit_link_.OnLeadership(is_leader_, requested_at);
   RunCoordinators();
 }
 
+// After a restore, the group is as it was in the copy, or empty. The previous
+// leader knows the newest owners and can go on at once; any other host has to
+// wait until all leases have ended.
+bool Control::ShouldYieldLeadership(core::TimePoint now) const {
+  if (now - era_began_at_ >= kYieldTime || active_ ||
+      !relay_.IsNewestWriterAlive()) {
+    return false;
+  }
+  return std::any_of(tables_.begin(), tables_.end(), [this](const auto& it) {
+    return it.second.writer != writer_ &&
+           core::EraOf(it.second.offset) < store_era_;
+  });
+}
+
 // Removes targets whose entries have expired and did not come back within the
 // grace period.
 void Control::ApplyExpirations() {
@@ -489,7 +581,15 @@
 void Control::Tick() {
   Contain("tick", [this] {
     ApplyExpirations();
+    if (next_warm_at_ && LeaseClockNow() >= *next_warm_at_) {
+      OnTargetsChanged();
+    }
+    for (const std::string& it : evacuations_.Tick(LeaseClockNow())) {
+      EndEvacuation(it);
+    }
     RunCoordinators();
+    permit_link_.Tick();
+    UpdateAdmission();
     poison_.Tick(CurrentPoisonWriter());
   });
   tick_timer_.expires_after(is_leader_ ? kTickInterval : 5 * kTickInterval);
@@ -501,6 +601,19 @@
   });
 }
 
+void Control::UpdateAdmission() {
+  const core::TimePoint now = LeaseClockNow();
+  std::vector<const core::keyspace::OwnershipTable*> led;
+  for (const auto& [service, coordinator] : coordinators_) {
+    const auto table = tables_.find(service);
+    if (table != tables_.end() && table->second.writer == writer_ &&
+        coordinator->IsActive(now)) {
+      led.push_back(&table->second);
+    }
+  }
+  admission_.Tick(led, now);
+}
+
 // The relays of a large fleet write for the hosts that use them: records of all
 // hosts at once would delay the other records of the store for seconds.
 PoisonWriter Control::CurrentPoisonWriter() const {
@@ -520,6 +633,7 @@
     auto coordinator = std::make_unique<Coordinator>(
         it.name, writer_, relay_.address(), CoordinatorOptionsFor(settings_));
     const core::TimePoint now = LeaseClockNow();
+    coordinator->OnStoreEra(store_era_, now);
     const auto table = tables_.find(it.name);
     if (table != tables_.end()) {
       coordinator->OnTable(table->second, now);
@@ -540,7 +654,10 @@
     versions_in_use[listed.entry.service].insert(listed.entry.version);
   }
   poison_.SetVersionsInUse(std::move(versions_in_use));
+  UpdateColdRates();
+  admission_.OnTargets(directory_, routes_.get());
   for (auto& [service, coordinator] : coordinators_) {
+    const core::routing::ColdLimit* limit = ColdLimitOf(service);
     std::vector<core::keyspace::OwnerTarget> targets;
     for (const auto& [id, listed] : directory_.targets()) {
       if (listed.entry.service == service) {
@@ -552,13 +669,43 @@
              // targets that drain.
              .draining = listed.entry.draining ||
                          evacuations_.Contains(listed.entry.failure_domain),
-             .cold = now < listed.warm_at});
+             .cold = now < listed.warm_at,
+             .cold_requests_per_second =
+                 limit == nullptr ? std::nullopt
+                                  : std::optional(limit->requests_per_second)});
       }
     }
     coordinator->OnTargets(std::move(targets), now);
   }
 }
 
+const core::routing::ColdLimit* Control::ColdLimitOf(
+    const std::string& service) const {
+  const core::routing::RoutedService* found =
+      routes_ ? routes_->FindService(service) : nullptr;
+  return found != nullptr && found->cold_limit ? &*found->cold_limit : nullptr;
+}
+
+// Permits are issued for all targets of services with a limit, also for warm
+// ones, since another host may have learned earlier that a target is cold.
+void Control::UpdateColdRates() {
+  const core::TimePoint now = LeaseClockNow();
+  std::map<core::discovery::TargetInstance, double> rates;
+  next_warm_at_ = std::nullopt;
+  for (const auto& [id, listed] : directory_.targets()) {
+    const core::routing::ColdLimit* limit = ColdLimitOf(listed.entry.service);
+    if (limit == nullptr) {
+      continue;
+    }
+    rates[listed.entry.instance] = limit->requests_per_second;
+    if (now < listed.warm_at) {
+      next_warm_at_ =
+          std::min(next_warm_at_.value_or(listed.warm_at), listed.warm_at);
+    }
+  }
+  permit_link_.SetRates(std::move(rates));
+}
+
 void Control::RunCoordinators() {
   const bool active = IsActive();
   const bool was_active = std::exchange(active_, active);
@@ -691,6 +838,8 @@
   }
   evacuated_owners_ = view->evacuated_owners;
   view->live_hosts = live_hosts_;
+  view->store_era = store_era_;
+  view->odd_store_eras = odd_store_eras_;
   view->poison = poison_.view();
   view->complete = routes_ != nullptr && was_read_[Stream::kTargets] &&
                    was_read_[Stream::kOwnership];
@@ -703,6 +852,7 @@
     return;
   }
   if (table->second.writer == writer_) {
+    admission_.OnLoad(report, LeaseClockNow());
     const auto it = coordinators_.find(report.service);
     if (it != coordinators_.end()) {
       it->second->OnLoad(report, LeaseClockNow());
@@ -714,6 +864,7 @@
 
 // Takes the load of other hosts.
 void Control::OnLoadReport(const core::keyspace::LoadReport& report) {
+  admission_.OnLoad(report, LeaseClockNow());
   const auto it = coordinators_.find(report.service);
   if (it != coordinators_.end()) {
     it->second->OnLoad(report, LeaseClockNow());
@@ -730,6 +881,27 @@
   return false;
 }
 
+NewestTable Control::FindNewestTable() const {
+  NewestTable newest;
+  for (const auto& [service, table] : tables_) {
+    if (table.offset + 1 > newest.end) {
+      newest = {.address = table.report_address, .end = table.offset + 1};
+    }
+  }
+  return newest;
+}
+
+PermitLinkHooks Control::MakePermitHooks(DeliverPermits deliver) {
+  return {
+      .now = LeaseClockNow,
+      .send = [this](const std::string& address,
+                     const std::string& text) { relay_.SendTo(address, text); },
+      // The leader writes a table as soon as it takes over.
+      .leader_address = [this] { return FindNewestTable().address; },
+      .deliver = std::move(deliver),
+  };
+}
+
 PeerRelayHooks Control::MakeRelayHooks() {
   return {
       .on_load =
@@ -768,17 +940,7 @@
             }
           },
       .is_member = [this] { return is_member_; },
-      .newest_table =
-          [this] {
-            NewestTable newest;
-            for (const auto& [service, table] : tables_) {
-              if (table.offset + 1 > newest.end) {
-                newest = {.address = table.report_address,
-                          .end = table.offset + 1};
-              }
-            }
-            return newest;
-          },
+      .newest_table = [this] { return FindNewestTable(); },
       .is_active = [this] { return IsActive(); },
       .on_host_report =
           [this](const core::keyspace::HostReport& report) {
@@ -816,6 +978,20 @@
           [this](const core::request::PoisonDigest& digest) {
             poison_.OnLeaderDigest(digest);
           },
+      .on_permit_message =
+          [this](const std::string& text, const std::string& from) {
+            permit_link_.OnMessage(text, from);
+          },
+      .admitted_version = [this] { return admission_.version(); },
+      .admitted_update =
+          [this](std::uint32_t known_version) {
+            return admission_.MakeUpdate(known_version, LeaseClockNow());
+          },
+      .on_admitted =
+          [this](const core::keyspace::AdmittedUpdate& update,
+                 core::TimePoint received_at) {
+            admission_.OnUpdate(update, received_at, LeaseClockNow());
+          },
   };
 }
 
@@ -864,6 +1040,7 @@
 void Control::Leave() {
   leaving_ = true;
   relay_.BeginLeaving();
+  permit_link_.OnLeadership(false, LeaseClockNow());
   membership_timer_.cancel();
   // The coordinators renew leases until the record of a successor is read or
   // the process ends. A host that is not the leader stays in the group until
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -17,8 +17,10 @@
 #include "core/discovery/target_directory.h"
 #include "core/keyspace/grant_coordinator.h"
 #include "core/keyspace/leader_membership.h"
+#include "entry/admission_control.h"
 #include "entry/peer_json.h"
 #include "entry/peer_relay.h"
+#include "entry/permit_link.h"
 #include "entry/platform_hooks.h"
 #include "entry/poison_control.h"
 #include "entry/routing_view.h"
@@ -28,6 +30,8 @@
 namespace toucandock::entry {
 
 using PublishView = std::function<void(std::shared_ptr<const RoutingView>)>;
+using DeliverPermits =
+    std::function<void(const std::vector<core::warmup::PermitAnswer>&)>;
 
 // Control state of one entry host: the configuration, the targets and the
 // owners of keys, as read from the store. On the leader, it also runs the
@@ -38,7 +42,9 @@
   Control(boost::asio::io_context& io,
           const EntrySettings& settings,
           const PlatformHooks& platform,
-          PublishView publish);
+          PublishView publish,
+          DeliverPermits deliver_permits,
+          PublishAdmitted publish_admitted);
 
   absl::Status Start();
   // Address ("IP:PORT") at which the other hosts reach this one.
@@ -51,6 +57,10 @@
   void OnPoisonUpdate(const PoisonUpdate& update) {
     poison_.OnLocalUpdate(update);
   }
+  // Asks the leader for permits to send requests of this host to cold targets.
+  void AskPermits(const std::vector<core::warmup::PermitQuestion>& questions) {
+    permit_link_.Ask(questions);
+  }
   // Gives up leadership before the process ends, so that another host can
   // become the leader at once.
   void Leave();
@@ -63,11 +73,14 @@
   void OnEvacuationRecord(const std::string& failure_domain, bool removed);
   void RetainEvacuations(const std::vector<StoredRecord>& listed);
   void EndEvacuation(const std::string& failure_domain);
+  bool ShouldYieldLeadership(core::TimePoint now) const;
   size_t CountEvacuatedOwners() const;
   size_t CountTargetsIn(const std::string& failure_domain) const;
   bool OnTargetRecord(const StoredRecord& record, bool complete);
   void OnOwnershipRecord(const StoredRecord& record);
+  void OnOlderRecord(const StoredRecord& record);
   void OnRecords(Stream stream, const ReadResult& result, bool complete);
+  void OnStoreEra(core::Era era);
   void OnStoreAnswer();
   void OnStoreFailure();
   void RenewMembership();
@@ -76,6 +89,7 @@
   void ApplyExpirations();
   void Tick();
   void RunCoordinators();
+  void UpdateAdmission();
   void Execute(Coordinator& coordinator, const core::keyspace::Action& action);
   void Append(Coordinator& coordinator,
               const core::keyspace::AppendCommand& command);
@@ -85,6 +99,10 @@
   void SyncCoordinators();
   void MarkChanged();
   void Publish();
+  const core::routing::ColdLimit* ColdLimitOf(const std::string& service) const;
+  void UpdateColdRates();
+  NewestTable FindNewestTable() const;
+  PermitLinkHooks MakePermitHooks(DeliverPermits deliver);
   PeerRelayHooks MakeRelayHooks();
   PoisonControlHooks MakePoisonHooks();
   void StorePoison(const std::string& value, std::function<void(bool)> done);
@@ -106,11 +124,15 @@
   Followers followers_;
   PeerRelay relay_;
   PoisonControl poison_;
+  PermitLink permit_link_;
+  AdmissionControl admission_;
   // Whether each stream has been read at least once.
   std::map<Stream, bool> was_read_;
   std::shared_ptr<const core::routing::RouteTable> routes_;
   core::discovery::TargetDirectory directory_;
   core::discovery::Evacuations evacuations_;
+  // The next time at which a target of a service with a limit becomes warm.
+  std::optional<core::TimePoint> next_warm_at_;
   // At the last published view.
   size_t evacuated_owners_ = 0;
   std::map<core::discovery::TargetInstance, std::string> addresses_;
@@ -125,6 +147,10 @@
   // Number of hosts that the leader has reported, including itself.
   int peer_hosts_ = 0;
   bool store_lost_ = false;
+  core::Era store_era_ = 0;
+  std::uint64_t odd_store_eras_ = 0;
+  // When this host learned of the era.
+  core::TimePoint era_began_at_{};
   // Since when the store has answered this host; empty while it does not.
   std::optional<core::TimePoint> store_up_since_;
   bool publish_pending_ = false;
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -5,7 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
+#include "core/balance/reported_load.h"
 #include "core/request/attempt_rules.h"
 #include "core/request/fingerprint.h"
 #include "entry/contained_exception.h"
@@ -41,25 +41,6 @@
   return std::chrono::duration_cast<milliseconds>(time);
 }
 
-struct ReportedLoad {
-  int running = 0;
-  int waiting = 0;
-};
-
-// Parses the load header of a target: the numbers of its running requests, of
-// its waiting requests and of its slots, separated by commas. The slots are
-// ignored.
-std::optional<ReportedLoad> ParseReportedLoad(boost::beast::string_view text) {
-  const std::vector<std::string> parts =
-      absl::StrSplit(absl::string_view(text.data(), text.size()), ',');
-  ReportedLoad load;
-  if (parts.size() < 2 || !absl::SimpleAtoi(parts[0], &load.running) ||
-      !absl::SimpleAtoi(parts[1], &load.waiting)) {
-    return std::nullopt;
-  }
-  return load;
-}
-
 // Returns the same text for requests with the same content, so that a request
 // is recognized when it is sent again with another id.
 std::string FingerprintOf(const net::HttpRequest& request) {
@@ -93,16 +74,74 @@
                        DispatchHooks hooks)
     : io_(io),
       names_(std::move(names)),
-      failure_domain_(std::move(failure_domain)),
       retry_options_(retries),
       options_(options),
       hooks_(std::move(hooks)),
       view_(std::make_shared<RoutingView>()),
-      crashes_(core::request::CrashDetectorOptions{}),
-      safe_contents_(options.safe_contents),
       notices_(io, metrics_),
+      cold_targets_(io,
+                    names_,
+                    answer_memory_,
+                    metrics_,
+                    MakeColdTargetHooks()),
+      targets_(std::move(failure_domain),
+               notices_,
+               {.connection_fraction = options.connection_fraction,
+                .evacuation = options.evacuation},
+               {.max_requests =
+                    [this](const TargetHandle& it, TimePoint now) {
+                      return MaxRequestsOf(it, now);
+                    }}),
+      crash_watch_(
+          io,
+          metrics_,
+          notices_,
+          {.probe_delay = options.probe_delay,
+           .rejected_probe_delay = options.rejected_probe_delay,
+           .probe_limit = options.probe_limit,
+           .safe_contents = options.safe_contents},
+          {.is_listed =
+               [this](const core::discovery::TargetInstance& instance) {
+                 return targets_.Find(instance) != nullptr;
+               },
+           .on_probed =
+               [this](const TargetHandle& it, bool is_accepted, TimePoint now) {
+                 if (is_accepted) {
+                   cold_targets_.OnAccepted(it, now);
+                 } else {
+                   cold_targets_.OnUnreachable(it.target.entry);
+                 }
+               },
+           .report =
+               [this](const PoisonUpdate& it) { hooks_.report_poison(it); }}),
+      waiting_(
+          io,
+          metrics_,
+          options.dispatch_interval,
+          {.max_requests = options.max_waiting,
+           .late_wait_fraction = options.late_wait_fraction},
+          {.try_send =
+               [this](const ExchangePtr& it, TimePoint now) {
+                 bool is_settled = true;
+                 RunStep(it, [&] { is_settled = TryDispatch(it, now); });
+                 return is_settled;
+               },
+           .end_if_unavailable =
+               [this](const ExchangePtr& it, TimePoint now) {
+                 return EndIfUnavailable(it, now);
+               },
+           .lane_of =
+               [this](const Exchange& it) { return targets_.LaneOf(it); },
+           .outlook_of = [this](const Exchange& it,
+                                TimePoint now) { return OutlookOf(it, now); },
+           .set_timer = [this](const ExchangePtr& it,
+                               TimePoint until) { ArmTimer(it, until); },
+           .refuse =
+               [this](const ExchangePtr& it,
+                      const core::admission::RefusedWait& refused) {
+                 RefuseWaiting(it, refused);
+               }}),
       report_timer_(io),
-      dispatch_timer_(io),
       random_(std::random_device{}()) {
   SendReports();
 }
@@ -110,43 +149,12 @@
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::SetView(std::shared_ptr<const RoutingView> view) {
-  const bool has_new_suspects =
-      view->poison->suspected != view_->poison->suspected;
   view_ = std::move(view);
   const TimePoint now = Now();
-  ReportCrashes(crashes_.OnTargets(view_->targets, now), now);
-  if (has_new_suspects) {
-    ReportSafeSuspects(now);
-  }
-  std::map<core::discovery::TargetInstance, HandlePtr> handles;
-  handles_by_service_.clear();
-  for (const auto& [service, targets] : view_->targets) {
-    for (const core::discovery::ListedTarget& it : targets) {
-      const auto known = handles_.find(it.entry.instance);
-      HandlePtr handle;
-      if (known != handles_.end() &&
-          known->second->target.entry.address == it.entry.address) {
-        handle = known->second;
-        handle->target = it;
-      } else if (const auto at = net::ParseEndpoint(it.entry.address);
-                 at.ok()) {
-        handle = std::make_shared<TargetHandle>(it, *at, load_options_);
-      } else {
-        continue;
-      }
-      handles[it.entry.instance] = handle;
-      handles_by_service_[service].push_back(std::move(handle));
-    }
-  }
-  handles_ = std::move(handles);
+  crash_watch_.SetView(*view_, now);
+  targets_.SetView(view_, now);
   OnTargetsListed(now);
-  std::vector<std::string> services;
-  for (const auto& [service, queue] : waiting_) {
-    services.push_back(service);
-  }
-  for (const std::string& service : services) {
-    DispatchWaiting(service);
-  }
+  waiting_.OnViewChanged(now);
 }
 
 void Dispatcher::SetRetryOptions(
@@ -234,11 +242,11 @@
     time_limit = std::min<Duration>(time_limit, milliseconds(deadline_ms));
   }
   exchange->answer_by = now + time_limit;
-  exchange->wait_deadline =
-      now + std::min(std::chrono::duration_cast<Duration>(
-                         route.latency_goal * options_.max_wait_of_goal),
-                     std::chrono::duration_cast<Duration>(
-                         time_limit * options_.max_wait_of_time_left));
+  exchange->goal_by = now + std::min(route.latency_goal, time_limit);
+  exchange->wait_deadline = std::max(
+      exchange->goal_by - response_times_[exchange->service].AnswerTime(route),
+      now + std::chrono::duration_cast<Duration>(time_limit *
+                                                 options_.late_wait_fraction));
   const core::routing::RoutedService* service =
       exchange->routes->FindService(exchange->service);
   if (service != nullptr && service->keyed) {
@@ -262,90 +270,17 @@
     FailAsPoison(exchange);
     return;
   }
+  if (exchange->key && RefuseUnlessAdmitted(exchange, now)) {
+    return;
+  }
   RetriesOf(exchange->service).OnRequest(now);
   typical_times_.try_emplace(exchange->service, kInitialTypicalTime);
-  if (!TryDispatch(exchange, now)) {
-    Enqueue(exchange, now);
-  }
-}
-
-bool Dispatcher::HasConnectionRoom(const TargetHandle& handle) const {
-  const core::routing::RoutedService* service =
-      view_->routes ? view_->routes->FindService(handle.target.entry.service)
-                    : nullptr;
-  const double cap = service == nullptr ? 100 : service->max_connections;
-  const int share =
-      std::max(1, static_cast<int>(cap * options_.connection_fraction /
-                                   std::max(1, view_->live_hosts)));
-  return handle.load.in_flight() < share;
-}
-
-// Returns the owner of the request's key if it is listed and serves the key.
-Dispatcher::HandlePtr Dispatcher::ListedOwnerOf(
-    const Exchange& exchange) const {
-  const auto table = view_->ownership.find(exchange.service);
-  if (table == view_->ownership.end() ||
-      exchange.misdirected_at == table->second.offset) {
-    return nullptr;
-  }
-  const core::keyspace::Assignment* assignment =
-      core::keyspace::FindAssignment(table->second, *exchange.key);
-  if (assignment == nullptr || !assignment->serving) {
-    return nullptr;
-  }
-  const auto handle = handles_.find(assignment->owner);
-  return handle == handles_.end() ? nullptr : handle->second;
-}
-
-// Returns the owner of the request's key, or null if the request must not be
-// sent there now.
-Dispatcher::HandlePtr Dispatcher::OwnerOf(Exchange& exchange, TimePoint now) {
-  HandlePtr handle = ListedOwnerOf(exchange);
-  if (handle == nullptr) {
-    return nullptr;
-  }
-  const core::balance::PickCandidate candidate{
-      .load = &handle->load, .slots = handle->target.entry.slots};
-  if (!IsOpen(handle->target.entry, now) || handle->load.IsPaused(now) ||
-      !core::balance::HasCapacity(candidate, pick_options_, now) ||
-      !HasConnectionRoom(*handle)) {
-    return nullptr;
-  }
-  return handle;
-}
-
-Dispatcher::HandlePtr Dispatcher::ChooseTarget(Exchange& exchange,
-                                               TimePoint now) {
-  if (exchange.key) {
-    return OwnerOf(exchange, now);
+  exchange->returned = told_returns_.Take(exchange->caller_fingerprint, now);
+  metrics_.CountReturn(exchange->service, exchange->returned.state);
+  if (exchange->returned.state != core::admission::Return::kNew) {
+    exchange->goal_by = exchange->returned.goal_by;
   }
-  const auto found = handles_by_service_.find(exchange.service);
-  if (found == handles_by_service_.end()) {
-    return nullptr;
-  }
-  std::vector<core::balance::PickCandidate> candidates;
-  std::vector<HandlePtr> handles;
-  for (const HandlePtr& it : found->second) {
-    const core::discovery::TargetEntry& entry = it->target.entry;
-    if (!IsOpen(entry, now) || !HasConnectionRoom(*it)) {
-      continue;
-    }
-    candidates.push_back(
-        {.load = &it->load,
-         .slots = entry.slots,
-         .same_domain = entry.failure_domain == failure_domain_,
-         .cold = now < it->target.warm_at,
-         .tried = std::find(exchange.tried.begin(), exchange.tried.end(),
-                            entry.instance) != exchange.tried.end()});
-    handles.push_back(it);
-  }
-  const int pick = core::balance::PickTarget(
-      candidates,
-      {.idempotent = exchange.route->IsIdempotent(),
-       .latency_goal = exchange.route->latency_goal,
-       .typical_time = typical_times_[exchange.service]},
-      pick_options_, random_(), now);
-  return pick < 0 ? nullptr : handles[pick];
+  SendOrWait(exchange, now);
 }
 
 // Returns false when the request has to wait for a target.
@@ -358,11 +293,7 @@
   }
   const HandlePtr handle = ChooseTarget(*exchange, now);
   if (handle == nullptr) {
-    const auto reason = FindUnavailability(*exchange, now);
-    if (reason) {
-      RefuseAsUnavailable(exchange, *reason);
-    }
-    return reason.has_value();
+    return EndIfUnavailable(exchange, now);
   }
   SendTo(exchange, handle, now);
   return true;
@@ -402,7 +333,8 @@
                         TimePoint now) {
   // Built first, so that an exception leaves the counts of the target alone.
   net::HttpRequest request = RequestFor(*exchange, *handle, now);
-  RemoveFromQueue(exchange);
+  waiting_.OnSent(*exchange, now);
+  AwaitPermit(*exchange, std::nullopt);
   exchange->attempts++;
   exchange->tried.push_back(handle->target.entry.instance);
   exchange->current_target = handle;
@@ -417,10 +349,10 @@
     metrics_.CountRetry(exchange->service);
   }
   if (!exchange->connection) {
-    exchange->connection = Connect(handle);
+    exchange->connection = Connect(handle, exchange->send_by);
   }
   exchange->used_connections.push_back(exchange->connection);
-  ArmTimer(exchange, exchange->answer_by + options_.timeout_margin);
+  ArmAttemptTimer(exchange, now);
   exchange->connection->Send(
       std::move(request), [this, exchange](TargetAnswer answer) {
         RunStep(exchange, [&] { OnTargetAnswer(exchange, std::move(answer)); });
@@ -452,14 +384,8 @@
     return;
   }
   const Duration taken = now - exchange.sent_at;
-  bool has_queue = false;
-  const auto load = answer.response.find(names_.target_load);
-  if (load != answer.response.end()) {
-    if (const auto reported = ParseReportedLoad(load->value())) {
-      handle.load.OnReport(reported->running + reported->waiting, now);
-      has_queue = reported->waiting > 0;
-    }
-  }
+  const auto reported = NoteReport(exchange, answer, now);
+  const bool has_queue = reported && reported->waiting > 0;
   AttemptHealth health = AttemptHealth::kGood;
   switch (answer.end) {
     case AttemptEnd::kAnswered:
@@ -469,12 +395,17 @@
         handle.answers++;
         handle.answer_time += taken;
       }
+      response_times_[exchange.service].Add(*exchange.route, taken, has_queue);
       typical_times_[exchange.service] +=
           (core::FloatSeconds(taken) - typical_times_[exchange.service]) *
           kTypicalTimeSmoothing;
       break;
     case AttemptEnd::kNotExecuted:
-      health = answer.shed ? AttemptHealth::kShed : AttemptHealth::kFailed;
+      health = core::balance::HealthOfRefusal(answer.shed, reported,
+                                              handle.target.entry.slots);
+      if (health == AttemptHealth::kRefusedWithFreeSlots) {
+        metrics_.CountRefusalWithFreeSlots(exchange.service);
+      }
       break;
     case AttemptEnd::kNotSent:
       health = answer.rejected_connection ? AttemptHealth::kRejected
@@ -498,8 +429,9 @@
   const std::string service = exchange->service;
   const HandlePtr handle = exchange->current_target;
   const core::balance::AvailabilityState state =
-      StateOf(handle->target.entry, now);
+      targets_.StateOf(handle->target.entry, now);
   if (state.availability != Availability::kLeaving &&
+      !exchange->is_target_silent &&
       exchange->connection->IsUsable(options_.max_idle_idempotent)) {
     handle->idle.push_back(std::move(exchange->connection));
   }
@@ -509,9 +441,10 @@
     // The other idle connections to this target have probably ended as well.
     handle->idle.clear();
   }
-  DetectCrash(*exchange, handle, answer, now);
+  NoteUnreachable(*handle, answer.cause);
+  crash_watch_.OnAttemptEnd(*exchange, handle, answer, now);
   if (exchange->done) {
-    DispatchWaiting(service);
+    OnCapacity(*handle, now);
     return;
   }
   const auto table = view_->ownership.find(service);
@@ -565,9 +498,7 @@
         NoteRedirected(*exchange, handle->target.entry.instance.id, state,
                        "other-target");
       }
-      if (!TryDispatch(exchange, now)) {
-        Enqueue(exchange, now);
-      }
+      SendOrWait(exchange, now);
       break;
     case AttemptDecision::kRefuse: {
       const auto reason = FindUnavailability(*exchange, now);
@@ -583,7 +514,7 @@
       Fail(exchange, ErrorKind::kOutcomeUnknown, "no usable answer");
       break;
   }
-  DispatchWaiting(service);
+  OnCapacity(*handle, now);
 }
 
 bool Dispatcher::IsRefusedAsPoison(const Exchange& exchange) const {
@@ -599,265 +530,6 @@
        "targets ended under the same content");
 }
 
-// Updates the crash detector with the result of an attempt, which shows whether
-// the target still runs or whether a request may have ended it.
-void Dispatcher::DetectCrash(const Exchange& exchange,
-                             const HandlePtr& handle,
-                             const TargetAnswer& answer,
-                             TimePoint now) {
-  const core::discovery::TargetEntry& target = handle->target.entry;
-  if (answer.cause == AttemptCause::kConnectionEnded) {
-    OnBroken(exchange, handle,
-             answer.rejected_connection ? options_.rejected_probe_delay
-                                        : options_.probe_delay,
-             now);
-    return;
-  }
-  if (answer.cause == AttemptCause::kConnectRefused) {
-    ReportCrashes(crashes_.OnConnectRefused(target.instance, now), now);
-    return;
-  }
-  const bool is_alive = answer.end == AttemptEnd::kAnswered ||
-                        answer.end == AttemptEnd::kFailedAnswer || answer.shed;
-  if (is_alive) {
-    crashes_.OnAlive(target.instance, exchange.sent_at);
-  }
-  if (answer.end == AttemptEnd::kAnswered &&
-      http::to_status_class(answer.response.result()) ==
-          http::status_class::successful) {
-    NoteCompleteAnswer(exchange, target.version, now);
-  }
-}
-
-// Handles a connection that ended without a complete response. Either the
-// request has crashed the target, or only the connection has ended; a later
-// probe shows which.
-void Dispatcher::OnBroken(const Exchange& exchange,
-                          const HandlePtr& handle,
-                          Duration probe_delay,
-                          TimePoint now) {
-  // A target that leaves or is no longer listed was stopped as planned and did
-  // not crash.
-  const core::discovery::TargetInstance& instance =
-      handle->target.entry.instance;
-  if (!handles_.contains(instance) || notices_.IsLeaving(instance)) {
-    return;
-  }
-  crashes_.OnBroken({.target = handle->target.entry,
-                     .caller_fingerprint = exchange.caller_fingerprint,
-                     .content_fingerprint = exchange.content_fingerprint,
-                     .request_id = exchange.request_id,
-                     .at = now});
-  // One probe is enough for all requests that this target had in flight.
-  if (handle->is_probe_scheduled) {
-    return;
-  }
-  handle->is_probe_scheduled = true;
-  ScheduleProbe(handle, now + probe_delay);
-}
-
-// Probes the target at the given time, or after the pause that it asked for.
-void Dispatcher::ScheduleProbe(const HandlePtr& handle, TimePoint at) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, at);
-  timer->async_wait([this, handle, timer](const boost::system::error_code&) {
-    const core::discovery::TargetInstance& instance =
-        handle->target.entry.instance;
-    const TimePoint now = Now();
-    const core::balance::AvailabilityState state =
-        notices_.StateOf(instance, now);
-    const bool is_needed = state.availability != Availability::kLeaving &&
-                           crashes_.IsPending(instance, now);
-    if (is_needed && state.availability == Availability::kPaused) {
-      ScheduleProbe(handle, state.until);
-      return;
-    }
-    handle->is_probe_scheduled = false;
-    if (is_needed) {
-      ProbeTarget(handle);
-    }
-  });
-}
-
-// Opens a test connection to find out whether a process still listens at the
-// target's address.
-void Dispatcher::ProbeTarget(const HandlePtr& handle) {
-  metrics_.CountConnection(handle->target.entry.service);
-  const TimePoint probe_start = Now();
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-  auto socket = std::make_shared<net::Tcp::socket>(io_);
-  socket->async_connect(
-      handle->endpoint, [this, handle, timer, socket,
-                         probe_start](const boost::system::error_code& ec) {
-        timer->cancel();
-        const TimePoint now = Now();
-        const core::discovery::TargetInstance& instance =
-            handle->target.entry.instance;
-        if (!ec) {
-          crashes_.OnAlive(instance, probe_start);
-        } else if (ec == boost::asio::error::connection_refused) {
-          ReportCrashes(crashes_.OnConnectRefused(instance, now), now);
-        }
-      });
-  timer->expires_after(options_.probe_limit);
-  timer->async_wait([socket](const boost::system::error_code& ec) {
-    if (!ec) {
-      boost::system::error_code ignored;
-      socket->close(ignored);
-    }
-  });
-}
-
-// Reports the requests that were in flight when targets ended to the control
-// thread, except those whose content recently completed without a crash.
-void Dispatcher::ReportCrashes(const std::vector<core::request::Crash>& crashes,
-                               TimePoint now) {
-  PoisonUpdate update;
-  for (const core::request::Crash& it : crashes) {
-    const core::discovery::TargetEntry& target = it.attempt.target;
-    metrics_.CountTargetCrash(target.service,
-                              core::request::ToString(it.evidence));
-    bool is_safe = true;
-    for (const std::string& fingerprint :
-         {it.attempt.caller_fingerprint, it.attempt.content_fingerprint}) {
-      if (safe_contents_.Contains(fingerprint, target.version, now)) {
-        continue;
-      }
-      is_safe = false;
-      update.crashes.push_back(
-          {.key = {.fingerprint = fingerprint},
-           .target = absl::StrCat(target.instance.id, "/",
-                                  target.instance.start_time_ms),
-           .crash_limit = kCrashLimit,
-           .age = now - it.attempt.at,
-           .target_version = {.service = target.service,
-                              .version = target.version}});
-    }
-    LogEvent("target_crash",
-             {{"target", target.instance.id},
-              {"born", target.instance.start_time_ms},
-              {"service", target.service},
-              {"evidence", core::request::ToString(it.evidence)},
-              {"request", it.attempt.request_id},
-              {"content", it.attempt.content_fingerprint},
-              {"age_ms", ToMilliseconds(now - it.attempt.at).count()},
-              {"is_proven", is_safe}});
-  }
-  if (!update.empty()) {
-    hooks_.report_poison(update);
-  }
-}
-
-void Dispatcher::NoteCompleteAnswer(const Exchange& exchange,
-                                    const std::string& version,
-                                    TimePoint now) {
-  PoisonUpdate update;
-  const auto& suspected = view_->poison->suspected;
-  for (const std::string& it :
-       {exchange.caller_fingerprint, exchange.content_fingerprint}) {
-    safe_contents_.Add(it, version, now);
-    if (!suspected.empty() && suspected.contains(it)) {
-      update.safe_reports.push_back({.fingerprint = it, .version = version});
-    }
-  }
-  if (!update.empty()) {
-    hooks_.report_poison(update);
-  }
-}
-
-// Reports those suspected requests as safe that recently received a complete
-// response through this host.
-void Dispatcher::ReportSafeSuspects(TimePoint now) {
-  PoisonUpdate update;
-  for (const auto& [fingerprint, version] : view_->poison->suspected) {
-    if (safe_contents_.Contains(fingerprint, version, now)) {
-      update.safe_reports.push_back(
-          {.fingerprint = fingerprint, .version = version});
-    }
-  }
-  if (!update.empty()) {
-    hooks_.report_poison(update);
-  }
-}
-
-// Queues the request until a target has room or its key has a serving owner.
-void Dispatcher::Enqueue(const ExchangePtr& exchange, TimePoint now) {
-  std::list<ExchangePtr>& queue = waiting_[exchange->service];
-  if (now >= exchange->wait_deadline || queue.size() >= options_.max_waiting) {
-    OnTimer(exchange);
-    return;
-  }
-  const core::balance::AvailabilityState state =
-      AvailabilityFor(*exchange, now);
-  if (state.availability == Availability::kLeaving ||
-      state.availability == Availability::kPaused) {
-    const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
-    NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
-                   state, "wait");
-  }
-  exchange->waiting = true;
-  // The queue is ordered by the priority of the route, the most urgent first,
-  // and then by the deadline.
-  const auto place = std::find_if(
-      queue.begin(), queue.end(), [&exchange](const ExchangePtr& it) {
-        return std::pair(exchange->route->priority, exchange->answer_by) <
-               std::pair(it->route->priority, it->answer_by);
-      });
-  queue.insert(place, exchange);
-  ArmTimer(exchange, exchange->wait_deadline);
-  StartDispatchTimer();
-}
-
-// Tries the waiting requests at regular intervals, because targets also become
-// available without an event: pauses end and reported loads expire.
-void Dispatcher::StartDispatchTimer() {
-  if (is_dispatch_timer_running_) {
-    return;
-  }
-  is_dispatch_timer_running_ = true;
-  dispatch_timer_.expires_after(options_.dispatch_interval);
-  dispatch_timer_.async_wait([this](const boost::system::error_code& ec) {
-    if (ec) {
-      return;
-    }
-    is_dispatch_timer_running_ = false;
-    std::vector<std::string> services;
-    for (const auto& [service, queue] : waiting_) {
-      if (!queue.empty()) {
-        services.push_back(service);
-      }
-    }
-    for (const std::string& service : services) {
-      DispatchWaiting(service);
-    }
-    if (!services.empty()) {
-      StartDispatchTimer();
-    }
-  });
-}
-
-void Dispatcher::RemoveFromQueue(const ExchangePtr& exchange) {
-  if (!exchange->waiting) {
-    return;
-  }
-  exchange->waiting = false;
-  waiting_[exchange->service].remove(exchange);
-}
-
-void Dispatcher::DispatchWaiting(const std::string& service) {
-  const auto queue = waiting_.find(service);
-  if (queue == waiting_.end() || queue->second.empty()) {
-    return;
-  }
-  const TimePoint now = Now();
-  const std::vector<ExchangePtr> waiting(queue->second.begin(),
-                                         queue->second.end());
-  for (const ExchangePtr& it : waiting) {
-    if (it->waiting) {
-      RunStep(it, [&] { TryDispatch(it, now); });
-    }
-  }
-}
-
 void Dispatcher::ArmTimer(const ExchangePtr& exchange, TimePoint until) {
   exchange->timer.expires_at(until);
   exchange->timer.async_wait(
@@ -872,29 +544,29 @@
 // the longest time allowed.
 void Dispatcher::OnTimer(const ExchangePtr& exchange) {
   if (exchange->connection) {
+    const TimePoint now = Now();
+    if (now < exchange->answer_by) {
+      OnSilence(exchange, now);
+      return;
+    }
+    NoteUnanswered(*exchange, now);
     exchange->may_have_run = true;
     if (exchange->route->IsIdempotent()) {
       exchange->connection->Abandon();
       exchange->connection = nullptr;
       exchange->current_target->load.OnEnd(AttemptHealth::kFailed,
-                                           Now() - exchange->sent_at, Now());
+                                           now - exchange->sent_at, now);
       exchange->current_target = nullptr;
     }
     Fail(exchange, ErrorKind::kAnswerTimeout, "no answer in time");
     ArmLateAnswerTimer(exchange);
     return;
   }
-  if (exchange->may_have_run) {
-    Fail(exchange, ErrorKind::kOutcomeUnknown, "no target for a retry");
+  if (IsRefusedAsPoison(*exchange)) {
+    FailAsPoison(exchange);
     return;
   }
-  const Duration expected =
-      std::chrono::duration_cast<Duration>(typical_times_[exchange->service]);
-  Refuse(
-      exchange,
-      exchange->key ? ErrorKind::kOwnerUnavailable : ErrorKind::kOverloaded,
-      exchange->key ? "no owner with room for the key" : "no target with room",
-      std::max<Duration>(kRetryAfterMove, expected));
+  waiting_.OnTimeUp(exchange, Now());
 }
 
 // Collects the inputs of a decision for the log line that explains it.
@@ -917,9 +589,8 @@
   }
   inputs.owner = assignment->owner.id;
   inputs.owner_serves = assignment->serving;
-  const auto handle = handles_.find(assignment->owner);
-  if (handle != handles_.end()) {
-    inputs.owner_load = handle->second->load.Estimate(Now());
+  if (const HandlePtr owner = targets_.Find(assignment->owner)) {
+    inputs.owner_load = owner->load.Estimate(Now());
   }
   return inputs;
 }
@@ -967,7 +638,8 @@
 }
 
 void Dispatcher::Finish(const ExchangePtr& exchange, CallerAnswer answer) {
-  RemoveFromQueue(exchange);
+  waiting_.Remove(*exchange);
+  AwaitPermit(*exchange, std::nullopt);
   if (exchange->done) {
     return;
   }
@@ -1004,7 +676,8 @@
                            ? exchange->current_target->target.entry.instance.id
                            : ""},
             {"waited_ms", ToMilliseconds(Now() - exchange->arrived).count()}});
-  RemoveFromQueue(exchange);
+  waiting_.Remove(*exchange);
+  AwaitPermit(*exchange, std::nullopt);
   exchange->done = true;
   running_.erase(exchange);
   exchange->timer.cancel();
@@ -1012,9 +685,9 @@
   if (exchange->connection && exchange->route->IsIdempotent()) {
     exchange->connection->Abandon();
     exchange->connection = nullptr;
-    exchange->current_target->load.OnCancelled();
-    exchange->current_target = nullptr;
-    DispatchWaiting(exchange->service);
+    const HandlePtr handle = std::exchange(exchange->current_target, nullptr);
+    handle->load.OnCancelled();
+    OnCapacity(*handle, Now());
     return;
   }
   ArmLateAnswerTimer(exchange);
@@ -1029,17 +702,17 @@
     return;
   }
   exchange->timer.expires_at(exchange->answer_by + options_.late_answer_limit);
-  exchange->timer.async_wait(
-      [this, exchange](const boost::system::error_code& ec) {
-        if (ec || !exchange->connection) {
-          return;
-        }
-        exchange->connection->Abandon();
-        exchange->connection = nullptr;
-        exchange->current_target->load.OnCancelled();
-        exchange->current_target = nullptr;
-        DispatchWaiting(exchange->service);
-      });
+  exchange->timer.async_wait([this,
+                              exchange](const boost::system::error_code& ec) {
+    if (ec || !exchange->connection) {
+      return;
+    }
+    exchange->connection->Abandon();
+    exchange->connection = nullptr;
+    const HandlePtr handle = std::exchange(exchange->current_target, nullptr);
+    handle->load.OnCancelled();
+    OnCapacity(*handle, Now());
+  });
 }
 
 // Reports the requested keys, and every so often the response times of the
@@ -1052,7 +725,7 @@
       continue;
     }
     report.service = service;
-    for (const HandlePtr& it : handles_by_service_[service]) {
+    for (const HandlePtr& it : targets_.OfService(service)) {
       if (with_speeds && it->answers > 0) {
         report.speeds.push_back({.target_id = it->target.entry.instance.id,
                                  .answers = it->answers,
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,28 +12,34 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/return_times.h"
+#include "core/balance/reported_load.h"
 #include "core/balance/retry_window.h"
-#include "core/balance/target_picker.h"
 #include "core/discovery/evacuations.h"
 #include "core/error_kind.h"
 #include "core/keyspace/key_samples.h"
-#include "core/request/crash_detector.h"
 #include "core/request/safe_contents.h"
 #include "core/time.h"
+#include "entry/admission_control.h"
+#include "entry/capacity_guard.h"
+#include "entry/cold_targets.h"
+#include "entry/crash_watch.h"
 #include "entry/entry_metrics.h"
 #include "entry/poison_json.h"
+#include "entry/route_times.h"
 #include "entry/routing_view.h"
 #include "entry/target_handle.h"
 #include "entry/target_notices.h"
+#include "entry/target_set.h"
+#include "entry/waiting_requests.h"
 #include "net/header_names.h"
 
 namespace toucandock::entry {
 
 struct DispatchOptions {
-  // A request for which no target has room waits for at most these fractions of
-  // the latency goal of its route and of the time that its caller still waits.
-  double max_wait_of_goal = 0.6;
-  double max_wait_of_time_left = 0.33;
+  // A request that can no longer meet the latency goal of its route waits for
+  // at most this fraction of the time that its caller still waits.
+  double late_wait_fraction = 0.33;
   // Time after the deadline in which a response is still accepted, since
   // targets may respond right at the deadline.
   core::Duration timeout_margin = std::chrono::milliseconds(30);
@@ -53,6 +58,7 @@
   // contains them.
   int reports_per_speed_report = 8;
   core::Duration dispatch_interval = std::chrono::milliseconds(25);
+  // Maximum number of waiting requests of a service.
   size_t max_waiting = 2'000;
   // Load reports name at most this many keys.
   size_t max_reported_keys = 2'000;
@@ -99,6 +105,10 @@
   // Reports requests that were in flight when their target ended, and suspected
   // requests that received a complete response.
   std::function<void(const PoisonUpdate&)> report_poison;
+  // Asks the leader for permits to send requests to cold targets. The answers
+  // are passed to Dispatcher::OnPermits().
+  std::function<void(const std::vector<core::warmup::PermitQuestion>&)>
+      ask_permits;
 };
 
 class Exchange;
@@ -117,6 +127,9 @@
   ~Dispatcher();
 
   void SetView(std::shared_ptr<const RoutingView> view);
+  void SetAdmitted(const AdmittedView& admitted);
+  // Brings the gauges up to date.
+  void UpdateCapacityMetrics();
   void SetRetryOptions(const core::balance::RetryWindowOptions& options);
   const RoutingView& view() const { return *view_; }
 
@@ -129,6 +142,9 @@
   // Refuses all further requests, so that none is interrupted by the end of the
   // process.
   void BeginRefusing() { refusing_ = true; }
+  void OnPermits(const std::vector<core::warmup::PermitAnswer>& answers) {
+    cold_targets_.OnPermits(answers);
+  }
   // Called when the caller has closed its connection.
   void Cancel(const std::shared_ptr<Exchange>& exchange);
 
@@ -170,27 +186,42 @@
   DecisionInputs InputsOf(const Exchange& exchange) const;
   bool TryDispatch(const ExchangePtr& exchange, core::TimePoint now);
   HandlePtr ChooseTarget(Exchange& exchange, core::TimePoint now);
-  HandlePtr OwnerOf(Exchange& exchange, core::TimePoint now);
-  HandlePtr ListedOwnerOf(const Exchange& exchange) const;
-  core::balance::AvailabilityState AvailabilityFor(const Exchange& exchange,
-                                                   core::TimePoint now) const;
-  core::balance::AvailabilityState StateOf(
-      const core::discovery::TargetEntry& target,
-      core::TimePoint now) const;
-  bool IsOpen(const core::discovery::TargetEntry& target,
-              core::TimePoint now) const;
+  ColdTargetHooks MakeColdTargetHooks();
+  HandlePtr Permitted(Exchange& exchange,
+                      HandlePtr handle,
+                      core::TimePoint now);
+  HandlePtr ChooseCold(Exchange& exchange,
+                       const std::vector<HandlePtr>& cold,
+                       core::TimePoint now);
+  void AwaitPermit(
+      Exchange& exchange,
+      const std::optional<core::discovery::TargetInstance>& target);
+  bool MaySendNow(const TargetHandle& handle,
+                  const std::optional<core::TimePoint>& send_by,
+                  core::TimePoint now);
+  void NoteUnreachable(const TargetHandle& handle, AttemptCause cause);
+  std::optional<core::TimePoint> ColdAvailableAt(const Exchange& exchange,
+                                                 const TargetHandle& handle,
+                                                 core::TimePoint now) const;
+  std::optional<core::TimePoint> ColdAvailableAt(const Exchange& exchange,
+                                                 core::TimePoint now) const;
+  std::optional<Unavailability> FindColdness(const Exchange& exchange,
+                                             core::TimePoint now);
   std::optional<Unavailability> FindUnavailability(const Exchange& exchange,
                                                    core::TimePoint now);
+  core::Duration ReturnSpread(core::Duration left);
   void RefuseAsUnavailable(const ExchangePtr& exchange,
                            const Unavailability& reason);
   void NoteRedirected(Exchange& exchange,
                       const std::string& target,
                       const core::balance::AvailabilityState& cause,
                       const char* action);
-  std::shared_ptr<TargetConnection> Connect(const HandlePtr& handle);
+  // Nothing is sent on the connection if it is not established by `send_by`.
+  std::shared_ptr<TargetConnection> Connect(
+      const HandlePtr& handle,
+      std::optional<core::TimePoint> send_by);
   void OnNotice(const HandlePtr& handle, const TargetNotice& notice);
   void OnTargetsListed(core::TimePoint now);
-  bool HasConnectionRoom(const TargetHandle& handle) const;
   static std::shared_ptr<TargetConnection> TakeIdleConnection(
       const Exchange& exchange,
       TargetHandle& handle,
@@ -202,27 +233,27 @@
   void UpdateLoad(Exchange& exchange,
                   const TargetAnswer& answer,
                   core::TimePoint now);
+  bool RefuseUnlessAdmitted(const ExchangePtr& exchange, core::TimePoint now);
+  std::optional<core::balance::ReportedLoad> NoteReport(
+      const Exchange& exchange,
+      const TargetAnswer& answer,
+      core::TimePoint now);
+  std::optional<double> MaxRequestsOf(const TargetHandle& handle,
+                                      core::TimePoint now);
+  core::Duration SilenceLimitOf(const Exchange& exchange, core::TimePoint now);
+  bool WasTargetBusy(const Exchange& exchange, core::TimePoint now);
+  void ArmAttemptTimer(const ExchangePtr& exchange, core::TimePoint now);
+  void NoteUnanswered(const Exchange& exchange, core::TimePoint now);
+  void OnSilence(const ExchangePtr& exchange, core::TimePoint now);
   bool IsRefusedAsPoison(const Exchange& exchange) const;
   void FailAsPoison(const ExchangePtr& exchange);
-  void DetectCrash(const Exchange& exchange,
-                   const HandlePtr& handle,
-                   const TargetAnswer& answer,
-                   core::TimePoint now);
-  void OnBroken(const Exchange& exchange,
-                const HandlePtr& handle,
-                core::Duration probe_delay,
-                core::TimePoint now);
-  void ScheduleProbe(const HandlePtr& handle, core::TimePoint at);
-  void ProbeTarget(const HandlePtr& handle);
-  void ReportCrashes(const std::vector<core::request::Crash>& crashes,
-                     core::TimePoint now);
-  void NoteCompleteAnswer(const Exchange& exchange,
-                          const std::string& version,
-                          core::TimePoint now);
-  void ReportSafeSuspects(core::TimePoint now);
-  void Enqueue(const ExchangePtr& exchange, core::TimePoint now);
-  void StartDispatchTimer();
-  void DispatchWaiting(const std::string& service);
+  void OnCapacity(const TargetHandle& handle, core::TimePoint now);
+  core::admission::LaneOutlook OutlookOf(const Exchange& exchange,
+                                         core::TimePoint now) const;
+  void SendOrWait(const ExchangePtr& exchange, core::TimePoint now);
+  bool EndIfUnavailable(const ExchangePtr& exchange, core::TimePoint now);
+  void RefuseWaiting(const ExchangePtr& exchange,
+                     const core::admission::RefusedWait& refused);
   void OnTimer(const ExchangePtr& exchange);
   void ArmTimer(const ExchangePtr& exchange, core::TimePoint until);
   void Refuse(const ExchangePtr& exchange,
@@ -234,38 +265,34 @@
             const char* cause);
   void Finish(const ExchangePtr& exchange, CallerAnswer answer);
   void ArmLateAnswerTimer(const ExchangePtr& exchange);
-  void RemoveFromQueue(const ExchangePtr& exchange);
   void SendReports();
   core::balance::RetryWindow& RetriesOf(const std::string& service);
 
   boost::asio::io_context& io_;
   EntryMetrics metrics_;
   const net::HeaderNames names_;
-  const std::string failure_domain_;
   core::balance::RetryWindowOptions retry_options_;
   const DispatchOptions options_;
-  const core::balance::PickOptions pick_options_;
-  const core::balance::TargetLoadOptions load_options_;
   const DispatchHooks hooks_;
   std::shared_ptr<const RoutingView> view_;
-  std::map<core::discovery::TargetInstance, HandlePtr> handles_;
-  std::map<std::string, std::vector<HandlePtr>> handles_by_service_;
-  std::map<std::string, std::list<ExchangePtr>> waiting_;
   std::map<std::string, core::routing::WeightedRotation> rotations_;
   std::map<std::string, core::balance::RetryWindow> retry_windows_;
   // Smoothed response time by service.
   std::map<std::string, core::FloatSeconds> typical_times_;
+  std::map<std::string, RouteTimes> response_times_;
   std::map<std::string, core::keyspace::LoadReport> reports_;
+  core::admission::ToldReturns told_returns_{{}};
   const std::shared_ptr<AnswerMemory> answer_memory_ =
       std::make_shared<AnswerMemory>();
-  core::request::CrashDetector crashes_;
-  core::request::SafeContents safe_contents_;
   TargetNotices notices_;
+  ColdTargets cold_targets_;
+  CapacityGuard capacity_;
+  TargetSet targets_;
+  CrashWatch crash_watch_;
+  WaitingRequests waiting_;
   boost::asio::steady_timer report_timer_;
-  boost::asio::steady_timer dispatch_timer_;
   std::minstd_rand random_;
   std::set<ExchangePtr> running_;
-  bool is_dispatch_timer_running_ = false;
   int reports_sent_ = 0;
   bool refusing_ = false;
 };
--- a/src/entry/dispatcher_availability.cc
+++ b/src/entry/dispatcher_availability.cc
@@ -16,12 +16,13 @@
 using core::TimePoint;
 using core::balance::Availability;
 using core::balance::AvailabilityState;
-using core::balance::Listing;
 using core::discovery::TargetInstance;
 
 }  // namespace
 
-std::shared_ptr<TargetConnection> Dispatcher::Connect(const HandlePtr& handle) {
+std::shared_ptr<TargetConnection> Dispatcher::Connect(
+    const HandlePtr& handle,
+    std::optional<TimePoint> send_by) {
   metrics_.CountConnection(handle->target.entry.service);
   // The handle owns idle connections, so they do not own the handle.
   const std::weak_ptr<TargetHandle> weak = handle;
@@ -29,13 +30,14 @@
       io_, handle->endpoint, names_, answer_memory_,
       TargetConnectionHooks{
           .may_send =
-              [this, instance = handle->target.entry.instance] {
-                const auto listed = handles_.find(instance);
+              [this, instance = handle->target.entry.instance, send_by] {
+                const HandlePtr listed = targets_.Find(instance);
                 const TimePoint now = std::chrono::steady_clock::now();
-                return listed != handles_.end() &&
+                return listed != nullptr &&
                        !notices_.IsUnavailable(instance, now) &&
-                       StateOf(listed->second->target.entry, now)
-                               .availability != Availability::kLeaving;
+                       targets_.StateOf(listed->target.entry, now)
+                               .availability != Availability::kLeaving &&
+                       MaySendNow(*listed, send_by, now);
               },
           .on_notice =
               [this, weak](const TargetNotice& notice) {
@@ -53,17 +55,12 @@
   const core::discovery::TargetEntry& expected = handle->target.entry;
   HandlePtr sender = handle;
   if (!notice.target_id.empty() && notice.target_id != expected.instance.id) {
-    const auto it =
-        std::find_if(handles_.begin(), handles_.end(), [&](const auto& listed) {
-          return listed.first.id == notice.target_id &&
-                 listed.second->target.entry.address == expected.address;
-        });
-    if (it == handles_.end()) {
+    sender = targets_.FindAt(notice.target_id, expected.address);
+    if (sender == nullptr) {
       notices_.ReportUnusual(expected, notice, "other-target",
                              notice.target_id);
       return;
     }
-    sender = it->second;
   }
   const TargetInstance& instance = sender->target.entry.instance;
   notices_.Apply(sender->target.entry, notice, now);
@@ -73,75 +70,9 @@
 }
 
 void Dispatcher::OnTargetsListed(TimePoint now) {
+  cold_targets_.OnView(*view_);
   notices_.OnListChanged(
-      [this](const TargetInstance& instance) {
-        const auto it = handles_.lower_bound(instance);
-        if (it != handles_.end() && it->first == instance) {
-          return Listing::kListed;
-        }
-        return it != handles_.end() && it->first.id == instance.id
-                   ? Listing::kReplaced
-                   : Listing::kUnlisted;
-      },
-      now);
-}
-
-// Returns the target's state by its own word and by the operator's: a target in
-// an evacuated failure domain is used as if it were leaving, for as long as the
-// evacuation lasts.
-AvailabilityState Dispatcher::StateOf(
-    const core::discovery::TargetEntry& target,
-    TimePoint now) const {
-  const AvailabilityState own = notices_.StateOf(target.instance, now);
-  const auto evacuated = view_->evacuated.find(target.failure_domain);
-  if (evacuated == view_->evacuated.end() ||
-      own.availability == Availability::kLeaving) {
-    return own;
-  }
-  const core::routing::RoutedService* service =
-      view_->routes ? view_->routes->FindService(target.service) : nullptr;
-  const TimePoint closed_from = core::discovery::ClosedFrom(
-      evacuated->second, service != nullptr && service->keyed,
-      options_.evacuation);
-  return now < closed_from
-             ? own
-             : AvailabilityState{.availability = Availability::kLeaving,
-                                 .since = closed_from,
-                                 .evacuated = true};
-}
-
-bool Dispatcher::IsOpen(const core::discovery::TargetEntry& target,
-                        TimePoint now) const {
-  return StateOf(target, now).availability == Availability::kOpen;
-}
-
-// Returns the state of the target that may receive the request first. A request
-// without listed targets is not held up by any declaration.
-AvailabilityState Dispatcher::AvailabilityFor(const Exchange& exchange,
-                                              TimePoint now) const {
-  if (exchange.key) {
-    const HandlePtr owner = ListedOwnerOf(exchange);
-    return owner ? StateOf(owner->target.entry, now) : AvailabilityState{};
-  }
-  const auto handles = handles_by_service_.find(exchange.service);
-  if (handles == handles_by_service_.end() || handles->second.empty()) {
-    return {};
-  }
-  AvailabilityState first{.availability = Availability::kLeaving};
-  for (const HandlePtr& it : handles->second) {
-    const AvailabilityState state = StateOf(it->target.entry, now);
-    first.evacuated = first.evacuated || state.evacuated;
-    if (state.availability != Availability::kLeaving &&
-        state.availability != Availability::kPaused) {
-      return state;
-    }
-    if (state.availability == Availability::kPaused &&
-        (first.availability == Availability::kLeaving ||
-         state.until < first.until)) {
-      first = state;
-    }
-  }
-  return first;
+      [this](const TargetInstance& it) { return targets_.ListingOf(it); }, now);
 }
 
 // Returns a value if it is known that no target will take the request while it
@@ -149,7 +80,10 @@
 std::optional<Dispatcher::Unavailability> Dispatcher::FindUnavailability(
     const Exchange& exchange,
     TimePoint now) {
-  const AvailabilityState state = AvailabilityFor(exchange, now);
+  if (auto coldness = FindColdness(exchange, now)) {
+    return coldness;
+  }
+  const AvailabilityState state = targets_.AvailabilityFor(exchange, now);
   if (state.availability == Availability::kLeaving) {
     // The key may move to another owner in time.
     if (exchange.key && now < state.since + options_.max_move_time) {
@@ -163,20 +97,25 @@
     return std::nullopt;
   }
   const Duration left = state.until - now;
+  return Unavailability{.state = state,
+                        .retry_after = left + ReturnSpread(left)};
+}
+
+// Returns how much later than after `left` a caller is asked to return.
+Duration Dispatcher::ReturnSpread(Duration left) {
   const Duration spread = std::min(options_.max_return_spread,
                                    std::chrono::duration_cast<Duration>(
                                        left * options_.return_spread_ratio));
-  return Unavailability{
-      .state = state,
-      .retry_after = left + std::chrono::duration_cast<Duration>(
-                                spread * std::uniform_real_distribution<double>(
-                                             0, 1)(random_))};
+  return std::chrono::duration_cast<Duration>(
+      spread * std::uniform_real_distribution<double>(0, 1)(random_));
 }
 
 void Dispatcher::RefuseAsUnavailable(const ExchangePtr& exchange,
                                      const Unavailability& reason) {
   const bool is_leaving = reason.state.availability == Availability::kLeaving;
-  const HandlePtr owner = exchange->key ? ListedOwnerOf(*exchange) : nullptr;
+  const bool is_cold = reason.state.availability == Availability::kCold;
+  const HandlePtr owner =
+      exchange->key ? targets_.ListedOwnerOf(*exchange) : nullptr;
   NoteRedirected(*exchange, owner ? owner->target.entry.instance.id : "",
                  reason.state, "refused");
   if (exchange->may_have_run) {
@@ -187,6 +126,7 @@
     Refuse(exchange, ErrorKind::kOwnerUnavailable,
            reason.state.evacuated ? "owner is evacuated"
            : is_leaving           ? "owner leaves"
+           : is_cold              ? "owner is cold"
                                   : "owner pauses",
            reason.retry_after);
     return;
@@ -194,6 +134,7 @@
   Refuse(exchange, ErrorKind::kOverloaded,
          reason.state.evacuated ? "all targets are evacuated or leave"
          : is_leaving           ? "all targets leave"
+         : is_cold              ? "all targets are cold"
                                 : "all targets pause or leave",
          reason.retry_after);
 }
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "entry/contained_exception.h"
@@ -18,6 +19,22 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.8, 1.2, 1.5, 2.5, 5, 10};
 
+// In seconds; negative if the request was sent earlier than predicted.
+const prometheus::Histogram::BucketBoundaries kErrorBuckets = {
+    -1, -0.3, -0.1, -0.03, 0, 0.03, 0.1, 0.3, 1};
+
+// Label values for the rank of a waiting request.
+prometheus::Labels RankLabels(const std::string& service,
+                              const core::admission::WaitRank& rank) {
+  // Priorities beyond this one are shown as one.
+  constexpr int kMaxPriority = 9;
+  return {
+      {"service", service},
+      {"priority", std::to_string(std::clamp(rank.priority, 0, kMaxPriority))},
+      {"caller", std::string(core::admission::ToString(rank.returned))},
+      {"goal", rank.is_late ? "missed" : "met"}};
+}
+
 // In seconds. Changes have to be in force after 2 s.
 const prometheus::Histogram::BucketBoundaries kLagBuckets = {
     0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4};
@@ -50,10 +67,47 @@
                            .Name("toucandock_entry_failed_attempts_total")
                            .Help("Attempts without a usable answer, by cause")
                            .Register(*registry_)),
+      refusals_with_free_slots_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_refusals_with_free_slots_total")
+              .Help("Refusals of targets that report free slots")
+              .Register(*registry_)),
       connections_(prometheus::BuildCounter()
                        .Name("toucandock_entry_target_connections_total")
                        .Help("New connections to targets")
                        .Register(*registry_)),
+      waiting_(prometheus::BuildGauge()
+                   .Name("toucandock_entry_waiting_requests")
+                   .Help("Requests that wait for a target, by rank")
+                   .Register(*registry_)),
+      waits_(prometheus::BuildCounter()
+                 .Name("toucandock_entry_waits_total")
+                 .Help("Requests that began to wait for a target, by rank")
+                 .Register(*registry_)),
+      wait_time_(prometheus::BuildHistogram()
+                     .Name("toucandock_entry_wait_seconds")
+                     .Help("Time that requests waited before they were sent")
+                     .Register(*registry_)),
+      predicted_wait_time_(
+          prometheus::BuildHistogram()
+              .Name("toucandock_entry_predicted_wait_seconds")
+              .Help("Predicted time that these requests would wait")
+              .Register(*registry_)),
+      wait_error_(
+          prometheus::BuildHistogram()
+              .Name("toucandock_entry_wait_error_seconds")
+              .Help("Actual time that requests waited, less the predicted one")
+              .Register(*registry_)),
+      wait_refusals_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_wait_refusals_total")
+              .Help("Requests refused by the waiting list, by reason")
+              .Register(*registry_)),
+      returns_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_returns_total")
+              .Help("Requests of callers that had been told when to come back")
+              .Register(*registry_)),
       target_crashes_(
           prometheus::BuildCounter()
               .Name("toucandock_entry_crashed_attempts_total")
@@ -92,6 +146,47 @@
               .Help("Targets in evacuated failure domains that own keys")
               .Register(*registry_)
               .Add({})),
+      permits_(prometheus::BuildGauge()
+                   .Name("toucandock_entry_permits")
+                   .Help("Permits for requests to cold targets since the start")
+                   .Register(*registry_)),
+      cold_requests_(prometheus::BuildCounter()
+                         .Name("toucandock_entry_cold_requests_total")
+                         .Help("Requests to cold targets, with a permit")
+                         .Register(*registry_)),
+      health_requests_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_health_requests_total")
+              .Help("Health requests to targets that were unreachable")
+              .Register(*registry_)),
+      limited_requests_(
+          prometheus::BuildCounter()
+              .Name("toucandock_entry_limited_key_requests_total")
+              .Help("Requests for keys that are asked for more than their "
+                    "owners can serve")
+              .Register(*registry_)),
+      full_targets_(prometheus::BuildCounter()
+                        .Name("toucandock_entry_full_targets_total")
+                        .Help("Targets that were found full because they did "
+                              "not answer")
+                        .Register(*registry_)),
+      limited_ranges_(prometheus::BuildGauge()
+                          .Name("toucandock_entry_limited_key_ranges")
+                          .Help("Key ranges of which only a part of the "
+                                "requests is admitted")
+                          .Register(*registry_)
+                          .Add({})),
+      store_era_(prometheus::BuildGauge()
+                     .Name("toucandock_entry_store_era")
+                     .Help("Times that the store came back from a copy")
+                     .Register(*registry_)
+                     .Add({})),
+      odd_store_eras_(
+          prometheus::BuildGauge()
+              .Name("toucandock_entry_odd_store_eras")
+              .Help("Responses of the store whose era could not be used")
+              .Register(*registry_)
+              .Add({})),
       thread_lag_(prometheus::BuildHistogram()
                       .Name("toucandock_entry_thread_lag_seconds")
                       .Help("How late timers of the traffic thread ran")
@@ -163,6 +258,10 @@
       .Increment();
 }
 
+void EntryMetrics::CountRefusalWithFreeSlots(const std::string& service) {
+  refusals_with_free_slots_.Add({{"service", service}}).Increment();
+}
+
 void EntryMetrics::CountTargetCrash(const std::string& service,
                                     absl::string_view evidence) {
   target_crashes_
@@ -206,10 +305,92 @@
   evacuated_owners_.Set(static_cast<double>(owners));
 }
 
+void EntryMetrics::SetPermits(const core::warmup::PermitCounts& permits) {
+  const std::pair<const char*, std::uint64_t> values[] = {
+      {"asked", permits.asked},
+      {"issued", permits.issued},
+      {"refused", permits.refused},
+      {"expired", permits.expired}};
+  for (const auto& [name, value] : values) {
+    permits_.Add({{"what", name}}).Set(static_cast<double>(value));
+  }
+}
+
+void EntryMetrics::CountColdRequest(const std::string& service) {
+  cold_requests_.Add({{"service", service}}).Increment();
+}
+
+void EntryMetrics::CountHealthRequest(bool is_usable) {
+  health_requests_.Add({{"result", is_usable ? "usable" : "unusable"}})
+      .Increment();
+}
+
+void EntryMetrics::CountLimitedRequest(const std::string& service,
+                                       bool is_admitted) {
+  limited_requests_
+      .Add({{"service", service},
+            {"decision", is_admitted ? "admitted" : "refused"}})
+      .Increment();
+}
+
+void EntryMetrics::CountFullTarget(const std::string& service) {
+  full_targets_.Add({{"service", service}}).Increment();
+}
+
+void EntryMetrics::SetLimitedRanges(size_t ranges) {
+  limited_ranges_.Set(static_cast<double>(ranges));
+}
+
+void EntryMetrics::SetStoreEra(core::Era era, std::uint64_t odd_eras) {
+  store_era_.Set(static_cast<double>(era));
+  odd_store_eras_.Set(static_cast<double>(odd_eras));
+}
+
 void EntryMetrics::CountConnection(const std::string& service) {
   connections_.Add({{"service", service}}).Increment();
 }
 
+void EntryMetrics::AddWaiting(const std::string& service,
+                              const core::admission::WaitRank& rank,
+                              int change) {
+  const prometheus::Labels labels = RankLabels(service, rank);
+  waiting_.Add(labels).Increment(change);
+  if (change > 0) {
+    waits_.Add(labels).Increment();
+  }
+}
+
+void EntryMetrics::ObserveWait(const std::string& service,
+                               core::Duration predicted,
+                               core::Duration actual) {
+  const prometheus::Labels labels = {{"service", service}};
+  wait_time_.Add(labels, kLatencyBuckets)
+      .Observe(core::FloatSeconds(actual).count());
+  predicted_wait_time_.Add(labels, kLatencyBuckets)
+      .Observe(core::FloatSeconds(predicted).count());
+  wait_error_.Add(labels, kErrorBuckets)
+      .Observe(core::FloatSeconds(actual - predicted).count());
+}
+
+void EntryMetrics::CountWaitRefusal(const std::string& service,
+                                    core::admission::WaitRefusal reason) {
+  wait_refusals_
+      .Add({{"service", service},
+            {"reason", std::string(core::admission::ToString(reason))}})
+      .Increment();
+}
+
+void EntryMetrics::CountReturn(const std::string& service,
+                               core::admission::Return returned) {
+  if (returned == core::admission::Return::kNew) {
+    return;
+  }
+  returns_
+      .Add({{"service", service},
+            {"when", std::string(core::admission::ToString(returned))}})
+      .Increment();
+}
+
 void EntryMetrics::ObserveThreadLag(core::Duration lag) {
   thread_lag_.Observe(std::chrono::duration<double>(lag).count());
 }
--- a/src/entry/peer_relay.cc
+++ b/src/entry/peer_relay.cc
@@ -8,9 +8,11 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/strip.h"
+#include "core/position.h"
 #include "entry/clock.h"
 #include "entry/contained_exception.h"
 #include "entry/event_log.h"
+#include "entry/permit_json.h"
 #include "util/hash.h"
 
 namespace toucandock::entry {
@@ -33,6 +35,9 @@
 constexpr milliseconds kFreshnessLimit{1'000};
 constexpr milliseconds kRelayFreshnessLimit =
     kFreshnessLimit + kHeartbeatInterval;
+// The writer of the newest table counts as alive for this long after it has
+// responded to one of the heartbeats, of which three may be lost.
+constexpr milliseconds kWriterLifetime{1'200};
 constexpr milliseconds kFetchTimeout{500};
 // The newest records of a large fleet are some hundred kilobytes.
 constexpr milliseconds kFetchNewestTimeout{1'500};
@@ -195,6 +200,12 @@
   socket_.send_to(boost::asio::buffer(text), to, 0, ec);
 }
 
+void PeerRelay::SendTo(const std::string& address, const std::string& text) {
+  if (const auto to = net::ParseEndpoint(address); to.ok()) {
+    Send({to->address(), to->port()}, text);
+  }
+}
+
 void PeerRelay::SendLoad(const core::keyspace::LoadReport& report) {
   if (IsRelay()) {
     AddReport(report, summed_loads_[report.service]);
@@ -323,6 +334,10 @@
   return !tracker_.IsLeaderLost(LeaseClockNow());
 }
 
+bool PeerRelay::IsNewestWriterAlive() const {
+  return LeaseClockNow() - newest_writer_answered_at_ < kWriterLifetime;
+}
+
 bool PeerRelay::IsRelay() const {
   return relay_choice_ && relay_choice_->IsRelay();
 }
@@ -506,7 +521,8 @@
               .ownership_end = table.end,
               .follows_receiver = table.address == address,
               .stamp = stamp == stamps_.end() ? 0 : stamp->second,
-              .hosts = hosts}));
+              .hosts = hosts,
+              .admitted_version = hooks_.admitted_version()}));
   }
 }
 
@@ -591,6 +607,10 @@
 }
 
 void PeerRelay::OnDatagram(const std::string& text) {
+  if (IsPermitMessage(text)) {
+    hooks_.on_permit_message(text, ToString(sender_));
+    return;
+  }
   if (IsPoisonUpdate(text)) {
     const auto update = DecodePoisonUpdate(text);
     if (!update.ok()) {
@@ -642,6 +662,7 @@
   if (heartbeat.relays_version != relays_version_) {
     answer.relays = relay_choice_->relays();
   }
+  answer.admitted = hooks_.admitted_update(heartbeat.admitted_version);
   Send(sender_, EncodeHeartbeat(answer));
 }
 
@@ -736,6 +757,9 @@
     }
     stamps_[sender_] = answer.stamp;
   }
+  if (from == hooks_.newest_table().address) {
+    newest_writer_answered_at_ = now;
+  }
   const auto relay = OwnRelay(now);
   if (answer.is_relay && relay && from != *relay) {
     // A relay that this host no longer uses.
@@ -772,12 +796,18 @@
   UpdateFollowers();
 }
 
-// Takes how old the records of the sender are. Datagrams that were waiting
-// while this process did not run say nothing about the time since then.
-void PeerRelay::NoteStates(const PeerHeartbeat& answer, core::TimePoint now) {
+// Returns the earliest time at which a datagram that is read now may have
+// arrived. Datagrams that were waiting while this process did not run say
+// nothing about the time since then.
+core::TimePoint PeerRelay::EarliestReceipt(core::TimePoint now) const {
   const bool was_waiting = now - stall_ended_at_ < kHeartbeatInterval;
-  const core::TimePoint received = std::min(
+  return std::min(
       now, (was_waiting ? stalled_since_ : heartbeat_at_) + kMaxTickDelay);
+}
+
+// Takes how old the records of the sender are.
+void PeerRelay::NoteStates(const PeerHeartbeat& answer, core::TimePoint now) {
+  const core::TimePoint received = EarliestReceipt(now);
   const std::pair<Stream, StreamState> streams[] = {
       {Stream::kConfig, answer.config},
       {Stream::kTargets, answer.targets},
@@ -828,6 +858,9 @@
   tracker_.SetSubstitute(std::find(substitutes_.begin(), substitutes_.end(),
                                    address()) != substitutes_.end());
   hooks_.on_host_count(answer.hosts);
+  if (answer.admitted) {
+    hooks_.on_admitted(*answer.admitted, EarliestReceipt(now));
+  }
   if (answer.store_up > milliseconds(0)) {
     hooks_.on_store_up_reported(now - answer.store_up);
   }
@@ -877,10 +910,16 @@
          refused->second == follower.next());
     const bool waits = reads_store || (stream != Stream::kOwnership &&
                                        tracker_.IsStarting(now));
-    if (follower.has_newest() && !waits && follower.next() < state.next) {
-      Fetch(stream);
-    } else if (!follower.has_newest() && MayFetchNewest(answer, stream)) {
+    // After a restore of the store, the records of the earlier era are not
+    // continued.
+    const bool is_later_era =
+        core::EraOf(state.next) > core::EraOf(follower.next());
+    if ((!follower.has_newest() || is_later_era) &&
+        MayFetchNewest(answer, stream)) {
       FetchNewest(stream);
+    } else if (follower.has_newest() && !waits &&
+               follower.next() < state.next) {
+      Fetch(stream);
     }
   }
 }
@@ -923,6 +962,7 @@
                                   {"source", SourceOf(stream)},
                                   {"cause", records.status().message()}});
         followers_[stream]->EndWait();
+        followers_[stream]->ReadOnce();
       });
 }
 
@@ -1054,7 +1094,13 @@
     return response;
   }
   const size_t max_bytes = IsRelay() ? kMaxRelayedBytes : kMaxFetchedBytes;
-  const std::optional<ReadResult> records = cache->second.From(offset);
+  std::optional<ReadResult> records = cache->second.From(offset);
+  if (!records && static_cast<Stream>(stream) == Stream::kOwnership &&
+      core::EraOf(offset) < core::EraOf(cache->second.next())) {
+    // The peer may be unable to read the store, and any table that is newer
+    // than its own replaces it.
+    records = tables_.Newest(cache->second.next());
+  }
   if (!records) {
     response.result(http::status::gone);
     return response;
--- a/src/entry/peer_relay.h
+++ b/src/entry/peer_relay.h
@@ -96,6 +96,20 @@
       on_poison_update;
   std::function<void(const core::request::PoisonDigest& digest)>
       on_leader_digest;
+  // Called with a datagram about permits, undecoded, and the address
+  // ("IP:PORT") of its sender.
+  std::function<void(const std::string& text, const std::string& from)>
+      on_permit_message;
+  // Version of the list of admitted fractions that this host knows, the update
+  // for a host that knows the given version, and what the leader or a relay
+  // sent; `received_at` is the earliest possible time.
+  std::function<std::uint32_t()> admitted_version;
+  std::function<std::optional<core::keyspace::AdmittedUpdate>(
+      std::uint32_t known_version)>
+      admitted_update;
+  std::function<void(const core::keyspace::AdmittedUpdate& update,
+                     core::TimePoint received_at)>
+      on_admitted;
 };
 
 // Lets one host read the store on behalf of all. Each host sends heartbeats to
@@ -125,6 +139,8 @@
   // Sends the load of this host's own requests to the host that decides about
   // the owners of the service, or to the relay.
   void SendLoad(const core::keyspace::LoadReport& report);
+  // Sends a datagram to the peer port of one host.
+  void SendTo(const std::string& address, const std::string& text);
   // Sends a message to all hosts that this one knows.
   void Broadcast(const std::string& text);
   // Takes records that this host has read from the store or from the source.
@@ -147,6 +163,9 @@
   std::optional<core::Duration> AgeOf(Stream stream) const;
   // Whether the leader replies to the heartbeats of this host.
   bool IsLeaderReachable() const;
+  // Whether the writer of the newest table has recently responded to this host,
+  // also if the store does not answer it.
+  bool IsNewestWriterAlive() const;
   // Whether this host has to be a member of the group from which the store
   // chooses the leader. In a large fleet, the leader and the relays suffice, as
   // long as the other hosts hear from them.
@@ -160,6 +179,7 @@
   void OnHeartbeat(const PeerHeartbeat& heartbeat);
   void OnAnswer(const PeerHeartbeat& answer);
   void NoteStates(const PeerHeartbeat& answer, core::TimePoint now);
+  core::TimePoint EarliestReceipt(core::TimePoint now) const;
   void ReadOverdueStreams(core::TimePoint now);
   void UseSource(const PeerHeartbeat& answer);
   void SendHeartbeat(const std::string& address, int hosts);
@@ -257,6 +277,7 @@
   // Last answer of the leader or relay, and the time of the last fresh one.
   PeerHeartbeat last_answer_;
   core::TimePoint fresh_answer_at_{};
+  core::TimePoint newest_writer_answered_at_{};
   core::TimePoint heartbeat_at_{};
   // The last time in which this process did not run.
   core::TimePoint stalled_since_{};
