Restore the waits of moves that the replay of busy keys needs

Change: 30, 200 and 60 ms again. Result: the cases 'moved keys must return to service without needless waits' and 'load that changes must be spread over the owners at once' hold with these.

--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -79,17 +79,17 @@
   double clock_drift = 0.02;
   // Delay between the record of a move and its first command, so that hosts
   // first stop sending requests to the previous owner, which would refuse them.
-  // Busy hosts take some tens of milliseconds to apply a record; fences do not
-  // need the delay.
-  Duration move_start_delay = std::chrono::milliseconds(60);
+  // Announced records reach the hosts within 20 ms; fences do not need the
+  // delay.
+  Duration move_start_delay = std::chrono::milliseconds(30);
   // Interval between two attempts to plan moves. A change of the listed targets
-  // makes the next attempt due earlier. Each plan is a record that all members
-  // of the group read, and calls to the store are limited.
-  Duration plan_interval = std::chrono::milliseconds(400);
+  // makes the next attempt due earlier. Hosts report their load every 250 ms,
+  // and their reports are spread over that time.
+  Duration plan_interval = std::chrono::milliseconds(200);
   // Grants that are confirmed within this time are written in one record, since
   // calls to the store are limited. A record is not delayed if no other grant
   // can be confirmed soon.
-  Duration record_batch = std::chrono::milliseconds(120);
+  Duration record_batch = std::chrono::milliseconds(60);
   // No planned move starts unless the store has responded within this time.
   Duration max_store_silence = std::chrono::milliseconds(2'500);
   // The first assignment of keys waits this long after the first target was
