Remember in one place when refused callers were told to return

Cause: the admitted fractions had a memory of their own beside that of the waiting list, so a caller that one of them had refused was new to the other. Change: both use core::admission::ToldReturns; ToldTimes and its case go. The same promises are checked by 'only a caller that comes back as told must count as returned'.

--- a/src/core/admission/key_admission.cc
+++ b/src/core/admission/key_admission.cc
@@ -104,36 +104,4 @@
   return first + ToDuration((last - first) * position);
 }
 
-void ToldTimes::Add(const std::string& caller, TimePoint told, TimePoint now) {
-  Expire(now);
-  told_[caller] = told;
-  expiries_.emplace_back(told + options_.lifetime, caller);
-  while (expiries_.size() > options_.max_entries) {
-    told_.erase(expiries_.front().second);
-    expiries_.pop_front();
-  }
-}
-
-bool ToldTimes::Take(const std::string& caller, TimePoint now) {
-  Expire(now);
-  const auto it = told_.find(caller);
-  if (it == told_.end()) {
-    return false;
-  }
-  const bool has_come = it->second <= now;
-  told_.erase(it);
-  return has_come;
-}
-
-void ToldTimes::Expire(TimePoint now) {
-  while (!expiries_.empty() && expiries_.front().first <= now) {
-    const auto it = told_.find(expiries_.front().second);
-    // A later refusal of the same caller has an expiry of its own.
-    if (it != told_.end() && it->second + options_.lifetime <= now) {
-      told_.erase(it);
-    }
-    expiries_.pop_front();
-  }
-}
-
 }  // namespace toucandock::core::admission
--- a/src/core/admission/key_admission.h
+++ b/src/core/admission/key_admission.h
@@ -2,10 +2,7 @@
 #define TOUCANDOCK_CORE_ADMISSION_KEY_ADMISSION_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <set>
-#include <string>
 #include <utility>
 
 #include "core/keyspace/admitted_fractions.h"
@@ -83,34 +80,6 @@
   TimePoint valid_until_{};
 };
 
-struct ToldTimesOptions {
-  size_t max_entries = 4'096;
-  // A caller that returns later than this after the time it was told is new.
-  Duration lifetime = std::chrono::seconds(3);
-};
-
-// Recognizes callers that return at the time that they were told with a
-// refusal.
-class ToldTimes {
- public:
-  explicit ToldTimes(const ToldTimesOptions& options) : options_(options) {}
-
-  void Add(const std::string& caller, TimePoint told, TimePoint now);
-  // Returns whether the caller was refused before and the time that it was told
-  // has come. Each refusal counts once.
-  bool Take(const std::string& caller, TimePoint now);
-  size_t size() const { return told_.size(); }
-
- private:
-  void Expire(TimePoint now);
-
-  const ToldTimesOptions options_;
-  std::map<std::string, TimePoint> told_;
-  // In the order of their expiry as far as refusals have equal delays; a longer
-  // one holds up those behind it for a moment.
-  std::deque<std::pair<TimePoint, std::string>> expiries_;
-};
-
 }  // namespace toucandock::core::admission
 
 #endif  // TOUCANDOCK_CORE_ADMISSION_KEY_ADMISSION_H_
--- a/src/entry/capacity_guard.cc
+++ b/src/entry/capacity_guard.cc
@@ -18,20 +18,13 @@
   }
 }
 
-AdmissionDecision CapacityGuard::Decide(const std::string& service,
-                                        const std::string& caller,
-                                        core::admission::KeyedArrival arrival,
-                                        TimePoint now) {
+AdmissionDecision CapacityGuard::Decide(
+    const std::string& service,
+    const core::admission::KeyedArrival& arrival,
+    TimePoint now) {
   const auto it = admissions_.find(service);
-  if (it == admissions_.end() || !it->second.IsLimited(arrival.key, now)) {
-    return {};
-  }
-  arrival.has_returned = told_times_.Take(caller, now);
-  const AdmissionDecision decision = it->second.Decide(arrival, now);
-  if (!decision.is_admitted) {
-    told_times_.Add(caller, now + decision.retry_after, now);
-  }
-  return decision;
+  return it == admissions_.end() ? AdmissionDecision{}
+                                 : it->second.Decide(arrival, now);
 }
 
 bool CapacityGuard::IsLimited(const std::string& service,
--- a/src/entry/capacity_guard.h
+++ b/src/entry/capacity_guard.h
@@ -19,11 +19,9 @@
  public:
   void SetAdmitted(const core::keyspace::AdmittedLists& lists,
                    core::TimePoint valid_until);
-  // `caller` is equal for all requests of the same content from one address.
   core::admission::AdmissionDecision Decide(
       const std::string& service,
-      const std::string& caller,
-      core::admission::KeyedArrival arrival,
+      const core::admission::KeyedArrival& arrival,
       core::TimePoint now);
   bool IsLimited(const std::string& service,
                  std::uint32_t key,
@@ -34,7 +32,6 @@
  private:
   const std::uint64_t seed_ = std::random_device{}();
   std::map<std::string, core::admission::KeyAdmission> admissions_;
-  core::admission::ToldTimes told_times_{core::admission::ToldTimesOptions{}};
   std::map<std::string, core::admission::SilentOverflow> overflows_;
 };
 
--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -270,9 +270,6 @@
     FailAsPoison(exchange);
     return;
   }
-  if (exchange->key && RefuseUnlessAdmitted(exchange, now)) {
-    return;
-  }
   RetriesOf(exchange->service).OnRequest(now);
   typical_times_.try_emplace(exchange->service, kInitialTypicalTime);
   exchange->returned = told_returns_.Take(exchange->caller_fingerprint, now);
@@ -280,6 +277,9 @@
   if (exchange->returned.state != core::admission::Return::kNew) {
     exchange->goal_by = exchange->returned.goal_by;
   }
+  if (exchange->key && RefuseUnlessAdmitted(exchange, now)) {
+    return;
+  }
   SendOrWait(exchange, now);
 }
 
--- a/src/entry/dispatcher_capacity.cc
+++ b/src/entry/dispatcher_capacity.cc
@@ -43,15 +43,20 @@
     return false;
   }
   const core::admission::AdmissionDecision decision =
-      capacity_.Decide(exchange->service, exchange->caller_fingerprint,
+      capacity_.Decide(exchange->service,
                        {.key = *exchange->key,
                         .priority = exchange->route->priority,
+                        .has_returned = exchange->returned.state ==
+                                        core::admission::Return::kAsTold,
                         .time_left = exchange->answer_by - now},
                        now);
   if (decision.is_limited) {
     metrics_.CountLimitedRequest(exchange->service, decision.is_admitted);
   }
   if (!decision.is_admitted) {
+    told_returns_.Add(exchange->caller_fingerprint,
+                      {.retry_after = decision.retry_after}, exchange->goal_by,
+                      now);
     Refuse(exchange, ErrorKind::kOverloaded,
            "key is asked for more than its owner can serve",
            decision.retry_after);
--- a/tests/core/admission/key_admission_test.cc
+++ b/tests/core/admission/key_admission_test.cc
@@ -177,34 +177,4 @@
   CHECK(told(milliseconds(-50)) == Duration{});
 }
 
-// Guards against impatient callers that gain by returning early, and against
-// memory that grows with the number of callers.
-TEST_CASE("only callers that return when they were told go before new ones") {
-  ToldTimes told(ToldTimesOptions{.max_entries = 100});
-  told.Add("caller", kStart + milliseconds(500), kStart);
-  SUBCASE("at that time") {
-    CHECK(told.Take("caller", kStart + milliseconds(500)));
-    SUBCASE("once") {
-      CHECK_FALSE(told.Take("caller", kStart + milliseconds(501)));
-    }
-  }
-  SUBCASE("earlier: they are new, also when they come again") {
-    CHECK_FALSE(told.Take("caller", kStart + milliseconds(499)));
-    CHECK_FALSE(told.Take("caller", kStart + milliseconds(600)));
-  }
-  SUBCASE("much later: they are new") {
-    CHECK_FALSE(told.Take("caller", kStart + milliseconds(3'500)));
-  }
-  SUBCASE("another caller is new") {
-    CHECK_FALSE(told.Take("other", kStart + seconds(1)));
-  }
-  SUBCASE("a crowd of callers needs bounded memory") {
-    for (int n = 0; n < 1'000; ++n) {
-      told.Add(std::to_string(n), kStart + milliseconds(500), kStart);
-    }
-    CHECK(told.size() <= 100);
-    CHECK(told.Take("999", kStart + milliseconds(600)));
-  }
-}
-
 }  // namespace toucandock::core::admission
