Wait for a silent target until the request's deadline

Change: silence of a busy target only leaves the target alone for a moment. The request keeps its connection until its deadline.

--- a/src/entry/dispatcher_capacity.cc
+++ b/src/entry/dispatcher_capacity.cc
@@ -149,63 +149,26 @@
 }
 
 // Called when an attempt has had no answer for the silence limit. A busy target
-// then is full and does not know the request: it is left alone for a moment. A
-// request that must not run twice keeps its connection for the same time once
-// more, since an answer that still came would be lost with it.
+// is then likely to be full, and is left alone for a moment. The request keeps
+// its connection until its deadline: the target may still be at work on it,
+// since some work takes several times as long as usual.
 void Dispatcher::OnSilence(const ExchangePtr& exchange, TimePoint now) {
-  const TimePoint end = exchange->answer_by + options_.timeout_margin;
-  core::admission::SilentOverflow& overflow =
-      capacity_.OverflowOf(exchange->service);
-  if (!overflow.IsSeen(now) || !WasTargetBusy(*exchange, now)) {
-    ArmTimer(exchange, end);
+  ArmTimer(exchange, exchange->answer_by + options_.timeout_margin);
+  if (!capacity_.OverflowOf(exchange->service).IsSeen(now) ||
+      !WasTargetBusy(*exchange, now)) {
     return;
   }
   const HandlePtr handle = exchange->current_target;
-  const Duration silence = now - exchange->sent_at;
-  const bool is_idempotent = exchange->route->IsIdempotent();
-  if (!exchange->is_target_silent) {
-    exchange->is_target_silent = true;
-    overflow.OnUnanswered(true, now);
-    handle->load.OnFull(now);
-    metrics_.CountFullTarget(exchange->service);
-    LogEvent("target_full",
-             {{"request", exchange->request_id},
-              {"service", exchange->service},
-              {"target", handle->target.entry.instance.id},
-              {"silent_ms", ToMilliseconds(silence).count()},
-              {"idempotent", is_idempotent},
-              {"left_ms", ToMilliseconds(exchange->answer_by - now).count()}});
-    if (!is_idempotent) {
-      ArmTimer(exchange,
-               now + silence < exchange->answer_by ? now + silence : end);
-      return;
-    }
-  }
-  exchange->connection->Abandon();
-  exchange->connection = nullptr;
-  exchange->current_target = nullptr;
-  exchange->may_have_run = true;
-  handle->load.OnEnd(AttemptHealth::kShed, silence, now);
-  const AttemptDecision next = core::request::DecideAfterAttempt(
-      {.end = AttemptEnd::kBroken,
-       .idempotent = is_idempotent,
-       .may_have_run = true,
-       .attempts = exchange->attempts,
-       .max_attempts = exchange->route->max_attempts,
-       .time_left = exchange->answer_by - now},
-      [&] {
-        return RetriesOf(exchange->service).TryRetry(view_->live_hosts, now);
-      });
-  if (next != AttemptDecision::kRetry) {
-    Fail(exchange, ErrorKind::kAnswerTimeout, "target is full");
-  } else {
-    // The target is left alone for a moment, so the request has to wait again.
-    exchange->wait_deadline =
-        now + std::chrono::duration_cast<Duration>((exchange->answer_by - now) *
-                                                   options_.late_wait_fraction);
-    SendOrWait(exchange, now);
-  }
-  OnCapacity(*handle, now);
+  exchange->is_target_silent = true;
+  handle->load.OnFull(now);
+  metrics_.CountFullTarget(exchange->service);
+  LogEvent("target_full",
+           {{"request", exchange->request_id},
+            {"service", exchange->service},
+            {"target", handle->target.entry.instance.id},
+            {"silent_ms", ToMilliseconds(now - exchange->sent_at).count()},
+            {"idempotent", exchange->route->IsIdempotent()},
+            {"left_ms", ToMilliseconds(exchange->answer_by - now).count()}});
 }
 
 }  // namespace toucandock::entry
