--- a/src/entry/dispatcher_capacity.cc
+++ b/src/entry/dispatcher_capacity.cc
@@ -13,8 +13,6 @@
 using core::Duration;
 using core::ErrorKind;
 using core::TimePoint;
-using core::balance::AttemptHealth;
-using core::request::AttemptDecision;
 using core::request::AttemptEnd;
 using std::chrono::milliseconds;
 
