--- a/review/standins2.py
+++ b/review/standins2.py
@@ -227,6 +227,7 @@
     """An upstream that registers itself and runs requests."""
 
     SLOTS = 4
+    QUEUE = 16
 
     def __init__(self, store, record, name, service, work_s=0.1):
         super().__init__()
@@ -235,6 +236,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
+        self.waiting = 0
+        self.slots = asyncio.Semaphore(self.SLOTS)
         self.task = None
 
     async def start(self, port=0):
@@ -259,7 +262,8 @@
             ('Request-Id', request_id), ('Instance-Id', self.name),
             ('Response-Signature', 'sig.%s.%d' % (request_id, len(body))),
             ('Keep-Alive', 'timeout=10'),
-            ('Instance-Load', '%d,0,%d' % (self.running, self.SLOTS))], body)
+            ('Instance-Load', '%d,%d,%d' % (self.running, self.waiting,
+                                             self.SLOTS))], body)
 
     def refused(self, request_id, status):
         return response(status, [('Request-Id', request_id),
@@ -272,18 +276,24 @@
             return self.refused(request_id, 421)
         if target == '/healthz':
             return response(200, [('Instance-Id', self.name)])
-        if self.running >= self.SLOTS:
+        if self.waiting >= self.QUEUE:
             return self.refused(request_id, 503)
-        return await self.run(method, target, request_id, body)
-
-    async def run(self, method, target, request_id, body):
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting -= 1
         self.running += 1
-        self.record.note('%s runs %s %s %s (%d bytes)' % (
-            self.name, request_id, method, target, len(body)))
         try:
-            await asyncio.sleep(self.work_s)
+            return await self.run(method, target, request_id, body)
         finally:
             self.running -= 1
+            self.slots.release()
+
+    async def run(self, method, target, request_id, body):
+        self.record.note('%s runs %s %s %s (%d bytes)' % (
+            self.name, request_id, method, target, len(body)))
+        await asyncio.sleep(self.work_s)
         return self.signed(request_id, b'done by ' + self.name.encode())
 
 
