--- a/review/standins2.py
+++ b/review/standins2.py
@@ -398,3 +398,42 @@
 
 def folder():
     return tempfile.mkdtemp(prefix='toucandock-review-')
+
+
+class Machine:
+    """A machine of the platform: ends its process when the memory exceeds the
+    limit, and starts it again after a short delay."""
+
+    MEMORY_MB = 260
+    RESTART_S = 0.5
+
+    def __init__(self, entry, record):
+        self.entry, self.record = entry, record
+        self.ends = 0
+        self.in_flight = 0
+        self.is_up = False
+
+    def resident_mb(self):
+        try:
+            with open('/proc/%d/status' % self.entry.process.pid) as status:
+                for line in status:
+                    if line.startswith('VmRSS'):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0
+
+    async def watch(self):
+        while True:
+            await asyncio.sleep(0.02)
+            mb = self.resident_mb()
+            if self.entry.process.poll() is None and mb <= self.MEMORY_MB:
+                continue
+            self.is_up = False
+            self.ends += 1
+            self.record.note('%s ends: %.0f MB, %d request in flight' % (
+                self.entry.name, mb, self.in_flight))
+            self.entry.end()
+            await asyncio.sleep(self.RESTART_S)
+            self.entry.start()
+            self.is_up = await self.entry.ready()
