--- a/review/standins2.py
+++ b/review/standins2.py
@@ -239,6 +239,8 @@
         self.waiting = 0
         self.slots = asyncio.Semaphore(self.SLOTS)
         self.task = None
+        # Of a proxy, if there is one.
+        self.listed_address = ''
 
     async def start(self, port=0):
         await super().start(port)
@@ -252,7 +254,8 @@
     async def write_entry(self, state):
         self.sequence += 1
         await self.store.put('keyed.servers/0', self.name, json.dumps(
-            {'service': self.service, 'address': self.address,
+            {'service': self.service,
+             'address': self.listed_address or self.address,
              'zone': 'zone-a', 'version': 'v1', 'concurrency': self.SLOTS,
              'state': state, 'warmupLeft': '0ms', 'born': self.born,
              'sequence': self.sequence}).encode())
@@ -437,3 +440,110 @@
             await asyncio.sleep(self.RESTART_S)
             self.entry.start()
             self.is_up = await self.entry.ready()
+
+
+class KeyedUpstream(Upstream):
+    """An upstream of a service that is divided by key."""
+
+    def __init__(self, store, record, name, service, work_s=0.1):
+        super().__init__(store, record, name, service, work_s)
+        # Held keys: (first, last, fence, end of the hold).
+        self.held = []
+        # Highest fences seen: (first, last, fence).
+        self.seen = []
+        self.closes_after_grant = False
+        self.on_grant = lambda upstream, first, last, fence: None
+
+    def holds(self, key):
+        return any(a <= key <= b and end > now()
+                   for a, b, _, end in self.held)
+
+    def cut_out(self, first, last):
+        """Ends the holds of these keys."""
+        left = []
+        for a, b, fence, end in self.held:
+            if b < first or a > last:
+                left.append((a, b, fence, end))
+                continue
+            if a < first:
+                left.append((a, first - 1, fence, end))
+            if b > last:
+                left.append((last + 1, b, fence, end))
+        self.held = left
+
+    def grant(self, body, arrived):
+        first, last, fence = body['from'], body['to'], body['fence']
+        if any(not (b < first or a > last) and it > fence
+               for a, b, it in self.seen):
+            return 409
+        self.seen = [it for it in self.seen
+                     if not (first <= it[0] and it[1] <= last)]
+        self.seen.append((first, last, fence))
+        self.on_grant(self, first, last, fence)
+        self.cut_out(first, last)
+        self.held.append((first, last, fence,
+                          arrived + seconds(body['hold_time'])))
+        return 200
+
+    async def serve(self, method, target, headers, body):
+        ids = [('Request-Id', headers.get('request-id', ''))]
+        if headers.get('expected-instance', self.name) != self.name:
+            return self.refused(ids[0][1], 421)
+        if target == '/grant':
+            status = self.grant(json.loads(body), now())
+            self.record.note('%s: grant %s -> %d' % (
+                self.name, body.decode(), status))
+            if self.closes_after_grant:
+                self.closes_after_grant = False
+                self.record.note('%s closes this connection' % self.name)
+                ids.append(('Connection', 'close'))
+            return response(status, ids)
+        if target == '/release':
+            fields = json.loads(body)
+            self.cut_out(fields['from'], fields['to'])
+            self.record.note('%s: release %s' % (self.name, body.decode()))
+            while self.running:
+                await asyncio.sleep(0.01)
+            return response(200, ids + [('Handover', 'a1b2')])
+        if 'shard-key' in headers and not self.holds(
+                int(headers['shard-key'])):
+            return self.refused(ids[0][1], 421)
+        return await super().serve(method, target, headers, body)
+
+
+class Proxy:
+    """Forwards connections to an upstream, and can refuse new ones."""
+
+    def __init__(self):
+        self.to = ''
+        self.server = None
+        self.address = ''
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.forward, '127.0.0.1', 0)
+        self.address = '127.0.0.1:%d' % (
+            self.server.sockets[0].getsockname()[1])
+
+    def refuse(self):
+        self.server.close()
+
+    async def forward(self, reader, writer):
+        host, port = self.to.split(':')
+        there_reader, there_writer = await asyncio.open_connection(
+            host, int(port))
+        await asyncio.gather(self.copy(reader, there_writer),
+                             self.copy(there_reader, writer))
+
+    @staticmethod
+    async def copy(reader, writer):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
