--- a/review/standins2.py
+++ b/review/standins2.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import shutil
 import struct
 import subprocess
 import tempfile
@@ -399,8 +400,25 @@
             writer.close()
 
 
+FOLDERS = []
+# A script that has not ended by then could not run.
+RUN_LIMIT_S = 105
+
+
 def folder():
-    return tempfile.mkdtemp(prefix='toucandock-review-')
+    FOLDERS.append(tempfile.mkdtemp(prefix='toucandock-review-'))
+    return FOLDERS[-1]
+
+
+def remove_folders():
+    for it in FOLDERS:
+        shutil.rmtree(it, ignore_errors=True)
+
+
+def run_limited(coroutine):
+    async def limited():
+        return await asyncio.wait_for(coroutine, RUN_LIMIT_S)
+    return asyncio.run(limited())
 
 
 class Machine:
