End the scripts of the review with 2 when their time is over

Cause: a script that ran out of its time ended with 124 and left a process. Change: standins2.py ends what was started and exits with 2 after 105 s.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -10,6 +10,7 @@
 import struct
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -327,6 +328,7 @@
 
     def __init__(self, folder, name, store, index=0):
         self.name, self.process = name, None
+        STARTED.append(self)
         self.settings = os.path.join(folder, name + '.yaml')
         self.addresses = os.path.join(folder, name + '.addresses')
         self.log = os.path.join(folder, name + '.log')
@@ -401,6 +403,7 @@
 
 
 FOLDERS = []
+STARTED = []
 # A script that has not ended by then could not run.
 RUN_LIMIT_S = 105
 
@@ -415,10 +418,19 @@
         shutil.rmtree(it, ignore_errors=True)
 
 
+def give_up():
+    """The case could not run: ends all that was started."""
+    for entry in STARTED:
+        entry.end()
+    remove_folders()
+    os._exit(2)
+
+
 def run_limited(coroutine):
-    async def limited():
-        return await asyncio.wait_for(coroutine, RUN_LIMIT_S)
-    return asyncio.run(limited())
+    timer = threading.Timer(RUN_LIMIT_S, give_up)
+    timer.daemon = True
+    timer.start()
+    return asyncio.run(coroutine)
 
 
 class Machine:
@@ -457,7 +469,8 @@
             self.entry.end()
             await asyncio.sleep(self.RESTART_S)
             self.entry.start()
-            self.is_up = await self.entry.ready()
+            while not self.is_up and self.entry.process.poll() is None:
+                self.is_up = await self.entry.ready(5)
 
 
 class KeyedUpstream(Upstream):
