Show that a reset during an upload makes a part of an answer look whole

Change: tests only. Resets before, within and behind the head and within bodies with a length and in chunks are played too.

--- /dev/null
+++ b/tests/entry/broken_answer_test.cc
@@ -0,0 +1,188 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "entry/target_connection.h"
+#include "entry/traffic_host.h"
+#include "support/raw_caller.h"
+
+namespace toucandock::entry {
+namespace {
+
+using core::request::AttemptEnd;
+using http::RawConnection;
+using http::RawTarget;
+using std::chrono::milliseconds;
+using support::RawCaller;
+
+// Exceeds what the kernel buffers between a host and a target that does not
+// read, so that the upload stays unfinished.
+constexpr size_t kUploadBytes = 16 << 20;
+
+const char kHead[] = "HTTP/1.1 200 OK\r\nId: mine\r\nDigest: d\r\n";
+
+// Sends a long request to a target that reads only its head, and lets the
+// target act while the host does nothing. The host then finds all that has
+// happened on the connection at once, with its upload still being written.
+TargetAnswer UploadTo(const std::function<void(RawConnection&)>& act) {
+  std::promise<void> head_read;
+  std::promise<void> upload_blocked;
+  std::promise<void> acted;
+  RawTarget target([&](RawConnection& connection) {
+    connection.ReadHead();
+    head_read.set_value();
+    upload_blocked.get_future().wait();
+    act(connection);
+    acted.set_value();
+    connection.IsClosedWithin(milliseconds(5'000));
+  });
+  boost::asio::io_context io;
+  const net::HeaderNames names{.request_id = "Id",
+                               .not_executed = "Not-Executed",
+                               .answer_digest = "Digest"};
+  const auto connection = std::make_shared<TargetConnection>(
+      io, *net::ParseEndpoint(target.address()), names,
+      std::make_shared<AnswerMemory>());
+  net::HttpRequest request{boost::beast::http::verb::post, "/x", 11};
+  request.set("Id", "mine");
+  request.body().assign(kUploadBytes, 'u');
+  request.prepare_payload();
+  TargetAnswer answer;
+  connection->Send(std::move(request), [&](TargetAnswer it) {
+    answer = std::move(it);
+    connection->Abandon();
+  });
+  auto is_head_read = head_read.get_future();
+  while (is_head_read.wait_for(milliseconds(0)) != std::future_status::ready) {
+    io.run_for(milliseconds(10));
+  }
+  // The buffers fill within milliseconds.
+  io.run_for(milliseconds(100));
+  upload_blocked.set_value();
+  acted.get_future().wait();
+  io.run();
+  return answer;
+}
+
+}  // namespace
+
+// Guards against an answer that is cut short and reaches the caller as a whole
+// one (MIXED): a reset is reported only once, to the write of the upload, and
+// the read then sees an orderly end.
+TEST_CASE(
+    "an answer during an upload must be whole only if it ended in order") {
+  SUBCASE("the target resets the connection") {
+    const auto upload_to = [](const std::string& bytes) {
+      return UploadTo([&bytes](RawConnection& connection) {
+        connection.Write(bytes);
+        // The bytes arrive before the reset.
+        std::this_thread::sleep_for(milliseconds(20));
+        connection.Reset();
+      });
+    };
+    SUBCASE("before the answer, within its head or behind it") {
+      const std::string head = absl::StrCat(kHead, "\r\n");
+      for (const size_t size :
+           {size_t{0}, size_t{5}, size_t{20}, head.size() - 1, head.size()}) {
+        CAPTURE(size);
+        const TargetAnswer answer = upload_to(head.substr(0, size));
+        CHECK(answer.end == AttemptEnd::kBroken);
+        CHECK(answer.cause == AttemptCause::kConnectionEnded);
+      }
+    }
+    SUBCASE("within a body") {
+      for (const char* rest :
+           {"\r\npart", "Connection: close\r\n\r\npart",
+            "Content-Length: 9\r\n\r\npart",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
+        CAPTURE(std::string(rest));
+        const TargetAnswer answer = upload_to(absl::StrCat(kHead, rest));
+        CHECK(answer.end == AttemptEnd::kBroken);
+        CHECK(answer.cause == AttemptCause::kConnectionEnded);
+      }
+    }
+    SUBCASE("within a refusal, which says nothing then") {
+      const TargetAnswer answer = upload_to(
+          "HTTP/1.1 503 Full\r\nId: mine\r\nNot-Executed: 1\r\n\r\nfu");
+      CHECK(answer.end == AttemptEnd::kBroken);
+    }
+    SUBCASE("behind an answer whose end is marked") {
+      for (const char* rest :
+           {"Content-Length: 4\r\n\r\nbody",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+        CAPTURE(std::string(rest));
+        const TargetAnswer answer = upload_to(absl::StrCat(kHead, rest));
+        CHECK(answer.end == AttemptEnd::kAnswered);
+        CHECK(answer.response.body() == "body");
+      }
+    }
+  }
+
+  SUBCASE("the target ends the connection in order") {
+    const std::string bytes = absl::StrCat(kHead, "\r\nbody");
+    SUBCASE("and reads on") {
+      const TargetAnswer answer = UploadTo([&](RawConnection& connection) {
+        connection.Write(bytes);
+        connection.Finish();
+      });
+      CHECK(answer.end == AttemptEnd::kAnswered);
+      CHECK(answer.response.body() == "body");
+    }
+    SUBCASE("and resets it afterwards") {
+      const TargetAnswer answer = UploadTo([&](RawConnection& connection) {
+        connection.Write(bytes);
+        connection.Finish();
+        std::this_thread::sleep_for(milliseconds(20));
+        connection.Reset();
+      });
+      CHECK(answer.end == AttemptEnd::kAnswered);
+      CHECK(answer.response.body() == "body");
+    }
+  }
+}
+
+// The same through a whole host: the caller sends the upload and sees the
+// answer.
+TEST_CASE("a caller must not get a part of an answer as its answer") {
+  milliseconds delay{0};
+  std::string bytes = absl::StrCat(kHead, "\r\npart");
+  SUBCASE("without a length") {}
+  SUBCASE("without a length, the connection named as closing") {
+    bytes = absl::StrCat(kHead, "Connection: close\r\n\r\npart");
+  }
+  SUBCASE("with a length") {
+    bytes = absl::StrCat(kHead, "Content-Length: 9\r\n\r\npart");
+  }
+  SUBCASE("in chunks") {
+    bytes =
+        absl::StrCat(kHead, "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  }
+  TrafficHost host(
+      [&](RawConnection& connection) {
+        connection.ReadHead();
+        connection.Write(bytes);
+        std::this_thread::sleep_for(delay);
+        connection.Reset();
+      },
+      kUploadBytes);
+  for (const int n : {0, 1, 5, 20, 100}) {
+    CAPTURE(n);
+    delay = milliseconds(n);
+    const RawCaller caller(host.address());
+    caller.Write(absl::StrCat(
+        "POST /run/x HTTP/1.1\r\nHost: x\r\nId: mine\r\nConnection: close\r\n"
+        "Content-Length: ",
+        kUploadBytes, "\r\n\r\n", std::string(kUploadBytes, 'u')));
+    CHECK(absl::StartsWith(caller.ReadAll(), "HTTP/1.1 502 "));
+  }
+}
+
+}  // namespace toucandock::entry
--- a/tests/entry/traffic_host.h
+++ b/tests/entry/traffic_host.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <future>
 #include <memory>
@@ -36,8 +37,9 @@
 // service with one target, which by default closes each connection.
 class TrafficHost {
  public:
-  explicit TrafficHost(http::RawTarget::Serve serve =
-                           [](http::RawConnection&) {})
+  explicit TrafficHost(
+      http::RawTarget::Serve serve = [](http::RawConnection&) {},
+      std::uint32_t body_limit = core::routing::CallerLimits{}.body_bytes)
       : target_(std::move(serve)),
         traffic_(io_,
                  settings_,
@@ -50,7 +52,8 @@
         std::make_shared<core::routing::RouteTable>(core::routing::RouteConfig{
             .version = 1,
             .routes = {RouteTo("none", "/wait/"), RouteTo("one", "/run/")},
-            .limits = {.header_timeout = kHeaderTimeout,
+            .limits = {.body_bytes = body_limit,
+                       .header_timeout = kHeaderTimeout,
                        .idle_timeout = kIdleTimeout}});
     view->targets["one"] = {
         {.entry = {.instance = {.id = "t1", .start_time_ms = 1},
--- a/tests/http/raw_target.h
+++ b/tests/http/raw_target.h
@@ -53,6 +53,22 @@
     }
   }
 
+  // Returns the head of the next request, or an empty text when the connection
+  // has ended. What follows the head may be unread.
+  std::string ReadHead() {
+    while (true) {
+      const size_t end = buf_.find("\r\n\r\n");
+      if (end != std::string::npos) {
+        const std::string head = buf_.substr(0, end + 4);
+        buf_.erase(0, end + 4);
+        return head;
+      }
+      if (!Read()) {
+        return "";
+      }
+    }
+  }
+
   // Blocks until the other side sends something or closes, or the limit has
   // passed. Returns whether it closed.
   bool IsClosedWithin(std::chrono::milliseconds limit) {
@@ -79,6 +95,10 @@
     fd_ = -1;
   }
 
+  // Ends the own direction in order, as a shutdown does; the other one stays
+  // open.
+  void Finish() const { shutdown(fd_, SHUT_WR); }
+
   void Reset() {
     const linger immediate = {.l_onoff = 1, .l_linger = 0};
     setsockopt(fd_, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
--- a/tests/process/platform_fleet.cc
+++ b/tests/process/platform_fleet.cc
@@ -123,12 +123,12 @@
       absl::StrFormat(kRule, "lodge", "unsafe", "lodge", "lodger", timeout_ms));
   const std::string text = absl::StrFormat(
       R"({"version":"%08x","limits":{"maxHeaderBytes":16384,)"
-      R"("maxBodyBytes":1048576,"headerTimeout":"3000ms",)"
+      R"("maxBodyBytes":%d,"headerTimeout":"3000ms",)"
       R"("idleTimeout":"15000ms"},"listeners":[{"host":"a.example",)"
       R"("rules":[%s]}],"clusters":[{"name":"callboard","healthPath":)"
       R"("/healthz","maxConnections":130,"sharded":true},{"name":"lodger",)"
       R"("healthPath":"/healthz","maxConnections":130}]})",
-      ++config_version_, rules);
+      ++config_version_, options_.max_body_bytes, rules);
   return Append("keyed.op", "operator", "config", text);
 }
 
--- a/tests/process/platform_fleet.h
+++ b/tests/process/platform_fleet.h
@@ -20,6 +20,8 @@
   // has no keys.
   size_t keyed_targets = 4;
   size_t plain_targets = 3;
+  // Limit of a request's body in the configuration.
+  size_t max_body_bytes = 1 << 20;
   // Each host reaches the store, and each target is reached, through a relay of
   // its own, so that a test can cut the connection.
   bool relays = false;
