Test that the other HTTP clients notice resets during an upload

Callers saw nothing: both clients handle the case already. Cause: none found. HttpClient, which reads the store, other hosts and grants, starts to read only after it has written its call, so that a reset meets its write or its read as an error. The client of toucandockd accepts no response whose end is not marked. Change: tests only: resets before, within and behind the head, with and without a length, in chunks, and with 16 MB still being written. Result: all pass on the unchanged sources.

--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -159,6 +159,33 @@
     CHECK(result.failure == Failure::kBroken);
   }
 
+  SUBCASE("reset while the request is still being written") {
+    // Exceeds what the kernel buffers between the sockets.
+    constexpr size_t kUploadBytes = 16 << 20;
+    const std::string answers[] = {"", ok + "Content-Len", ok + "\r\ngo",
+                                   ok + "Content-Length: 4\r\n\r\ngo",
+                                   ok + "Transfer-Encoding: chunked\r\n\r\n"
+                                        "2\r\ngo\r\n"};
+    for (const std::string& answer : answers) {
+      CAPTURE(answer);
+      RawTarget target([&](RawConnection& it) {
+        it.ReadHead();
+        it.Write(answer);
+        std::this_thread::sleep_for(milliseconds(50));
+        it.Reset();
+      });
+      Client client;
+      const ExchangeResult result =
+          client.Exchange(target.address(),
+                          {.method = "POST",
+                           .path = "/x",
+                           .body = std::string(kUploadBytes, 'u')},
+                          {.max_body = kMaxBody});
+      CHECK(result.progress != Progress::kComplete);
+      CHECK(result.failure == Failure::kBroken);
+    }
+  }
+
   SUBCASE("the target stops in the body") {
     RawTarget target([](RawConnection& it) {
       it.ReadRequest();
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -106,4 +106,42 @@
   }
 }
 
+// Guards against a call to the store, a target or another host that takes a
+// part of a response as the whole of it.
+TEST_CASE("a response that ends with a reset must fail the call") {
+  constexpr size_t kUploadBytes = 16 << 20;
+  size_t upload_bytes = 2;
+  std::string bytes = "HTTP/1.1 200 OK\r\n\r\n{}";
+  SUBCASE("without a length") {}
+  SUBCASE("with a length") {
+    bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{}";
+  }
+  SUBCASE("in chunks") {
+    bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n";
+  }
+  SUBCASE("without a length, the call still being written") {
+    upload_bytes = kUploadBytes;
+  }
+  SUBCASE("within the head, the call still being written") {
+    upload_bytes = kUploadBytes;
+    bytes = "HTTP/1.1 200 OK\r\n";
+  }
+  http::RawTarget server([&](http::RawConnection& connection) {
+    connection.ReadHead();
+    connection.Write(bytes);
+    // The bytes arrive before the reset.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    connection.Reset();
+  });
+  boost::asio::io_context io;
+  HttpClient client(io, *ParseEndpoint(server.address()));
+  HttpRequest request{boost::beast::http::verb::post, "/x", 11};
+  request.body().assign(upload_bytes, 'u');
+  std::optional<CallResult> result;
+  client.Call(std::move(request), std::chrono::seconds(2),
+              [&](const CallAnswer& answer) { result = answer.result; });
+  io.run();
+  CHECK(result == CallResult::kUnanswered);
+}
+
 }  // namespace toucandock::net
