Show that a line that begins with a blank reaches clients

Callers saw a 200 whose head had a field with a blank or a tab before its name: the line was joined to the value of the field before it and passed on, and where it was to delimit the body (" Transfer-Encoding: chunked"), the chunks arrived as the body.

--- a/tests/entry/broken_answer_test.cc
+++ b/tests/entry/broken_answer_test.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "entry/target_connection.h"
 #include "entry/traffic_host.h"
+#include "support/bad_field_names.h"
 #include "support/raw_caller.h"
 
 namespace toucandock::entry {
@@ -185,4 +186,57 @@
   }
 }
 
+// Seen on other systems: an answer with such a line reached the client, with
+// the line passed on or with a body that was not the upstream's.
+TEST_CASE("a head with a bad field name must not reach the caller") {
+  std::string bytes;
+  TrafficHost host([&](RawConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(bytes);
+  });
+  const auto call = [&host] {
+    const RawCaller caller(host.address());
+    caller.Write(
+        "POST /run/x HTTP/1.1\r\nHost: x\r\nId: mine\r\nConnection: close\r\n"
+        "Content-Length: 0\r\n\r\n");
+    return caller.ReadAll();
+  };
+  SUBCASE("with a length") {
+    for (const std::string& head : support::HeadsWithBadFieldName(
+             {"Id: mine", "Digest: d", "Content-Length: 2"})) {
+      CAPTURE(head);
+      bytes = absl::StrCat(head, "ok");
+      CHECK(absl::StartsWith(call(), "HTTP/1.1 502 "));
+    }
+  }
+  SUBCASE("up to the end of the connection") {
+    for (const std::string& head :
+         support::HeadsWithBadFieldName({"Id: mine", "Digest: d"})) {
+      CAPTURE(head);
+      bytes = absl::StrCat(head, "ok");
+      CHECK(absl::StartsWith(call(), "HTTP/1.1 502 "));
+    }
+  }
+  SUBCASE("behind an interim response, or in one") {
+    for (const std::string& head : support::HeadsWithBadFieldName(
+             {"Id: mine", "Digest: d", "Content-Length: 2"})) {
+      CAPTURE(head);
+      bytes = absl::StrCat("HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n", head, "ok");
+      CHECK(absl::StartsWith(call(), "HTTP/1.1 502 "));
+    }
+    bytes = absl::StrCat("HTTP/1.1 103 Hints\r\n X: y\r\n\r\n", kHead,
+                         "Content-Length: 2\r\n\r\nok");
+    CHECK(absl::StartsWith(call(), "HTTP/1.1 502 "));
+  }
+  SUBCASE("but a body may begin with a blank") {
+    for (const char* body : {" b", "\tb", "\r\n b"}) {
+      CAPTURE(std::string(body));
+      bytes = absl::StrCat(kHead, "\r\n", body);
+      const std::string answer = call();
+      CHECK(absl::StartsWith(answer, "HTTP/1.1 200 "));
+      CHECK(absl::EndsWith(answer, absl::StrCat("\r\n\r\n", body)));
+    }
+  }
+}
+
 }  // namespace toucandock::entry
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "http/raw_target.h"
 #include "http/server.h"
+#include "support/bad_field_names.h"
 
 namespace toucandock::http {
 namespace {
@@ -199,6 +200,27 @@
   }
 }
 
+// Guards against a response in whose head the name of a field holds a blank or
+// a control byte, and which is forwarded with that line or with a wrong body.
+TEST_CASE("a head with a bad field name must fail the exchange") {
+  std::string answer;
+  RawTarget target([&](RawConnection& it) {
+    it.ReadRequest();
+    it.Write(answer);
+  });
+  for (const std::string& head : support::HeadsWithBadFieldName(
+           {"Content-Type: text/plain", "Content-Length: 2"})) {
+    CAPTURE(head);
+    answer = absl::StrCat(head, "ok");
+    Client client;
+    const ExchangeResult result = client.Exchange(
+        target.address(), {.method = "POST", .path = "/x", .body = "order"},
+        {.max_body = kMaxBody});
+    CHECK(result.progress != Progress::kComplete);
+    CHECK(result.failure == Failure::kBroken);
+  }
+}
+
 // Bytes that are left on a kept connection would be read as the response to the
 // next request.
 TEST_CASE("a response must not reach another request") {
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "http/raw_target.h"
+#include "support/bad_field_names.h"
 
 namespace toucandock::net {
 
@@ -144,4 +145,40 @@
   CHECK(result == CallResult::kUnanswered);
 }
 
+// Guards against a call that is answered by a response in whose head the name
+// of a field holds a blank or a control byte.
+TEST_CASE("a head with a bad field name must fail the call") {
+  std::string bytes;
+  http::RawTarget server([&](http::RawConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(bytes);
+  });
+  const auto call = [&] {
+    boost::asio::io_context io;
+    HttpClient client(io, *ParseEndpoint(server.address()));
+    std::optional<CallResult> result;
+    client.Call({boost::beast::http::verb::get, "/x", 11},
+                std::chrono::seconds(2),
+                [&](const CallAnswer& answer) { result = answer.result; });
+    io.run();
+    return result;
+  };
+  SUBCASE("with a length") {
+    for (const std::string& head : support::HeadsWithBadFieldName(
+             {"Content-Type: application/json", "Content-Length: 2"})) {
+      CAPTURE(head);
+      bytes = absl::StrCat(head, "{}");
+      CHECK(call() == CallResult::kUnanswered);
+    }
+  }
+  SUBCASE("up to the end of the connection") {
+    for (const std::string& head :
+         support::HeadsWithBadFieldName({"Content-Type: application/json"})) {
+      CAPTURE(head);
+      bytes = absl::StrCat(head, "{}");
+      CHECK(call() == CallResult::kUnanswered);
+    }
+  }
+}
+
 }  // namespace toucandock::net
