Do not take a reset during an upload for the end of an answer

Cause: a host writes a request and reads its answer at the same time. The kernel reports a reset only once. When the write of the upload got the error, the read reported the end of the stream, and an answer without a length was complete. Change: such an end counts only if the write of the request did not fail, or failed with broken_pipe, which Linux reports if the target had ended its direction before the reset. All other failures, time-outs included, end the attempt like a reset that the read reports. A test resets the connection at random moments, with some of the upload read between pieces of the answer. Answers that end in order, also with a reset behind that end, still reach the caller.

--- a/src/entry/target_connection.cc
+++ b/src/entry/target_connection.cc
@@ -145,6 +145,7 @@
   handler_ = std::move(handler);
   sent_ = false;
   written_ = false;
+  write_error_ = {};
   skipped_answers_ = 0;
   is_reused_ = socket_.is_open();
   if (is_reused_) {
@@ -217,6 +218,7 @@
   http::async_write(socket_, request_,
                     [self = shared_from_this()](error_code ec, size_t) {
                       self->written_ = !ec;
+                      self->write_error_ = ec;
                     });
   ReadAnswer();
 }
@@ -252,14 +254,25 @@
           self->FinishWithoutAnswer(CauseOfReadError(ec));
         } else if (!self->HasClearEnd() || !self->ReserveBytes()) {
           self->FinishWithoutAnswer(AttemptCause::kBadAnswer);
-        } else if (self->parser_->is_done()) {
-          self->OnAnswer();
-        } else {
+        } else if (!self->parser_->is_done()) {
           self->ReadSome();
+        } else if (self->parser_->need_eof() && !self->IsEndOrderly()) {
+          self->FinishWithoutAnswer(AttemptCause::kConnectionEnded);
+        } else {
+          self->OnAnswer();
         }
       });
 }
 
+// Returns false if the end of the stream that was read may be that of a broken
+// connection. The kernel reports a reset or a time-out only once: if the write
+// of the request gets the error, a read reports the end of the stream, as after
+// an orderly end. The handler of the write runs first in this case. A write
+// fails with broken_pipe only if the target had ended its direction before.
+bool TargetConnection::IsEndOrderly() const {
+  return !write_error_ || write_error_ == boost::asio::error::broken_pipe;
+}
+
 // Reports what a complete head says about the target, before the response is
 // judged: also an unusable response shows that the target leaves or pauses.
 void TargetConnection::ReportNotice() {
--- a/src/entry/target_connection.h
+++ b/src/entry/target_connection.h
@@ -126,6 +126,7 @@
   void ReadSome();
   void ReportNotice();
   bool HasClearEnd() const;
+  bool IsEndOrderly() const;
   bool ReserveBytes();
   void ReleaseBytes();
   void OnAnswer();
@@ -153,6 +154,7 @@
   int skipped_answers_ = 0;
   bool sent_ = false;
   bool written_ = false;
+  boost::system::error_code write_error_;
   // The head of the current response has been examined for a notice.
   bool is_head_reported_ = false;
   bool is_reused_ = false;
--- a/tests/entry/broken_answer_test.cc
+++ b/tests/entry/broken_answer_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -30,20 +31,24 @@
 
 const char kHead[] = "HTTP/1.1 200 OK\r\nId: mine\r\nDigest: d\r\n";
 
-// Sends a long request to a target that reads only its head, and lets the
-// target act while the host does nothing. The host then finds all that has
+// Sends a long request to a target that acts when it has read the head. With
+// `at_once`, the host does nothing meanwhile: it then finds all that has
 // happened on the connection at once, with its upload still being written.
-TargetAnswer UploadTo(const std::function<void(RawConnection&)>& act) {
+TargetAnswer UploadTo(const std::function<void(RawConnection&)>& act,
+                      bool at_once = true) {
   std::promise<void> head_read;
   std::promise<void> upload_blocked;
   std::promise<void> acted;
+  std::promise<void> answered;
   RawTarget target([&](RawConnection& connection) {
     connection.ReadHead();
     head_read.set_value();
-    upload_blocked.get_future().wait();
+    if (at_once) {
+      upload_blocked.get_future().wait();
+    }
     act(connection);
     acted.set_value();
-    connection.IsClosedWithin(milliseconds(5'000));
+    answered.get_future().wait();
   });
   boost::asio::io_context io;
   const net::HeaderNames names{.request_id = "Id",
@@ -61,15 +66,19 @@
     answer = std::move(it);
     connection->Abandon();
   });
-  auto is_head_read = head_read.get_future();
-  while (is_head_read.wait_for(milliseconds(0)) != std::future_status::ready) {
-    io.run_for(milliseconds(10));
+  if (at_once) {
+    auto is_head_read = head_read.get_future();
+    while (is_head_read.wait_for(milliseconds(0)) !=
+           std::future_status::ready) {
+      io.run_for(milliseconds(10));
+    }
+    // The buffers fill within milliseconds.
+    io.run_for(milliseconds(100));
+    upload_blocked.set_value();
+    acted.get_future().wait();
   }
-  // The buffers fill within milliseconds.
-  io.run_for(milliseconds(100));
-  upload_blocked.set_value();
-  acted.get_future().wait();
   io.run();
+  answered.set_value();
   return answer;
 }
 
@@ -100,11 +109,14 @@
       }
     }
     SUBCASE("within a body") {
-      for (const char* rest :
-           {"\r\npart", "Connection: close\r\n\r\npart",
-            "Content-Length: 9\r\n\r\npart",
-            "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
-        CAPTURE(std::string(rest));
+      // Takes several reads.
+      const std::string long_part = "\r\n" + std::string(300'000, 'p');
+      for (const std::string& rest :
+           {std::string("\r\npart"), long_part,
+            std::string("Connection: close\r\n\r\npart"),
+            std::string("Content-Length: 9\r\n\r\npart"),
+            std::string("Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")}) {
+        CAPTURE(rest.substr(0, 40));
         const TargetAnswer answer = upload_to(absl::StrCat(kHead, rest));
         CHECK(answer.end == AttemptEnd::kBroken);
         CHECK(answer.cause == AttemptCause::kConnectionEnded);
@@ -150,6 +162,30 @@
   }
 }
 
+// Guards against a reset that is found only at certain moments: the target
+// reads some of the upload between the pieces of its answer.
+TEST_CASE("no moment of a reset may make a part of an answer look whole") {
+  constexpr unsigned kSeeds = 60;
+  constexpr size_t kMaxPiece = 100'000;
+  constexpr unsigned kMaxPieces = 6;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    std::minstd_rand random(seed);
+    const auto act = [&random](RawConnection& connection) {
+      connection.Write(absl::StrCat(kHead, "\r\n"));
+      for (size_t n = random() % kMaxPieces; n > 0; --n) {
+        connection.Discard(random() % kUploadBytes / kMaxPieces);
+        connection.Write(std::string(random() % kMaxPiece, 'p'));
+        std::this_thread::sleep_for(
+            std::chrono::microseconds(random() % 3 * 300));
+      }
+      connection.Reset();
+    };
+    const TargetAnswer answer = UploadTo(act, false);
+    CHECK(answer.end == AttemptEnd::kBroken);
+  }
+}
+
 // The same through a whole host: the caller sends the upload and sees the
 // answer.
 TEST_CASE("a caller must not get a part of an answer as its answer") {
--- a/tests/http/raw_target.h
+++ b/tests/http/raw_target.h
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -69,6 +70,15 @@
     }
   }
 
+  // Reads this many bytes, or fewer if the connection ends before.
+  void Discard(size_t bytes) {
+    while (bytes > 0 && (!buf_.empty() || Read())) {
+      const size_t n = std::min(bytes, buf_.size());
+      buf_.erase(0, n);
+      bytes -= n;
+    }
+  }
+
   // Blocks until the other side sends something or closes, or the limit has
   // passed. Returns whether it closed.
   bool IsClosedWithin(std::chrono::milliseconds limit) {
