Reject responses with a line that begins with a blank

Cause: the HTTP library accepts folded lines (obs-fold). It rejects blanks and control bytes in names, but a line that begins with one is no name to it. Change: the readers of responses from targets, the store and other hosts, and the client of toucandockd, fail a response with such a line in its head. RFC 9112, section 5.2, lets a gateway discard it. Requests are read as before.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -19,6 +19,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "net/message_framing.h"
 #include "util/http_status.h"
 
 namespace toucandock::http {
@@ -282,6 +283,10 @@
       if (!has_headers_ && BeginsWithFinalStatus(buffer_)) {
         RaiseProgress(Progress::kHeadersReceived);
       }
+      if (!parser_->is_header_done() && net::HasFoldedLine(buffer_.data())) {
+        Fail(Failure::kBroken);
+        return ReadState::kFailed;
+      }
       error_code ec;
       buffer_.consume(parser_->put(buffer_.data(), ec));
       if (ec == beast_http::error::need_more) {
--- a/src/net/message_framing.cc
+++ b/src/net/message_framing.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/string_view.h"
 
 namespace toucandock::net {
@@ -20,4 +21,15 @@
       fields.count(http::field::content_length) > 0);
 }
 
+bool HasFoldedLine(boost::asio::const_buffer unparsed) {
+  absl::string_view head(static_cast<const char*>(unparsed.data()),
+                         unparsed.size());
+  // Only the empty line at the end of the head may be left.
+  if (absl::StartsWith(head, "\r\n")) {
+    return false;
+  }
+  head = head.substr(0, head.find("\r\n\r\n"));
+  return absl::StrContains(head, "\r\n ") || absl::StrContains(head, "\r\n\t");
+}
+
 }  // namespace toucandock::net
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -14,6 +14,7 @@
 #include <exception>
 #include <utility>
 
+#include "net/message_framing.h"
 #include "util/http_status.h"
 
 namespace toucandock::net {
@@ -27,11 +28,17 @@
 
 // Parses buffered bytes. The parser throws for some messages, such as one with
 // a field of 64 KiB or more in its trailers, and accepts each status of three
-// digits; such messages count as malformed.
+// digits and folded lines; such messages count as malformed, but for folded
+// lines of requests.
 template <bool kIsRequest>
 boost::system::error_code ParseBuffered(boost::beast::flat_buffer& buffer,
                                         MessageParser<kIsRequest>& parser) {
   boost::system::error_code ec;
+  if constexpr (!kIsRequest) {
+    if (!parser.is_header_done() && HasFoldedLine(buffer.data())) {
+      return boost::beast::http::error::bad_field;
+    }
+  }
   try {
     buffer.consume(parser.put(buffer.data(), ec));
   } catch (const std::exception&) {
--- a/tests/entry/broken_answer_test.cc
+++ b/tests/entry/broken_answer_test.cc
@@ -226,9 +226,13 @@
 // the line passed on or with a body that was not the upstream's.
 TEST_CASE("a head with a bad field name must not reach the caller") {
   std::string bytes;
+  // The rest is written when the host has read the bytes before.
+  size_t cut = 0;
   TrafficHost host([&](RawConnection& connection) {
     connection.ReadRequest();
-    connection.Write(bytes);
+    connection.Write(bytes.substr(0, cut));
+    std::this_thread::sleep_for(milliseconds(cut > 0 ? 2 : 0));
+    connection.Write(bytes.substr(cut));
   });
   const auto call = [&host] {
     const RawCaller caller(host.address());
@@ -264,13 +268,23 @@
                          "Content-Length: 2\r\n\r\nok");
     CHECK(absl::StartsWith(call(), "HTTP/1.1 502 "));
   }
+  SUBCASE("in two parts, divided at any byte") {
+    bytes = absl::StrCat(kHead, " X: y\r\nContent-Length: 2\r\n\r\nok");
+    for (cut = 1; cut < bytes.size(); ++cut) {
+      CAPTURE(cut);
+      CHECK(absl::StartsWith(call(), "HTTP/1.1 502 "));
+    }
+  }
   SUBCASE("but a body may begin with a blank") {
     for (const char* body : {" b", "\tb", "\r\n b"}) {
       CAPTURE(std::string(body));
       bytes = absl::StrCat(kHead, "\r\n", body);
-      const std::string answer = call();
-      CHECK(absl::StartsWith(answer, "HTTP/1.1 200 "));
-      CHECK(absl::EndsWith(answer, absl::StrCat("\r\n\r\n", body)));
+      for (cut = 0; cut < bytes.size(); ++cut) {
+        CAPTURE(cut);
+        const std::string answer = call();
+        CHECK(absl::StartsWith(answer, "HTTP/1.1 200 "));
+        CHECK(absl::EndsWith(answer, absl::StrCat("\r\n\r\n", body)));
+      }
     }
   }
 }
