Test that a time-out during an upload does not end an answer

Callers could have got a part of an answer after 15 s, from a target that sends it without a length, falls silent and does not read the upload on. Cause: the same as for resets; the kernel reports the time-out to the write.

--- a/tests/entry/broken_answer_test.cc
+++ b/tests/entry/broken_answer_test.cc
@@ -186,6 +186,16 @@
   }
 }
 
+// Guards against a target that falls silent midway: the kernel gives the
+// connection up after 15 s and reports the time-out to the write of the upload.
+TEST_CASE("a time-out during an upload must not end an answer") {
+  const TargetAnswer answer = UploadTo([](RawConnection& connection) {
+    connection.Write(absl::StrCat(kHead, "\r\npart"));
+  });
+  CHECK(answer.end == AttemptEnd::kBroken);
+  CHECK(answer.cause == AttemptCause::kConnectionEnded);
+}
+
 // The same through a whole host: the caller sends the upload and sees the
 // answer.
 TEST_CASE("a caller must not get a part of an answer as its answer") {
