Name what the host does in the tests of uploads

Cause: a bool and repeated calls made the new tests hard to read; one bound of the process test was a bare number.

--- a/tests/entry/broken_answer_test.cc
+++ b/tests/entry/broken_answer_test.cc
@@ -31,11 +31,13 @@
 
 const char kHead[] = "HTTP/1.1 200 OK\r\nId: mine\r\nDigest: d\r\n";
 
-// Sends a long request to a target that acts when it has read the head. With
-// `at_once`, the host does nothing meanwhile: it then finds all that has
+// What the host does while the target acts. A paused host finds all that has
 // happened on the connection at once, with its upload still being written.
+enum class Host { kPaused, kRunning };
+
+// Sends a long request to a target that acts when it has read the head.
 TargetAnswer UploadTo(const std::function<void(RawConnection&)>& act,
-                      bool at_once = true) {
+                      Host host = Host::kPaused) {
   std::promise<void> head_read;
   std::promise<void> upload_blocked;
   std::promise<void> acted;
@@ -43,7 +45,7 @@
   RawTarget target([&](RawConnection& connection) {
     connection.ReadHead();
     head_read.set_value();
-    if (at_once) {
+    if (host == Host::kPaused) {
       upload_blocked.get_future().wait();
     }
     act(connection);
@@ -66,7 +68,7 @@
     answer = std::move(it);
     connection->Abandon();
   });
-  if (at_once) {
+  if (host == Host::kPaused) {
     auto is_head_read = head_read.get_future();
     while (is_head_read.wait_for(milliseconds(0)) !=
            std::future_status::ready) {
@@ -181,7 +183,7 @@
       }
       connection.Reset();
     };
-    const TargetAnswer answer = UploadTo(act, false);
+    const TargetAnswer answer = UploadTo(act, Host::kRunning);
     CHECK(answer.end == AttemptEnd::kBroken);
   }
 }
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -6,12 +6,30 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "http/raw_target.h"
 #include "support/bad_field_names.h"
 
 namespace toucandock::net {
+namespace {
+
+// Makes one call to the server and returns how it ended.
+std::optional<CallResult> ResultOf(const http::RawTarget& server,
+                                   HttpRequest request = {
+                                       boost::beast::http::verb::get, "/x",
+                                       11}) {
+  boost::asio::io_context io;
+  HttpClient client(io, *ParseEndpoint(server.address()));
+  std::optional<CallResult> result;
+  client.Call(std::move(request), std::chrono::seconds(2),
+              [&](const CallAnswer& answer) { result = answer.result; });
+  io.run();
+  return result;
+}
+
+}  // namespace
 
 // Guards against an answer of the store, a target or another host that ends the
 // control thread: the HTTP library throws for fields of 64 KiB, and does so
@@ -134,15 +152,9 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     connection.Reset();
   });
-  boost::asio::io_context io;
-  HttpClient client(io, *ParseEndpoint(server.address()));
   HttpRequest request{boost::beast::http::verb::post, "/x", 11};
   request.body().assign(upload_bytes, 'u');
-  std::optional<CallResult> result;
-  client.Call(std::move(request), std::chrono::seconds(2),
-              [&](const CallAnswer& answer) { result = answer.result; });
-  io.run();
-  CHECK(result == CallResult::kUnanswered);
+  CHECK(ResultOf(server, std::move(request)) == CallResult::kUnanswered);
 }
 
 // Guards against a call that is answered by a response in whose head the name
@@ -153,22 +165,12 @@
     connection.ReadRequest();
     connection.Write(bytes);
   });
-  const auto call = [&] {
-    boost::asio::io_context io;
-    HttpClient client(io, *ParseEndpoint(server.address()));
-    std::optional<CallResult> result;
-    client.Call({boost::beast::http::verb::get, "/x", 11},
-                std::chrono::seconds(2),
-                [&](const CallAnswer& answer) { result = answer.result; });
-    io.run();
-    return result;
-  };
   SUBCASE("with a length") {
     for (const std::string& head : support::HeadsWithBadFieldName(
              {"Content-Type: application/json", "Content-Length: 2"})) {
       CAPTURE(head);
       bytes = absl::StrCat(head, "{}");
-      CHECK(call() == CallResult::kUnanswered);
+      CHECK(ResultOf(server) == CallResult::kUnanswered);
     }
   }
   SUBCASE("up to the end of the connection") {
@@ -176,7 +178,7 @@
          support::HeadsWithBadFieldName({"Content-Type: application/json"})) {
       CAPTURE(head);
       bytes = absl::StrCat(head, "{}");
-      CHECK(call() == CallResult::kUnanswered);
+      CHECK(ResultOf(server) == CallResult::kUnanswered);
     }
   }
 }
--- a/tests/process/broken_answer_test.cc
+++ b/tests/process/broken_answer_test.cc
@@ -118,7 +118,7 @@
       }
     }
   }
-  CHECK(arrivals > 12);
+  CHECK(arrivals > sent / 2);
   for (size_t n = 0; n < fleet.host_count(); ++n) {
     CHECK_FALSE(fleet.host(n).process->exit_code());
   }
