--- a/tests/http/raw_target.h
+++ b/tests/http/raw_target.h
@@ -60,7 +60,7 @@
     while (true) {
       const size_t end = buf_.find("\r\n\r\n");
       if (end != std::string::npos) {
-        const std::string head = buf_.substr(0, end + 4);
+        std::string head = buf_.substr(0, end + 4);
         buf_.erase(0, end + 4);
         return head;
       }
