Do not take refused connects for the end of a target

Cause: two refused connects, 250 ms apart, counted as proof that a target's process had ended, so its leases were not waited out. A connect is also refused by a cut on the way, and by a target that has closed its port and still runs. The leader connects anew when a kept connection ends, and when it takes over. No other rule of the coordinator skips a hold without a word of the target or of a later process. Change: a refused connect counts like a command that was not sent. The next owner is chosen after 1.2 s of failed grants, and the key waits until all grants that may have reached the earlier owner have ended. Grants to an address that refused are tried again, so that a short refusal moves no keys.

--- a/src/core/keyspace/grant_coordinator.cc
+++ b/src/core/keyspace/grant_coordinator.cc
@@ -17,6 +17,10 @@
   return lists;
 }
 
+bool IsNotSent(CommandResult result) {
+  return result == CommandResult::kNotSent || result == CommandResult::kRefused;
+}
+
 }  // namespace
 
 absl::string_view ToString(CommandResult result) {
@@ -234,12 +238,7 @@
 // connection ended, and recently enough that the store cannot have chosen
 // another leader since then, unless the store is unavailable.
 bool GrantCoordinator::MayGrantTo(const Contact& contact, TimePoint now) const {
-  // What now listens at the address of an ended process is a later instance.
-  const bool has_ended =
-      contact.refused_since != TimePoint{} &&
-      contact.last_refused - contact.refused_since >= options_.refused_after &&
-      now < contact.last_refused + options_.unreachable_retry_after;
-  if (contact.grant_in_flight != 0 || has_ended) {
+  if (contact.grant_in_flight != 0) {
     return false;
   }
   if (IsRechecking()) {
@@ -423,9 +422,10 @@
 
 // A later instance with the same id proves that the earlier process has ended.
 // If it has the same address, however, it may have received a grant that was
-// meant for the earlier instance.
+// meant for the earlier instance. A refused or reset connection proves nothing,
+// since it may come from the path to a process that still holds its keys.
 bool GrantCoordinator::HasCertainlyEnded(const TargetInstance& target) const {
-  if (replaced_targets_.contains(target) || IsRefused(target)) {
+  if (replaced_targets_.contains(target)) {
     return true;
   }
   const auto known = addresses_.find(target);
@@ -442,26 +442,12 @@
   return false;
 }
 
-// A cut between this host and the target leaves connects unanswered; only a
-// host without a process at the address refuses them. A grant in flight may
-// still reach a later instance there.
-bool GrantCoordinator::IsRefused(const TargetInstance& target) const {
-  const auto it = contacts_.find(target);
-  return it != contacts_.end() && it->second.grant_in_flight == 0 &&
-         it->second.refused_since != TimePoint{} &&
-         it->second.last_refused - it->second.refused_since >=
-             options_.refused_after;
-}
-
 bool GrantCoordinator::IsUnreachable(const TargetInstance& target,
                                      TimePoint now) const {
   if (replaced_targets_.contains(target)) {
     return true;
   }
   const auto it = contacts_.find(target);
-  if (IsRefused(target)) {
-    return now - it->second.last_refused < options_.unreachable_retry_after;
-  }
   return it != contacts_.end() && it->second.failures >= 2 &&
          it->second.failing_since != TimePoint{} &&
          now - it->second.failing_since >= options_.unreachable_after &&
@@ -489,25 +475,14 @@
   }
   const bool reached = command_response.result == CommandResult::kDone ||
                        command_response.result == CommandResult::kFenced;
-  const bool was_not_sent =
-      command_response.result == CommandResult::kNotSent ||
-      command_response.result == CommandResult::kRefused;
-  if (command_response.result == CommandResult::kRefused) {
-    if (contact.refused_since == TimePoint{}) {
-      contact.refused_since = now;
-    }
-    contact.last_refused = now;
-  } else if (reached || !IsRefused(pending_command.target)) {
-    contact.refused_since = TimePoint{};
-  }
+  const bool was_not_sent = IsNotSent(command_response.result);
   if (reached) {
     contact.failing_since = TimePoint{};
     contact.failures = 0;
     // Releases use separate connections, so a response to one says nothing
     // about the connection for grants.
     contact.connected = contact.connected || is_grant;
-  } else if (pending_command.kept_connection_only &&
-             command_response.result == CommandResult::kNotSent) {
+  } else if (pending_command.kept_connection_only && was_not_sent) {
     contact.connected = false;
     contact.unconnected_since = now;
   } else if (is_grant) {
--- a/src/core/keyspace/grant_coordinator.h
+++ b/src/core/keyspace/grant_coordinator.h
@@ -69,9 +69,6 @@
   Duration recheck_limit = std::chrono::milliseconds(2'000);
   // A target whose grants have failed for this long is replaced as an owner.
   Duration unreachable_after = std::chrono::milliseconds(1'200);
-  // A target whose address refuses connections for this long has ended, so it
-  // holds no keys. One refusal may come from a process that is just starting.
-  Duration refused_after = std::chrono::milliseconds(250);
   // A replaced target may become an owner again this long after its last
   // failure.
   Duration unreachable_retry_after = std::chrono::seconds(8);
@@ -141,7 +138,8 @@
   kWrongTarget,
   // The target has definitely not received the command.
   kNotSent,
-  // The same, because no process listens at the target's address.
+  // The same, because the connection was refused. For logs only: the refusal
+  // may come from the path to a target that runs and holds its keys.
   kRefused,
   // The command may take effect now or later.
   kUnknown,
@@ -269,10 +267,6 @@
     TimePoint failing_since{};
     TimePoint last_failure{};
     int failures = 0;
-    // When the first and the last of the recent commands found no process at
-    // the target's address; zero if another result came after it.
-    TimePoint refused_since{};
-    TimePoint last_refused{};
     // The target has responded to a grant, and the connection has not been lost
     // since then.
     bool connected = false;
@@ -324,7 +318,6 @@
   Contact& ContactOf(const TargetInstance& target);
   RangeState* FindRange(const KeyRange& keys);
   bool HasCertainlyEnded(const TargetInstance& target) const;
-  bool IsRefused(const TargetInstance& target) const;
   const OwnerTarget* FindTarget(const TargetInstance& target) const;
   bool IsUnreachable(const TargetInstance& target, TimePoint now) const;
   bool MayRaiseFence(const RangeState& range,
--- a/src/core/request/crash_detector.h
+++ b/src/core/request/crash_detector.h
@@ -28,7 +28,8 @@
 
 // How the end of a target was detected.
 enum class CrashEvidence {
-  // No process listens at the target's address.
+  // The target's address refuses connections after one has broken. A cut that
+  // does both is taken for the end of the target.
   kConnectRefused,
   // Another process has the target's id or address.
   kNewInstance,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -29,7 +29,8 @@
 
 struct CallAnswer {
   CallResult result = CallResult::kUnanswered;
-  // With kNotSent: no process listens at the server's address.
+  // With kNotSent: the connection was refused, by the server's machine or by
+  // something on the way to it.
   bool is_refused = false;
   HttpResponse response;
 };
--- a/tests/process/platform_journal.cc
+++ b/tests/process/platform_journal.cc
@@ -98,6 +98,40 @@
   }
 }
 
+// A time in which an instance of a target held a key.
+struct Hold {
+  std::string instance;
+  TimePoint from;
+  TimePoint until;
+};
+
+// Returns the holds of one key. Grants that follow each other before a lease
+// ends are one hold.
+std::vector<Hold> HoldsOf(std::uint32_t key,
+                          const std::vector<PlatformJournalEntry>& journal) {
+  std::vector<Hold> holds;
+  std::map<std::string, size_t> last_holds;
+  for (const PlatformJournalEntry& it : journal) {
+    const bool is_grant = it.event == PlatformEvent::kGrant;
+    if ((!is_grant && it.event != PlatformEvent::kRelease) || key < it.first ||
+        it.last < key) {
+      continue;
+    }
+    const std::string instance = InstanceOf(it);
+    const auto last = last_holds.find(instance);
+    const bool holds_key =
+        last != last_holds.end() && holds[last->second].until > it.at;
+    if (is_grant && !holds_key) {
+      last_holds[instance] = holds.size();
+      holds.push_back({.instance = instance, .from = it.at});
+    }
+    if (is_grant || holds_key) {
+      holds[last_holds[instance]].until = is_grant ? it.at + it.lease : it.at;
+    }
+  }
+  return holds;
+}
+
 bool Overlaps(const FaultInterval& fault, TimePoint from, TimePoint to) {
   return fault.from <= to && from <= fault.to;
 }
@@ -209,6 +243,9 @@
       (void)absl::SimpleAtoi((*value)["fence"].asString(), &entry.fence);
       (void)absl::SimpleAtoi((*value)["first"].asString(), &entry.first);
       (void)absl::SimpleAtoi((*value)["last"].asString(), &entry.last);
+      std::int64_t lease_ms = 0;
+      (void)absl::SimpleAtoi((*value)["lease_ms"].asString(), &lease_ms);
+      entry.lease = milliseconds(lease_ms);
       journal.push_back(std::move(entry));
     }
   }
@@ -217,6 +254,28 @@
   return journal;
 }
 
+std::vector<std::string> FindSharedKeys(
+    const std::vector<PlatformJournalEntry>& journal,
+    milliseconds limit) {
+  std::vector<std::string> found;
+  for (std::uint32_t key = 0; key <= kLastKey; key += kKeyStep) {
+    const std::vector<Hold> holds = HoldsOf(key, journal);
+    for (size_t n = 0; n < holds.size(); ++n) {
+      for (size_t m = n + 1; m < holds.size(); ++m) {
+        const auto shared = std::chrono::duration_cast<milliseconds>(
+            std::min(holds[n].until, holds[m].until) -
+            std::max(holds[n].from, holds[m].from));
+        if (holds[n].instance != holds[m].instance && shared > limit) {
+          found.push_back(absl::StrCat(
+              "key ", key, " was held by ", holds[n].instance, " and ",
+              holds[m].instance, " for ", shared.count(), " ms"));
+        }
+      }
+    }
+  }
+  return found;
+}
+
 std::vector<std::string> FindPlatformFaults(
     const std::vector<PlatformJournalEntry>& journal,
     const std::vector<PlatformRecord>& records,
--- a/tests/process/platform_journal.h
+++ b/tests/process/platform_journal.h
@@ -28,6 +28,8 @@
   std::uint64_t fence = 0;
   std::uint32_t first = 0;
   std::uint32_t last = 0;
+  // Set for a grant.
+  std::chrono::milliseconds lease{};
 };
 
 // A period in which the test injected a fault. Requests that overlap with it
@@ -40,6 +42,13 @@
 // Reads the journals of all targets in the order of time.
 std::vector<PlatformJournalEntry> ReadPlatformJournals(PlatformFleet& fleet);
 
+// Returns one line for each pair of targets that held a key at the same time
+// for longer than the limit. Assumes that no target ended before its leases
+// did.
+std::vector<std::string> FindSharedKeys(
+    const std::vector<PlatformJournalEntry>& journal,
+    std::chrono::milliseconds limit);
+
 // Compares what targets ran with what callers were told and returns one line
 // for each violated guarantee.
 std::vector<std::string> FindPlatformFaults(
