--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -28,7 +28,8 @@
                                       "store paused",
                                       "host cut off the store",
                                       "configuration published",
-                                      "store restored from a copy"};
+                                      "store restored from a copy",
+                                      "target refuses connections"};
 
 struct Queries {
   const char* set;
@@ -114,6 +115,20 @@
                      "&away_ms=", fault.fault_duration.count());
     plan.push_back(std::move(fault));
   }
+  std::minstd_rand refusal_random(seed + 2);
+  refusal_random.discard(16);
+  for (size_t n = 0; n < options.refusals; ++n) {
+    Fault fault{.kind = FaultKind::kTargetRefusal,
+                .at = milliseconds(refusal_random() % options.length.count()),
+                .query = "mode=refuse&from=/grant",
+                .end_query = "mode=pass"};
+    fault.fault_duration =
+        kMinFaultDuration +
+        milliseconds(refusal_random() %
+                     (kMaxFaultDuration - kMinFaultDuration).count());
+    fault.process_index = refusal_random() % options.targets;
+    plan.push_back(std::move(fault));
+  }
   std::sort(plan.begin(), plan.end(),
             [](const Fault& a, const Fault& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -35,6 +35,9 @@
   // The store is unavailable and comes back from a copy that lacks the last
   // writes.
   kStoreRestore,
+  // The relay to the target refuses new connections and ends those that carry
+  // grants, while the target serves the others.
+  kTargetRefusal,
 };
 
 // A fault, when it begins and how long it lasts.
@@ -57,6 +60,8 @@
   size_t faults = 6;
   // Restores of the store, in addition to the other faults.
   size_t restores = 0;
+  // Refused connections to a target, in addition to the other faults.
+  size_t refusals = 0;
   size_t hosts = 3;
   size_t targets = 7;
 };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -23,6 +23,7 @@
 ABSL_FLAG(int, plain_targets, 3, "targets without keys");
 ABSL_FLAG(int, faults, 6, "faults in each run");
 ABSL_FLAG(int, restores, 1, "restores of the store in each run");
+ABSL_FLAG(int, refusals, 1, "times a target's connections are refused");
 ABSL_FLAG(int, seconds, 8, "time in which faults begin");
 ABSL_FLAG(bool, verbose, false, "print each fault");
 
@@ -67,6 +68,7 @@
       .keyed_targets = static_cast<size_t>(absl::GetFlag(FLAGS_keyed_targets)),
       .plain_targets = static_cast<size_t>(absl::GetFlag(FLAGS_plain_targets)),
       .restores = static_cast<size_t>(absl::GetFlag(FLAGS_restores)),
+      .refusals = static_cast<size_t>(absl::GetFlag(FLAGS_refusals)),
       .length = std::chrono::seconds(absl::GetFlag(FLAGS_seconds)),
       .verbose = absl::GetFlag(FLAGS_verbose)};
   size_t failed = 0;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -38,6 +38,7 @@
             {.length = options.length,
              .faults = options.faults,
              .restores = options.restores,
+             .refusals = options.refusals,
              .hosts = options.hosts,
              .targets = options.keyed_targets + options.plain_targets})),
         fleet_({.hosts = options.hosts,
@@ -136,6 +137,7 @@
         fleet_.SetTargetFault(fault.process_index, fault.end_query);
         break;
       case FaultKind::kTargetCut:
+      case FaultKind::kTargetRefusal:
         fleet_.SetRelay(fleet_.target(fault.process_index).relay_control,
                         fault.query);
         std::this_thread::sleep_for(fault.fault_duration);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -15,6 +15,7 @@
   size_t plain_targets = 3;
   size_t faults = 6;
   size_t restores = 1;
+  size_t refusals = 1;
   std::chrono::milliseconds length{8'000};
   // Prints each fault as it begins.
   bool verbose = false;
