--- a/tests/core/keyspace/grant_coordinator_test.cc
+++ b/tests/core/keyspace/grant_coordinator_test.cc
@@ -470,6 +470,22 @@
     CHECK_FALSE(owns_keys());
   }
 
+  // Seen on a drawn day of kc-brama (fresh-abf9).
+  SUBCASE("while it drains after an outage: its longest lease counts") {
+    for (int i = 0; i < simulation.hosts(); ++i) {
+      simulation.CutFromStore(i, true);
+    }
+    simulation.Run(seconds(6));
+    for (int i = 0; i < simulation.hosts(); ++i) {
+      simulation.CutFromStore(i, false);
+    }
+    simulation.CloseConnections(kRefusing);
+    simulation.SetDraining(kRefusing, true);
+    simulation.Run(seconds(12));
+    CHECK(simulation.ServedFraction() == 1.0);
+    CHECK_FALSE(owns_keys());
+  }
+
   CHECK(simulation.FirstViolation() == "");
 }
 
