Draw refusals and restores of a schedule independently

Cause: both generators had the same seed, so that in schedules with both, restores came only with refusals until the draws diverged.

--- a/tests/core/keyspace/grant_coordinator_test.cc
+++ b/tests/core/keyspace/grant_coordinator_test.cc
@@ -70,7 +70,7 @@
   simulation.Run(seconds(3));
   std::uniform_int_distribution<int> pick(0, 9);
   std::mt19937_64 restore_random(seed);
-  std::mt19937_64 refusal_random(seed);
+  std::mt19937_64 refusal_random(~seed);
   for (int step = 0; step < 25; ++step) {
     if (additional.refused_connects && pick(refusal_random) < 4) {
       const int refusing = pick(refusal_random) % 4;
