Show that kept connections of consumers stop new ones

Cause: callers' connections have no limit, and an accept that fails for lack of descriptors is tried again at once. Scripts end by themselves after 115 s.

--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -10,18 +10,20 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 IP = "127.0.0.1"
+# `maxFds` of the settings of an edge machine.
+MAX_FDS = 4100
 
 
 class CannotRun(Exception):
@@ -316,7 +318,9 @@
         words = run.replace("/etc/toucandock/boot.toml", self.settings).split()
         if not os.path.exists(os.path.join(ROOT, words[0])):
             raise CannotRun(words[0] + " is missing; run the build of deploy/system.toml first")
-        self.process = subprocess.Popen(words, cwd=ROOT, stdout=self.log, stderr=self.log)
+        self.process = subprocess.Popen(
+            words, cwd=ROOT, stdout=self.log, stderr=self.log,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS)))
 
     async def await_ready(self):
         for _ in range(300):
@@ -348,20 +352,22 @@
     record = Record(folder)
     work = tempfile.mkdtemp()
     hosts = []
-    code = 2
-    async def play_in_time():
-        # Connections that are open at the end are cancelled with the loop.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        return await asyncio.wait_for(case(record, work, hosts), 110)
 
-    try:
-        held = asyncio.run(play_in_time())
-        code = 0 if held else 1
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        record("the case could not run: %r" % error)
-    finally:
+    def leave(code):
         for it in hosts:
             it.end()
         shutil.rmtree(work, ignore_errors=True)
-    record("exit %d (%s)" % (code, {0: "the rule held", 1: "the rule was broken", 2: "not run"}[code]))
-    sys.exit(code)
+        record("exit %d (%s)" % (code, {0: "the rule held", 1: "the rule was broken", 2: "not run"}[code]))
+        # Tasks of the case may still run; they end with the process.
+        os._exit(code)
+
+    signal.signal(signal.SIGALRM, lambda *_: leave(2))
+    signal.alarm(115)
+    loop = asyncio.new_event_loop()
+    loop.set_exception_handler(lambda *_: None)
+    try:
+        held = loop.run_until_complete(asyncio.wait_for(case(record, work, hosts), 110))
+    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        record("the case could not run: %r" % error)
+        leave(2)
+    leave(0 if held else 1)
