--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -6,7 +6,6 @@
 """
 import asyncio
 import base64
-import datetime
 import json
 import os
 import re
@@ -215,14 +214,6 @@
                 parts.append([body["topics"][0], n, 0])
         return self.json(200, {"generation": group["generation"], "ttl_time": body["ttl_time"], "parts": parts})
 
-    def rebalance(self, name):
-        """Deals all partitions of a group anew."""
-        group = self.groups[name]
-        members = list(group["members"])
-        first = members.index(group["planned"][0]) + 1
-        group["generation"] += 1
-        group["planned"] = [members[(first + n) % len(members)] for n in range(self.PARTITIONS)]
-
     def leave(self, body):
         group = self.groups.get(body["group"])
         if group and body["member"] in group["members"]:
@@ -336,10 +327,6 @@
             await asyncio.sleep(0.1)
         raise CannotRun(self.name + " is not ready")
 
-    def peak_memory_mb(self):
-        with open("/proc/%d/status" % self.process.pid) as file:
-            return int(re.search(r"VmHWM:\s*(\d+)", file.read()).group(1)) / 1024
-
     def end(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -361,13 +348,15 @@
         # Tasks of the case may still run; they end with the process.
         os._exit(code)
 
-    signal.signal(signal.SIGALRM, lambda *_: leave(2))
+    for it in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(it, lambda *_: leave(2))
     signal.alarm(115)
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda *_: None)
     try:
         held = loop.run_until_complete(asyncio.wait_for(case(record, work, hosts), 110))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:
+        # Whatever goes wrong in the script itself says nothing about the rule.
         record("the case could not run: %r" % error)
         leave(2)
     leave(0 if held else 1)
